Set down the workspace and the pure decisions

The crates are cut by life span: what lives for a version (documents, hosts, budgets, leases, waves, the planning round) and for a request (queue, board, breaker, claims, tickets, retries, lanes). Neither touches a clock, a socket or a file, so duties, measurements and the model checker share one copy.

--- /dev/null
+++ b/crates/skylarkwick-request/src/id.rs
@@ -0,0 +1,82 @@
+//! Identities of requests, attempts and keys.
+
+use std::fmt;
+
+use skylarkwick_version::lease::Incarnation;
+
+/// Longest idempotency key accepted, in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+
+/// Identity of one request at one entry host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Request {
+    /// The run of the entry host that accepted the request.
+    pub incarnation: Incarnation,
+    /// Its number within that run.
+    pub number: u64,
+}
+
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.incarnation, self.number)
+    }
+}
+
+/// Identity of one attempt to run a request on a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Attempt {
+    /// The request.
+    pub request: Request,
+    /// The attempt's number within the request, from zero.
+    pub number: u32,
+}
+
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.request, self.number)
+    }
+}
+
+/// Hash of a service and an idempotency key, which names the claim's row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key([u8; 16]);
+
+impl Key {
+    /// Hashes a service's name and an idempotency key.
+    pub fn of(service: &str, key: &str) -> Key {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(service.as_bytes()).update(&[0]).update(key.as_bytes());
+        Key(truncated(&hasher))
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+/// Hash of a request's kind and body, which tells a reused key from a repeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Digest(pub u128);
+
+impl Digest {
+    /// Hashes a request's kind and body.
+    pub fn of(kind: &str, body: &[u8]) -> Digest {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(kind.as_bytes()).update(&[0]).update(body);
+        Digest(u128::from_be_bytes(truncated(&hasher)))
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+fn truncated(hasher: &blake3::Hasher) -> [u8; 16] {
+    let mut bytes = [0; 16];
+    hasher.finalize_xof().fill(&mut bytes);
+    bytes
+}
--- /dev/null
+++ b/crates/skylarkwick-version/src/document/check.rs
@@ -0,0 +1,161 @@
+//! Turns user-written options into checked settings.
+
+use std::time::Duration;
+
+use toml::Spanned;
+
+use super::{Method, Options, Priority, Settings, Stop, Work};
+use crate::{
+    name,
+    quantity::Quantity,
+    source::{Fault, Source},
+};
+
+/// Shortest run time that a document may state.
+const MIN_RUN_TIME: Duration = Duration::from_micros(1);
+/// Longest time that a document may state, so that sums of times never overflow.
+const MAX_TIME: Duration = Duration::from_secs(30 * 24 * 3600);
+/// Thousandths of a core taken by a task whose document states no processors.
+const DEFAULT_MILLICORES: u64 = 1000;
+/// Memory taken by a task whose document states none, in MiB.
+const DEFAULT_MEMORY_MIB: u64 = 512;
+/// Most processors that one task may ask for.
+const MAX_PROCESSORS: f64 = 4096.0;
+
+impl Options {
+    /// Parses and checks the document in `source`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with its line, its key and what to write instead.
+    pub fn load(source: &Source) -> Result<Settings, Fault> {
+        source.parse::<Options>()?.check(source)
+    }
+
+    /// Checks the options against each other.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with its line, its key and what to write instead.
+    pub fn check(&self, source: &Source) -> Result<Settings, Fault> {
+        let hosts = *self.capacity.hosts.get_ref();
+        Ok(Settings {
+            service: checked_name(source, "service", &self.service)?,
+            team: checked_name(source, "team", &self.team)?,
+            pool: checked_name(source, "pool", &self.pool)?,
+            priority: self.priority(source)?,
+            is_spare: self.spare,
+            hosts,
+            down_at_once: self.down_at_once(source, hosts)?,
+            work: self.work(source)?,
+            stop: self.stop(source)?,
+        })
+    }
+
+    fn down_at_once(&self, source: &Source, hosts: u32) -> Result<u32, Fault> {
+        let down = &self.capacity.down_at_once;
+        match *down.get_ref() {
+            count if count > hosts => Err(source.fault(
+                &down.span(),
+                "capacity.down-at-once",
+                &format!("{count} is more than capacity.hosts = {hosts}"),
+                &format!("write a number from 0 to {hosts}"),
+            )),
+            count => Ok(count),
+        }
+    }
+
+    fn priority(&self, source: &Source) -> Result<Priority, Fault> {
+        let Some(priority) = &self.priority else { return Ok(Priority::Normal) };
+        match priority.get_ref().as_str() {
+            "urgent" => Ok(Priority::Urgent),
+            "normal" => Ok(Priority::Normal),
+            "batch" => Ok(Priority::Batch),
+            other => Err(source.fault(
+                &priority.span(),
+                "priority",
+                &format!("{other:?} is not a priority"),
+                "write \"urgent\", \"normal\" or \"batch\"",
+            )),
+        }
+    }
+
+    fn work(&self, source: &Source) -> Result<Work, Fault> {
+        let run_time = checked_time(source, "work.run-time", &self.work.run_time)?;
+        let deadline = checked_time(source, "work.deadline", &self.work.deadline)?;
+        if run_time > deadline {
+            return Err(source.fault(
+                &self.work.run_time.span(),
+                "work.run-time",
+                "is longer than work.deadline, so no request could ever finish in time",
+                "shorten work.run-time or lengthen work.deadline",
+            ));
+        }
+        Ok(Work {
+            is_repeatable: self.work.repeatable,
+            run_time,
+            deadline,
+            size: self.size(source)?,
+        })
+    }
+
+    fn size(&self, source: &Source) -> Result<Quantity, Fault> {
+        let millicores = match &self.work.processors {
+            None => DEFAULT_MILLICORES,
+            Some(count) if (0.001..=MAX_PROCESSORS).contains(count.get_ref()) => {
+                (count.get_ref() * 1000.0).round() as u64
+            }
+            Some(count) => {
+                return Err(source.fault(
+                    &count.span(),
+                    "work.processors",
+                    &format!("{} is out of range", count.get_ref()),
+                    "write a number of cores from 0.001 to 4096",
+                ));
+            }
+        };
+        Ok(Quantity {
+            millicores,
+            memory_mib: self.work.memory_mib.unwrap_or(DEFAULT_MEMORY_MIB),
+            accelerators: self.work.accelerators.unwrap_or(0),
+        })
+    }
+
+    fn stop(&self, source: &Source) -> Result<Stop, Fault> {
+        let method = match self.stop.method.get_ref().as_str() {
+            "drain" => Method::Drain,
+            "checkpoint" => Method::Checkpoint,
+            other => {
+                return Err(source.fault(
+                    &self.stop.method.span(),
+                    "stop.method",
+                    &format!("{other:?} is not a way to stop work"),
+                    "write \"drain\" or \"checkpoint\"",
+                ));
+            }
+        };
+        Ok(Stop { method, grace: checked_time(source, "stop.grace", &self.stop.grace)? })
+    }
+}
+
+fn checked_name<N>(source: &Source, key: &str, text: &Spanned<String>) -> Result<N, Fault>
+where
+    N: for<'a> TryFrom<&'a str, Error = name::Invalid>,
+{
+    N::try_from(text.get_ref().as_str())
+        .map_err(|error| source.fault(&text.span(), key, &error.to_string(), "choose another name"))
+}
+
+fn checked_time(source: &Source, key: &str, text: &Spanned<String>) -> Result<Duration, Fault> {
+    let fix = "write a time with its unit, such as \"250ms\", \"5s\" or \"8h\"";
+    match humantime::parse_duration(text.get_ref()) {
+        Ok(time) if (MIN_RUN_TIME..=MAX_TIME).contains(&time) => Ok(time),
+        Ok(_) => Err(source.fault(&text.span(), key, "is not between 1us and 30days", fix)),
+        Err(error) => Err(source.fault(
+            &text.span(),
+            key,
+            &format!("{:?} is not a time ({error})", text.get_ref()),
+            fix,
+        )),
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-version/src/document/options.rs
@@ -0,0 +1,44 @@
+//! The document as its team writes it.
+
+use serde::Deserialize;
+use toml::Spanned;
+
+/// User-written options of a service's document.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Options {
+    pub(crate) service: Spanned<String>,
+    pub(crate) team: Spanned<String>,
+    pub(crate) pool: Spanned<String>,
+    pub(crate) priority: Option<Spanned<String>>,
+    #[serde(default)]
+    pub(crate) spare: bool,
+    pub(crate) capacity: Capacity,
+    pub(crate) work: Work,
+    pub(crate) stop: Stop,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub(crate) struct Capacity {
+    pub(crate) hosts: Spanned<u32>,
+    pub(crate) down_at_once: Spanned<u32>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub(crate) struct Work {
+    pub(crate) repeatable: bool,
+    pub(crate) run_time: Spanned<String>,
+    pub(crate) deadline: Spanned<String>,
+    pub(crate) processors: Option<Spanned<f64>>,
+    pub(crate) memory_mib: Option<u64>,
+    pub(crate) accelerators: Option<u64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub(crate) struct Stop {
+    pub(crate) method: Spanned<String>,
+    pub(crate) grace: Spanned<String>,
+}
--- /dev/null
+++ b/crates/skylarkwick-version/src/name.rs
@@ -0,0 +1,132 @@
+//! Names as shared immutable strings.
+//!
+//! A name is checked once, where it enters the system, and is cloned by
+//! reference count from then on. Each kind has its own type, so that a host can
+//! not be passed where a pool is meant. See `docs/GLOSSARY.md` for the words.
+
+use std::{borrow::Borrow, fmt, sync::Arc};
+
+/// Longest name accepted, in bytes; it keeps every row key under 256 bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// The reason why a text is not a name.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "{kind} name {text:?} is not valid; use 1 to {MAX_NAME_BYTES} of a-z, 0-9, '-' and '.', starting with a letter or digit"
+)]
+pub struct Invalid {
+    kind: &'static str,
+    text: String,
+}
+
+fn check(kind: &'static str, text: &str) -> Result<(), Invalid> {
+    let first_is_alphanumeric = text.bytes().next().is_some_and(|b| b.is_ascii_alphanumeric());
+    let all_allowed = text
+        .bytes()
+        .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.');
+    match text.len() <= MAX_NAME_BYTES && first_is_alphanumeric && all_allowed {
+        true => Ok(()),
+        false => Err(Invalid { kind, text: text.chars().take(2 * MAX_NAME_BYTES).collect() }),
+    }
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = Invalid;
+
+            fn try_from(text: &str) -> Result<Self, Invalid> {
+                check($kind, text).map(|()| Self(Arc::from(text)))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Invalid;
+
+            fn try_from(text: String) -> Result<Self, Invalid> {
+                Self::try_from(text.as_str())
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+name!(
+    /// A service that a team owns.
+    Service,
+    "service"
+);
+name!(
+    /// A pool of hosts.
+    Pool,
+    "pool"
+);
+name!(
+    /// A host of the fleet, which runs one backend server.
+    Host,
+    "host"
+);
+name!(
+    /// A rack: hosts that fail together with their switch or power.
+    Rack,
+    "rack"
+);
+name!(
+    /// A data centre.
+    DataCentre,
+    "data centre"
+);
+name!(
+    /// A team that owns services and has a quota.
+    Team,
+    "team"
+);
+name!(
+    /// An entry host: one of the hosts that skylarkwick itself runs on.
+    Entry,
+    "entry host"
+);
+name!(
+    /// A kind of request within a service; run times are learned for each kind.
+    Kind,
+    "kind"
+);
+name!(
+    /// A maintenance wave.
+    Wave,
+    "wave"
+);
--- /dev/null
+++ b/crates/skylarkwick-version/src/revision.rs
@@ -0,0 +1,32 @@
+//! Row revisions and transaction tokens.
+//!
+//! The platform stamps every row with the revision of the transaction that
+//! wrote it. A token is unique to one transaction and is stored in its rows, so
+//! that a writer whose answer was lost can tell its own write from another's.
+
+use std::fmt;
+
+/// Revision of a row; it grows with every accepted transaction of the platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision(pub u64);
+
+impl Revision {
+    /// The revision of a row that was never written.
+    pub const ABSENT: Revision = Revision(0);
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Identity of one transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Token(pub u128);
+
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-version/src/source.rs
@@ -0,0 +1,76 @@
+//! Errors of user-written files, with the place and the fix.
+//!
+//! Every refusal names the file, the line, the key and what to write instead,
+//! because the person who reads it may be on call and new to the file.
+
+use std::{fmt, ops::Range, sync::Arc};
+
+/// One fault in a user-written file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    file: Arc<str>,
+    line: usize,
+    key: String,
+    problem: String,
+    fix: String,
+}
+
+impl std::error::Error for Fault {}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}: {}; {}", self.file, self.line, self.key, self.problem, self.fix)
+    }
+}
+
+/// A user-written file and its text.
+#[derive(Clone, Debug)]
+pub struct Source {
+    file: Arc<str>,
+    text: Arc<str>,
+}
+
+impl Source {
+    /// Pairs the name of a file with its text.
+    pub fn new(file: &str, text: &str) -> Source {
+        Source { file: Arc::from(file), text: Arc::from(text) }
+    }
+
+    /// Returns the text of the file.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Parses the file into user-written options.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first syntax error, unknown key or value of a wrong type.
+    pub fn parse<T: serde::de::DeserializeOwned>(&self) -> Result<T, Fault> {
+        toml::from_str(&self.text).map_err(|error| {
+            let span = error.span().unwrap_or(0..0);
+            let key = self.key_at(&span);
+            let fix = "see docs/SETTINGS.md for the keys and their forms";
+            self.fault(&span, &key, error.message(), fix)
+        })
+    }
+
+    /// Describes a fault at a byte range of the file.
+    pub fn fault(&self, span: &Range<usize>, key: &str, problem: &str, fix: &str) -> Fault {
+        let before = self.text.as_bytes().iter().take(span.start);
+        Fault {
+            file: Arc::clone(&self.file),
+            line: 1 + before.filter(|&&byte| byte == b'\n').count(),
+            key: key.to_owned(),
+            problem: problem.replace('\n', " "),
+            fix: fix.to_owned(),
+        }
+    }
+
+    fn key_at(&self, span: &Range<usize>) -> String {
+        let start = self.text[..span.start.min(self.text.len())].rfind('\n').map_or(0, |at| at + 1);
+        let line = self.text[start..].lines().next().unwrap_or_default();
+        let key = line.split('=').next().unwrap_or_default().trim();
+        if key.is_empty() { "file".to_owned() } else { key.to_owned() }
+    }
+}
