Add processes and connections

Processes bring rings that block and never grow, named duties, the clock, checked settings, logs, metrics, traces and the view. Connections bring one module for each neighbour, wire types with conversions, and one adapter each over rouille, ureq and jsonrpsee.

--- /dev/null
+++ b/crates/skylarkwick-connection/src/backend/http.rs
@@ -0,0 +1,208 @@
+//! Backend servers over HTTP.
+//!
+//! An attempt is sent once. When its connection breaks, answers for another
+//! attempt or says nothing for longer than the task should take, the server is
+//! asked about the attempt on a new connection: it then either hands over the
+//! kept answer, says that the task still runs, or promises never to start it,
+//! which is a true `NotRun`. See `docs/DESIGN.md`, section "Connections".
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use serde::Serialize;
+use skylarkwick_request::outcome::{Doubt, Outcome, Refusal};
+use skylarkwick_version::host::Epoch;
+use ureq::{Agent, Body, http::Response};
+
+use super::{Answer, Control, Server, Status, Task, Unreachable, wire};
+use crate::agent::{Agents, is_silence, never_left};
+
+/// Idle connections kept to each backend server.
+const MAX_IDLE: usize = 8;
+/// Longest wait for an answer about an attempt or a host.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time that one inquiry waits for a running task.
+const INQUIRY_WAIT: Duration = Duration::from_secs(2);
+/// Pause between inquiries that found no server.
+const INQUIRY_PAUSE: Duration = Duration::from_millis(50);
+/// Inquiries in a row that may fail before the outcome stays unknown.
+const MAX_FAILED_INQUIRIES: u32 = 3;
+/// Largest answer that is read.
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
+
+/// Connections to the backend servers of a data centre.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    agents: Agents,
+}
+
+impl Default for Backend {
+    fn default() -> Backend {
+        Backend { agents: Agents::new(MAX_IDLE) }
+    }
+}
+
+/// What a server said about an attempt.
+enum Said {
+    Outcome(Outcome<Answer>),
+    Running,
+    Nothing,
+}
+
+impl Server for Backend {
+    fn run(&self, task: &Task) -> Outcome<Answer> {
+        let end = Instant::now() + task.time_left;
+        let (generation, agent) = self.agents.get(task.address);
+        let error = match send(&agent, task) {
+            Ok(response) => match outcome(task, response) {
+                Outcome::Unknown(Doubt::Foreign | Doubt::Broken) => None,
+                outcome => return outcome,
+            },
+            Err(error) if never_left(&error) => return Outcome::NotRun(Refusal::Unreachable),
+            Err(error) => Some(error),
+        };
+        if error.is_none_or(|error| is_silence(&error)) {
+            self.agents.drop_silent(task.address, generation);
+        }
+        self.inquire(task, end)
+    }
+}
+
+impl Backend {
+    /// Asks the server about an attempt until it has an outcome.
+    fn inquire(&self, task: &Task, end: Instant) -> Outcome<Answer> {
+        let agent = self.agents.open();
+        let mut failures = 0;
+        while failures < MAX_FAILED_INQUIRIES {
+            match ask(&agent, task, end.saturating_duration_since(Instant::now())) {
+                Said::Outcome(outcome) => return outcome,
+                Said::Running if Instant::now() >= end => break,
+                Said::Running => failures = 0,
+                Said::Nothing => {
+                    failures += 1;
+                    std::thread::sleep(INQUIRY_PAUSE);
+                }
+            }
+        }
+        Outcome::Unknown(Doubt::Timeout)
+    }
+
+    fn post(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<Response<Body>, Unreachable> {
+        let (generation, agent) = self.agents.get(address);
+        let text = serde_json::to_string(body).map_err(|_| Unreachable)?;
+        let answer = agent
+            .post(format!("http://{address}{path}"))
+            .config()
+            .timeout_global(Some(CONTROL_TIMEOUT))
+            .build()
+            .content_type("application/json")
+            .send(text);
+        answer.map_err(|error| {
+            if is_silence(&error) {
+                self.agents.drop_silent(address, generation);
+            }
+            Unreachable
+        })
+    }
+}
+
+impl Control for Backend {
+    fn status(&self, address: SocketAddr) -> Result<Status, Unreachable> {
+        let (generation, agent) = self.agents.get(address);
+        let answer = agent
+            .get(format!("http://{address}/v1/status"))
+            .config()
+            .timeout_global(Some(CONTROL_TIMEOUT))
+            .build()
+            .call();
+        let response = answer.map_err(|error| {
+            if is_silence(&error) {
+                self.agents.drop_silent(address, generation);
+            }
+            Unreachable
+        })?;
+        status(response)
+    }
+
+    fn fence(&self, address: SocketAddr, epoch: Epoch) -> Result<Status, Unreachable> {
+        status(self.post(address, "/v1/fence", &wire::Fence { epoch: epoch.0 })?)
+    }
+
+    fn reboot(&self, address: SocketAddr, boot: u64) -> Result<(), Unreachable> {
+        match self.post(address, "/v1/reboot", &wire::Reboot { boot })?.status().as_u16() {
+            200 => Ok(()),
+            _ => Err(Unreachable),
+        }
+    }
+}
+
+fn status(mut response: Response<Body>) -> Result<Status, Unreachable> {
+    let text = response.body_mut().read_to_string().map_err(|_| Unreachable)?;
+    let status: wire::Status = serde_json::from_str(&text).map_err(|_| Unreachable)?;
+    Ok(status.into())
+}
+
+fn send(agent: &Agent, task: &Task) -> Result<Response<Body>, ureq::Error> {
+    let mut request = agent
+        .post(format!("http://{}/v1/tasks", task.address))
+        .config()
+        .timeout_global(Some(task.patience.min(task.time_left)))
+        .build()
+        .header(wire::ATTEMPT, task.attempt.to_string())
+        .header(wire::EPOCH, task.epoch.0.to_string())
+        .header(wire::SERVICE, task.service.as_str())
+        .header(wire::KIND, task.kind.as_str());
+    if let Some(key) = &task.key {
+        request = request.header(wire::KEY, key.as_ref());
+    }
+    if let Some(traceparent) = &task.traceparent {
+        request = request.header(wire::TRACEPARENT, traceparent);
+    }
+    request.send(&task.body[..])
+}
+
+fn ask(agent: &Agent, task: &Task, time_left: Duration) -> Said {
+    let wait = time_left.min(INQUIRY_WAIT);
+    let url = format!(
+        "http://{}/v1/attempts/{}?wait-ms={}",
+        task.address,
+        task.attempt,
+        wait.as_millis()
+    );
+    let request = agent.get(url).config().timeout_global(Some(wait + CONTROL_TIMEOUT)).build();
+    match request.call() {
+        Ok(response) if response.status().as_u16() == 202 => Said::Running,
+        Ok(response) => match outcome(task, response) {
+            Outcome::Unknown(Doubt::Foreign | Doubt::Broken) => Said::Nothing,
+            outcome => Said::Outcome(outcome),
+        },
+        Err(_) => Said::Nothing,
+    }
+}
+
+/// Reads a response; one that does not echo the attempt belongs to another.
+fn outcome(task: &Task, mut response: Response<Body>) -> Outcome<Answer> {
+    let header = |name: &str| {
+        response.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    };
+    if header(wire::ATTEMPT).as_deref() != Some(task.attempt.to_string().as_str()) {
+        return Outcome::Unknown(Doubt::Foreign);
+    }
+    let content_type = header("content-type").unwrap_or_default();
+    let not_run = header(wire::NOT_RUN).as_deref().and_then(wire::denial);
+    let status = response.status().as_u16();
+    let body = response.body_mut().with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
+    match (status, not_run, body) {
+        (409, Some(denial), _) => Outcome::NotRun(Refusal::Backend(denial)),
+        (200, _, Ok(body)) => Outcome::Done(Answer { content_type, body }),
+        (200, _, Err(_)) => Outcome::Unknown(Doubt::Broken),
+        _ => Outcome::Unknown(Doubt::Failed),
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-connection/src/lib.rs
@@ -0,0 +1,13 @@
+//! What lives as long as a connection.
+//!
+//! One module for each neighbour: callers, backend servers, the platform and
+//! peers. Each has a small trait, the wire types with their conversions, and an
+//! adapter over a library. Decisions never see a wire type. See
+//! `docs/DESIGN.md`, section "Connections".
+
+pub mod agent;
+pub mod backend;
+pub mod caller;
+pub mod listen;
+pub mod peer;
+pub mod platform;
--- /dev/null
+++ b/crates/skylarkwick-connection/src/peer/wire.rs
@@ -0,0 +1,217 @@
+//! Wire forms of the messages between peers.
+
+use std::{sync::Arc, time::Duration};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use serde::{Deserialize, Serialize};
+use skylarkwick_request::outcome::{Denial, Doubt, Outcome, Refusal};
+use skylarkwick_version::{host::Epoch, lease::Incarnation, name, revision::Revision};
+
+use super::Heartbeat as Typed;
+use crate::{
+    backend::Answer,
+    caller::{Call, Guard, wire::guard},
+    platform::wire::Invalid,
+};
+
+/// Method that exchanges heartbeats.
+pub const HEARTBEAT: &str = "heartbeat";
+/// Method that reads rows of the view.
+pub const ROWS_AFTER: &str = "rows_after";
+/// Method that runs a call at the owner of its key or ticket.
+pub const REDEEM: &str = "redeem";
+
+/// A heartbeat.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Heartbeat {
+    entry: String,
+    incarnation: u64,
+    revision: u64,
+    stopping: bool,
+    leaving: Vec<(String, u64)>,
+}
+
+impl From<Typed> for Heartbeat {
+    fn from(heartbeat: Typed) -> Heartbeat {
+        let leaving = heartbeat.leaving.into_iter();
+        Heartbeat {
+            entry: heartbeat.entry.into(),
+            incarnation: heartbeat.incarnation.0,
+            revision: heartbeat.revision.0,
+            stopping: heartbeat.is_stopping,
+            leaving: leaving.map(|(host, epoch)| (host.into(), epoch.0)).collect(),
+        }
+    }
+}
+
+impl TryFrom<Heartbeat> for Typed {
+    type Error = Invalid;
+
+    fn try_from(heartbeat: Heartbeat) -> Result<Typed, Invalid> {
+        let leaving = heartbeat.leaving.into_iter();
+        Ok(Typed {
+            entry: heartbeat.entry.try_into()?,
+            incarnation: Incarnation(heartbeat.incarnation),
+            revision: Revision(heartbeat.revision),
+            is_stopping: heartbeat.stopping,
+            leaving: leaving
+                .map(|(host, epoch)| Ok((name::Host::try_from(host)?, Epoch(epoch))))
+                .collect::<Result<_, Invalid>>()?,
+        })
+    }
+}
+
+/// A call that is forwarded to the owner of its key or ticket.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Redeem {
+    service: String,
+    kind: String,
+    key: Option<String>,
+    ticket: Option<String>,
+    deadline_ms: Option<u64>,
+    body: String,
+    owner: u64,
+}
+
+impl Redeem {
+    /// Forms the message for a call and the run that owns its key.
+    pub fn new(call: &Call, owner: Incarnation) -> Redeem {
+        let (key, ticket) = match &call.guard {
+            Guard::None => (None, None),
+            Guard::Key(key) => (Some(key.as_ref().to_owned()), None),
+            Guard::Ticket(ticket) => (None, Some(ticket.to_string())),
+        };
+        Redeem {
+            service: call.service.to_string(),
+            kind: call.kind.to_string(),
+            key,
+            ticket,
+            deadline_ms: call.deadline.map(|deadline| deadline.as_millis() as u64),
+            body: BASE64_STANDARD.encode(&call.body),
+            owner: owner.0,
+        }
+    }
+
+    /// Returns the run that owns the key or ticket.
+    pub fn owner(&self) -> Incarnation {
+        Incarnation(self.owner)
+    }
+}
+
+impl TryFrom<Redeem> for Call {
+    type Error = Invalid;
+
+    fn try_from(redeem: Redeem) -> Result<Call, Invalid> {
+        let body = BASE64_STANDARD.decode(&redeem.body);
+        Ok(Call {
+            service: redeem.service.try_into()?,
+            kind: redeem.kind.try_into()?,
+            guard: guard(redeem.key.as_deref(), redeem.ticket.as_deref())
+                .map_err(|refusal| Invalid(refusal.to_string()))?,
+            deadline: redeem.deadline_ms.map(Duration::from_millis),
+            body: Arc::from(body.map_err(|error| Invalid(error.to_string()))?),
+        })
+    }
+}
+
+/// What became of a forwarded call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Redeemed {
+    /// The whole answer, its body in base64.
+    Done {
+        /// Media type of the body.
+        content_type: String,
+        /// The body.
+        body: String,
+    },
+    /// Why the work did not run.
+    NotRun {
+        /// Code of the refusal.
+        code: String,
+        /// What the refusal says of the request.
+        detail: String,
+        /// When a new attempt may succeed, in milliseconds.
+        retry_after_ms: Option<u64>,
+    },
+    /// Why the outcome is not known.
+    Unknown {
+        /// Code of the doubt.
+        code: String,
+    },
+}
+
+impl From<&Outcome<Arc<Answer>>> for Redeemed {
+    fn from(outcome: &Outcome<Arc<Answer>>) -> Redeemed {
+        match outcome {
+            Outcome::Done(answer) => Redeemed::Done {
+                content_type: answer.content_type.clone(),
+                body: BASE64_STANDARD.encode(&answer.body),
+            },
+            Outcome::NotRun(refusal) => Redeemed::NotRun {
+                code: refusal.code().to_owned(),
+                detail: refusal.to_string(),
+                retry_after_ms: refusal.retry_after().map(|wait| wait.as_millis() as u64),
+            },
+            Outcome::Unknown(doubt) => Redeemed::Unknown { code: doubt.code().to_owned() },
+        }
+    }
+}
+
+impl TryFrom<Redeemed> for Outcome<Arc<Answer>> {
+    type Error = Invalid;
+
+    fn try_from(redeemed: Redeemed) -> Result<Outcome<Arc<Answer>>, Invalid> {
+        match redeemed {
+            Redeemed::Done { content_type, body } => {
+                let body = BASE64_STANDARD.decode(&body);
+                let body = body.map_err(|error| Invalid(error.to_string()))?;
+                Ok(Outcome::Done(Arc::new(Answer { content_type, body })))
+            }
+            Redeemed::NotRun { code, detail, retry_after_ms } => {
+                let wait = Duration::from_millis(retry_after_ms.unwrap_or(0));
+                refusal(&code, detail, wait).map(Outcome::NotRun)
+            }
+            Redeemed::Unknown { code } => doubt(&code).map(Outcome::Unknown),
+        }
+    }
+}
+
+fn refusal(code: &str, detail: String, retry_after: Duration) -> Result<Refusal, Invalid> {
+    let known = [
+        Refusal::Invalid(detail),
+        Refusal::NoService,
+        Refusal::NoKey,
+        Refusal::KeyReused,
+        Refusal::NoHost,
+        Refusal::QueueFull { retry_after },
+        Refusal::TooLate { retry_after },
+        Refusal::Cancelled,
+        Refusal::Stopping,
+        Refusal::PlatformOut,
+        Refusal::Backend(Denial::StaleEpoch),
+        Refusal::Backend(Denial::Leaving),
+        Refusal::Backend(Denial::Full),
+        Refusal::Backend(Denial::Forbidden),
+        Refusal::Unreachable,
+    ];
+    known
+        .into_iter()
+        .find(|refusal| refusal.code() == code)
+        .ok_or_else(|| Invalid(format!("refusal {code:?} is not known")))
+}
+
+fn doubt(code: &str) -> Result<Doubt, Invalid> {
+    let known = [
+        Doubt::Timeout,
+        Doubt::Broken,
+        Doubt::Foreign,
+        Doubt::Failed,
+        Doubt::OwnerGone,
+        Doubt::Forgotten,
+    ];
+    known
+        .into_iter()
+        .find(|doubt| doubt.code() == code)
+        .ok_or_else(|| Invalid(format!("doubt {code:?} is not known")))
+}
--- /dev/null
+++ b/crates/skylarkwick-connection/src/platform/row.rs
@@ -0,0 +1,397 @@
+//! Rows of the table and their wire forms.
+//!
+//! | prefix | row |
+//! |---|---|
+//! | `view/document/` | a service's document |
+//! | `view/host/` | the ownership of a host |
+//! | `history/` | every accepted change of a document, never overwritten |
+//! | `lease/` | who holds a shard of control work |
+//! | `budget/` | grants and failures of a service |
+//! | `plan/wave/` | a maintenance wave, as its operator wants it |
+//! | `plan/progress/` | the hosts of a data centre that a wave has done |
+//! | `plan/drain/` | a host that an operator keeps out of every pool |
+//! | `claim/` | who may run the request behind a key, never overwritten |
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use skylarkwick_process::view;
+use skylarkwick_request::{claim, id::Digest};
+use skylarkwick_version::{
+    budget, document,
+    host::{Cause, Epoch, Ownership, Phase},
+    lease::{self, Fencing, Incarnation},
+    name,
+    source::Source,
+    wave,
+};
+
+use super::{Key, Row, wire::Invalid};
+
+/// Prefix of everything that entry hosts keep a view of.
+pub const VIEW: &str = "view/";
+/// Prefix of documents.
+pub const DOCUMENT: &str = "view/document/";
+/// Prefix of the ownership of hosts.
+pub const HOST: &str = "view/host/";
+/// Prefix of the history of documents.
+pub const HISTORY: &str = "history/";
+/// Prefix of leases.
+pub const LEASE: &str = "lease/";
+/// Prefix of budgets.
+pub const BUDGET: &str = "budget/";
+/// Prefix of everything that operators ask of planners.
+pub const PLAN: &str = "plan/";
+/// Prefix of waves.
+pub const WAVE: &str = "plan/wave/";
+/// Prefix of the progress of waves, followed by the wave and the data centre.
+pub const PROGRESS: &str = "plan/progress/";
+/// Prefix of hosts that are kept out of every pool.
+pub const DRAIN: &str = "plan/drain/";
+/// Prefix of claims.
+pub const CLAIM: &str = "claim/";
+
+/// Returns the key of a row under a prefix.
+pub fn key(prefix: &str, name: &str) -> Key {
+    Key::new(&format!("{prefix}{name}"))
+}
+
+/// Decodes the value of a row; an absent row gives `None`.
+///
+/// # Errors
+///
+/// Returns what is wrong with the value.
+pub fn decode<W, T>(row: &Row) -> Result<Option<T>, Invalid>
+where
+    W: DeserializeOwned,
+    T: TryFrom<W, Error = Invalid>,
+{
+    let Some(value) = &row.value else { return Ok(None) };
+    let wire: W = serde_json::from_str(value)
+        .map_err(|error| Invalid(format!("row {} is not valid: {error}", row.key)))?;
+    T::try_from(wire).map(Some)
+}
+
+/// Encodes the value of a row.
+pub fn encode<W: Serialize>(wire: &W) -> String {
+    serde_json::to_string(wire).expect("wire types have string keys and no failing serializer")
+}
+
+/// A document as its operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The text of the document.
+    pub text: String,
+    /// Who applied it.
+    pub operator: String,
+    /// Number of the change within the service's history, from 1.
+    pub change: u64,
+}
+
+impl TryFrom<Document> for document::Settings {
+    type Error = Invalid;
+
+    fn try_from(row: Document) -> Result<document::Settings, Invalid> {
+        let source = Source::new("document", &row.text);
+        document::Options::load(&source).map_err(|fault| Invalid(fault.to_string()))
+    }
+}
+
+/// The ownership of a host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    epoch: u64,
+    phase: HostPhase,
+    /// The host's data centre.
+    #[serde(default)]
+    pub data_centre: String,
+    /// Why the planner made the last change, for operators.
+    #[serde(default)]
+    pub why: String,
+}
+
+impl Host {
+    /// Forms the row for a change of ownership.
+    pub fn new(ownership: &Ownership, data_centre: &name::DataCentre, why: &str) -> Host {
+        let data_centre = data_centre.to_string();
+        Host { data_centre, why: why.to_owned(), ..Host::from(ownership) }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum HostPhase {
+    Free,
+    Active { pool: String },
+    Leaving { pool: String, cause: HostCause },
+    Maintenance { pool: String, wave: String, boot: u64 },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum HostCause {
+    Move,
+    Drain,
+    Wave(String),
+}
+
+impl From<&Cause> for HostCause {
+    fn from(cause: &Cause) -> HostCause {
+        match cause {
+            Cause::Move => HostCause::Move,
+            Cause::Drain => HostCause::Drain,
+            Cause::Wave(wave) => HostCause::Wave(wave.to_string()),
+        }
+    }
+}
+
+impl TryFrom<HostCause> for Cause {
+    type Error = Invalid;
+
+    fn try_from(cause: HostCause) -> Result<Cause, Invalid> {
+        match cause {
+            HostCause::Move => Ok(Cause::Move),
+            HostCause::Drain => Ok(Cause::Drain),
+            HostCause::Wave(wave) => Ok(Cause::Wave(name::Wave::try_from(wave)?)),
+        }
+    }
+}
+
+impl From<&Ownership> for Host {
+    fn from(ownership: &Ownership) -> Host {
+        let phase = match &ownership.phase {
+            Phase::Free => HostPhase::Free,
+            Phase::Active { pool } => HostPhase::Active { pool: pool.to_string() },
+            Phase::Leaving { pool, cause } => {
+                HostPhase::Leaving { pool: pool.to_string(), cause: cause.into() }
+            }
+            Phase::Maintenance { pool, wave, boot } => HostPhase::Maintenance {
+                pool: pool.to_string(),
+                wave: wave.to_string(),
+                boot: *boot,
+            },
+        };
+        Host { epoch: ownership.epoch.0, phase, data_centre: String::new(), why: String::new() }
+    }
+}
+
+impl TryFrom<Host> for Ownership {
+    type Error = Invalid;
+
+    fn try_from(host: Host) -> Result<Ownership, Invalid> {
+        let phase = match host.phase {
+            HostPhase::Free => Phase::Free,
+            HostPhase::Active { pool } => Phase::Active { pool: pool.try_into()? },
+            HostPhase::Leaving { pool, cause } => {
+                Phase::Leaving { pool: pool.try_into()?, cause: cause.try_into()? }
+            }
+            HostPhase::Maintenance { pool, wave, boot } => {
+                Phase::Maintenance { pool: pool.try_into()?, wave: wave.try_into()?, boot }
+            }
+        };
+        Ok(Ownership { epoch: Epoch(host.epoch), phase })
+    }
+}
+
+/// Reads the data centre of a host's row.
+///
+/// # Errors
+///
+/// Returns what is wrong with the row.
+pub fn data_centre(row: &Row) -> Result<name::DataCentre, Invalid> {
+    Ok(name::DataCentre::try_from(host(row)?.data_centre)?)
+}
+
+/// Reads why a host's row was changed last.
+///
+/// # Errors
+///
+/// Returns what is wrong with the row.
+pub fn why(row: &Row) -> Result<String, Invalid> {
+    Ok(host(row)?.why)
+}
+
+fn host(row: &Row) -> Result<Host, Invalid> {
+    serde_json::from_str(row.value.as_deref().unwrap_or_default())
+        .map_err(|error| Invalid(format!("row {} is not valid: {error}", row.key)))
+}
+
+/// A lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    holder: Option<u64>,
+    entry: Option<String>,
+    fencing: u64,
+}
+
+impl From<&lease::Lease> for Lease {
+    fn from(lease: &lease::Lease) -> Lease {
+        Lease {
+            holder: lease.holder.map(|holder| holder.0),
+            entry: lease.entry.as_ref().map(ToString::to_string),
+            fencing: lease.fencing.0,
+        }
+    }
+}
+
+impl TryFrom<Lease> for lease::Lease {
+    type Error = Invalid;
+
+    fn try_from(lease: Lease) -> Result<lease::Lease, Invalid> {
+        Ok(lease::Lease {
+            holder: lease.holder.map(Incarnation),
+            entry: lease.entry.map(name::Entry::try_from).transpose()?,
+            fencing: Fencing(lease.fencing),
+        })
+    }
+}
+
+/// A service's budget.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Budget {
+    grants: BTreeMap<String, HostCause>,
+    down: BTreeMap<String, BTreeSet<String>>,
+}
+
+impl From<&budget::Budget> for Budget {
+    fn from(budget: &budget::Budget) -> Budget {
+        let grants = budget.grants.iter();
+        let down = budget.down.iter();
+        Budget {
+            grants: grants.map(|(host, cause)| (host.to_string(), cause.into())).collect(),
+            down: down
+                .map(|(place, hosts)| {
+                    (place.to_string(), hosts.iter().map(ToString::to_string).collect())
+                })
+                .collect(),
+        }
+    }
+}
+
+impl TryFrom<Budget> for budget::Budget {
+    type Error = Invalid;
+
+    fn try_from(budget: Budget) -> Result<budget::Budget, Invalid> {
+        let grants = budget
+            .grants
+            .into_iter()
+            .map(|(host, cause)| Ok((name::Host::try_from(host)?, Cause::try_from(cause)?)));
+        let down = budget.down.into_iter().map(|(place, hosts)| {
+            let hosts = hosts.into_iter().map(name::Host::try_from);
+            Ok((name::DataCentre::try_from(place)?, hosts.collect::<Result<_, _>>()?))
+        });
+        Ok(budget::Budget {
+            grants: grants.collect::<Result<_, Invalid>>()?,
+            down: down.collect::<Result<_, Invalid>>()?,
+        })
+    }
+}
+
+/// A maintenance wave.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wave {
+    name: String,
+    paused: bool,
+    pool: Option<String>,
+}
+
+impl From<&wave::Wave> for Wave {
+    fn from(wave: &wave::Wave) -> Wave {
+        Wave {
+            name: wave.name.to_string(),
+            paused: wave.state == wave::State::Paused,
+            pool: wave.pool.as_ref().map(ToString::to_string),
+        }
+    }
+}
+
+impl TryFrom<Wave> for wave::Wave {
+    type Error = Invalid;
+
+    fn try_from(wave: Wave) -> Result<wave::Wave, Invalid> {
+        Ok(wave::Wave {
+            name: wave.name.try_into()?,
+            state: match wave.paused {
+                true => wave::State::Paused,
+                false => wave::State::Running,
+            },
+            pool: wave.pool.map(name::Pool::try_from).transpose()?,
+        })
+    }
+}
+
+/// The hosts of a data centre that a wave has done.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    done: BTreeSet<String>,
+}
+
+impl From<&wave::Progress> for Progress {
+    fn from(progress: &wave::Progress) -> Progress {
+        Progress { done: progress.done.iter().map(ToString::to_string).collect() }
+    }
+}
+
+impl TryFrom<Progress> for wave::Progress {
+    type Error = Invalid;
+
+    fn try_from(progress: Progress) -> Result<wave::Progress, Invalid> {
+        let done = progress.done.into_iter().map(name::Host::try_from);
+        Ok(wave::Progress { done: done.collect::<Result<_, _>>()? })
+    }
+}
+
+/// A claim on a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    entry: String,
+    incarnation: u64,
+    digest: String,
+}
+
+impl From<&claim::Claim> for Claim {
+    fn from(claim: &claim::Claim) -> Claim {
+        Claim {
+            entry: claim.entry.to_string(),
+            incarnation: claim.incarnation.0,
+            digest: claim.digest.to_string(),
+        }
+    }
+}
+
+impl TryFrom<Claim> for claim::Claim {
+    type Error = Invalid;
+
+    fn try_from(claim: Claim) -> Result<claim::Claim, Invalid> {
+        let digest = u128::from_str_radix(&claim.digest, 16);
+        Ok(claim::Claim {
+            entry: claim.entry.try_into()?,
+            incarnation: Incarnation(claim.incarnation),
+            digest: Digest(digest.map_err(|_| Invalid("digest is not hexadecimal".to_owned()))?),
+        })
+    }
+}
+
+/// Reads a row of the view.
+///
+/// # Errors
+///
+/// Returns what is wrong with the row. A row of an unknown kind is `None`, so
+/// that a newer version of the system can add some.
+pub fn view_row(row: &Row) -> Result<Option<view::Row>, Invalid> {
+    let change = match (row.key.after(DOCUMENT), row.key.after(HOST)) {
+        (Some(service), _) => {
+            let settings = decode::<Document, document::Settings>(row)?.map(Arc::new);
+            Some(view::Change::Document(service.try_into()?, settings))
+        }
+        (_, Some(host)) => decode::<Host, Ownership>(row)?
+            .map(|ownership| Ok(view::Change::Host(name::Host::try_from(host)?, ownership)))
+            .transpose()
+            .map_err(|error: Invalid| error)?,
+        _ => None,
+    };
+    Ok(change.map(|change| view::Row { revision: row.revision, change }))
+}
--- /dev/null
+++ b/crates/skylarkwick-connection/src/platform/wire.rs
@@ -0,0 +1,243 @@
+//! Wire types of the platform's service.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use skylarkwick_version::{
+    name,
+    quantity::Quantity,
+    revision::{Revision, Token},
+};
+
+/// A value on the wire that can't be taken in.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct Invalid(pub String);
+
+impl From<name::Invalid> for Invalid {
+    fn from(error: name::Invalid) -> Invalid {
+        Invalid(error.to_string())
+    }
+}
+
+impl From<Invalid> for super::Fault {
+    fn from(error: Invalid) -> super::Fault {
+        super::Fault::Refused(error.0)
+    }
+}
+
+/// A row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The key.
+    pub key: String,
+    /// The revision, 0 where the row is absent.
+    pub revision: u64,
+    /// Token of the last transaction, in hexadecimal.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token: Option<String>,
+    /// The value, absent where the row is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub value: Option<String>,
+}
+
+impl From<super::Row> for Row {
+    fn from(row: super::Row) -> Row {
+        Row {
+            key: row.key.as_str().to_owned(),
+            revision: row.revision.0,
+            token: row.token.map(|token| token.to_string()),
+            value: row.value.map(|value| value.as_ref().to_owned()),
+        }
+    }
+}
+
+impl TryFrom<Row> for super::Row {
+    type Error = Invalid;
+
+    fn try_from(row: Row) -> Result<super::Row, Invalid> {
+        Ok(super::Row {
+            key: super::Key::new(&row.key),
+            revision: Revision(row.revision),
+            token: row.token.as_deref().map(token).transpose()?,
+            value: row.value.map(Arc::from),
+        })
+    }
+}
+
+fn token(text: &str) -> Result<Token, Invalid> {
+    u128::from_str_radix(text, 16)
+        .map(Token)
+        .map_err(|_| Invalid(format!("token {text:?} is not hexadecimal")))
+}
+
+/// The body of `POST /v1/rows/read`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Read {
+    /// The keys to read.
+    pub keys: Vec<String>,
+}
+
+/// The answer to a read or a scan.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Rows {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Revision up to which they are complete.
+    pub through: u64,
+}
+
+impl TryFrom<Rows> for super::Scan {
+    type Error = Invalid;
+
+    fn try_from(rows: Rows) -> Result<super::Scan, Invalid> {
+        let through = Revision(rows.through);
+        let rows = rows.rows.into_iter().map(super::Row::try_from).collect::<Result<_, _>>()?;
+        Ok(super::Scan { rows, through })
+    }
+}
+
+/// The body of `POST /v1/transactions`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Transaction {
+    /// Identity of the transaction, in hexadecimal.
+    pub token: String,
+    /// Revisions that rows must have.
+    pub conditions: Vec<(String, u64)>,
+    /// New values; null deletes.
+    pub writes: Vec<(String, Option<String>)>,
+}
+
+impl From<&super::Transaction> for Transaction {
+    fn from(transaction: &super::Transaction) -> Transaction {
+        Transaction {
+            token: transaction.token.to_string(),
+            conditions: transaction
+                .conditions
+                .iter()
+                .map(|(key, revision)| (key.as_str().to_owned(), revision.0))
+                .collect(),
+            writes: transaction
+                .writes
+                .iter()
+                .map(|(key, value)| (key.as_str().to_owned(), value.clone()))
+                .collect(),
+        }
+    }
+}
+
+impl TryFrom<Transaction> for super::Transaction {
+    type Error = Invalid;
+
+    fn try_from(transaction: Transaction) -> Result<super::Transaction, Invalid> {
+        let conditions = transaction.conditions.into_iter();
+        let writes = transaction.writes.into_iter();
+        Ok(super::Transaction {
+            token: token(&transaction.token)?,
+            conditions: conditions
+                .map(|(key, revision)| (super::Key::new(&key), Revision(revision)))
+                .collect(),
+            writes: writes.map(|(key, value)| (super::Key::new(&key), value)).collect(),
+        })
+    }
+}
+
+/// The answer to a transaction.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Commit {
+    /// The writes are in force, with this revision.
+    Applied(u64),
+    /// These rows did not meet their conditions.
+    Conflict(Vec<Row>),
+}
+
+impl From<super::Commit> for Commit {
+    fn from(commit: super::Commit) -> Commit {
+        match commit {
+            super::Commit::Applied(revision) => Commit::Applied(revision.0),
+            super::Commit::Conflict(rows) => {
+                Commit::Conflict(rows.into_iter().map(Row::from).collect())
+            }
+        }
+    }
+}
+
+impl TryFrom<Commit> for super::Commit {
+    type Error = Invalid;
+
+    fn try_from(commit: Commit) -> Result<super::Commit, Invalid> {
+        match commit {
+            Commit::Applied(revision) => Ok(super::Commit::Applied(Revision(revision))),
+            Commit::Conflict(rows) => rows
+                .into_iter()
+                .map(super::Row::try_from)
+                .collect::<Result<_, _>>()
+                .map(super::Commit::Conflict),
+        }
+    }
+}
+
+/// A host of the list.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Listed {
+    /// The host.
+    pub host: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its rack.
+    pub rack: String,
+    /// Address of its backend server.
+    pub address: String,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Thousandths of a core.
+    pub millicores: u64,
+    /// Memory in MiB.
+    pub memory_mib: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+    /// Tasks that it runs at once.
+    pub slots: u32,
+}
+
+impl From<&super::Listed> for Listed {
+    fn from(listed: &super::Listed) -> Listed {
+        Listed {
+            host: listed.host.to_string(),
+            data_centre: listed.data_centre.to_string(),
+            rack: listed.rack.to_string(),
+            address: listed.address.to_string(),
+            leaving: listed.standing == super::Standing::Leaving,
+            millicores: listed.size.millicores,
+            memory_mib: listed.size.memory_mib,
+            accelerators: listed.size.accelerators,
+            slots: listed.slots,
+        }
+    }
+}
+
+impl TryFrom<Listed> for super::Listed {
+    type Error = Invalid;
+
+    fn try_from(listed: Listed) -> Result<super::Listed, Invalid> {
+        let address = listed.address.parse();
+        Ok(super::Listed {
+            host: name::Host::try_from(listed.host)?,
+            data_centre: name::DataCentre::try_from(listed.data_centre)?,
+            rack: name::Rack::try_from(listed.rack)?,
+            address: address
+                .map_err(|_| Invalid(format!("address {:?} is not valid", listed.address)))?,
+            standing: match listed.leaving {
+                true => super::Standing::Leaving,
+                false => super::Standing::Live,
+            },
+            size: Quantity {
+                millicores: listed.millicores,
+                memory_mib: listed.memory_mib,
+                accelerators: listed.accelerators,
+            },
+            slots: listed.slots,
+        })
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-process/src/settings/site.rs
@@ -0,0 +1,267 @@
+//! Settings of a site: its data centres, entry hosts, racks and workers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use serde::Deserialize;
+use skylarkwick_version::{
+    name,
+    quantity::Quantity,
+    source::{Fault, Source},
+};
+use toml::Spanned;
+
+/// User-written options of a site.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Options {
+    site: Spanned<String>,
+    latency: Latency,
+    platform: Platform,
+    workers: Workers,
+    data_centres: Vec<DataCentre>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct Latency {
+    between_data_centres: Spanned<String>,
+    to_callers: Spanned<String>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Platform {
+    address: Spanned<String>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct Workers {
+    slots: Spanned<u32>,
+    connections: Spanned<u32>,
+    processors: u32,
+    memory_mib: u64,
+    #[serde(default)]
+    accelerators: u32,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DataCentre {
+    name: Spanned<String>,
+    entries: Vec<Entry>,
+    racks: Vec<Rack>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Entry {
+    name: Spanned<String>,
+    caller: Spanned<String>,
+    peer: Spanned<String>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Rack {
+    name: Spanned<String>,
+    workers: Vec<Spanned<String>>,
+}
+
+/// Checked settings of a site.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The site's name, for people.
+    pub site: String,
+    /// One-way latency between data centres.
+    pub latency_between_data_centres: Duration,
+    /// One-way latency between entry hosts and callers.
+    pub latency_to_callers: Duration,
+    /// Address of the platform's service.
+    pub platform: SocketAddr,
+    /// Slots of each worker.
+    pub slots: u32,
+    /// Connections that each worker accepts.
+    pub connections: u32,
+    /// Size of each worker.
+    pub size: Quantity,
+    /// Entry hosts by name.
+    pub entries: BTreeMap<name::Entry, EntryHost>,
+    /// Workers by name.
+    pub workers: BTreeMap<name::Host, Worker>,
+}
+
+/// An entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryHost {
+    /// Its data centre.
+    pub data_centre: name::DataCentre,
+    /// Where it listens to callers.
+    pub caller: SocketAddr,
+    /// Where it listens to its peers.
+    pub peer: SocketAddr,
+}
+
+/// A worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Worker {
+    /// Its data centre.
+    pub data_centre: name::DataCentre,
+    /// Its rack.
+    pub rack: name::Rack,
+    /// Where its backend server listens.
+    pub address: SocketAddr,
+}
+
+impl Settings {
+    /// Parses and checks the site's settings in `source`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with its line, its key and what to write instead.
+    pub fn load(source: &Source) -> Result<Settings, Fault> {
+        let options: Options = source.parse()?;
+        let mut check = Check { source, addresses: BTreeMap::new(), names: BTreeSet::new() };
+        check.site(&options)
+    }
+
+    /// Returns the names of the data centres, in order.
+    pub fn data_centres(&self) -> Vec<name::DataCentre> {
+        let names: BTreeSet<_> =
+            self.entries.values().map(|entry| entry.data_centre.clone()).collect();
+        names.into_iter().collect()
+    }
+}
+
+struct Check<'a> {
+    source: &'a Source,
+    addresses: BTreeMap<SocketAddr, usize>,
+    names: BTreeSet<String>,
+}
+
+impl Check<'_> {
+    fn site(&mut self, options: &Options) -> Result<Settings, Fault> {
+        let platform = self.address("platform.address", &options.platform.address)?;
+        let mut entries = BTreeMap::new();
+        let mut workers = BTreeMap::new();
+        for data_centre in &options.data_centres {
+            self.data_centre(data_centre, &mut entries, &mut workers)?;
+        }
+        Ok(Settings {
+            site: options.site.get_ref().clone(),
+            latency_between_data_centres: self
+                .time("latency.between-data-centres", &options.latency.between_data_centres)?,
+            latency_to_callers: self.time("latency.to-callers", &options.latency.to_callers)?,
+            platform,
+            slots: self.positive("workers.slots", &options.workers.slots)?,
+            connections: self.positive("workers.connections", &options.workers.connections)?,
+            size: Quantity {
+                millicores: u64::from(options.workers.processors) * 1000,
+                memory_mib: options.workers.memory_mib,
+                accelerators: u64::from(options.workers.accelerators),
+            },
+            entries,
+            workers,
+        })
+    }
+
+    fn data_centre(
+        &mut self,
+        options: &DataCentre,
+        entries: &mut BTreeMap<name::Entry, EntryHost>,
+        workers: &mut BTreeMap<name::Host, Worker>,
+    ) -> Result<(), Fault> {
+        let data_centre: name::DataCentre = self.name("data-centres.name", &options.name)?;
+        for entry in &options.entries {
+            let host = EntryHost {
+                data_centre: data_centre.clone(),
+                caller: self.address("data-centres.entries.caller", &entry.caller)?,
+                peer: self.address("data-centres.entries.peer", &entry.peer)?,
+            };
+            entries.insert(self.name("data-centres.entries.name", &entry.name)?, host);
+        }
+        for rack in &options.racks {
+            let name: name::Rack = self.name("data-centres.racks.name", &rack.name)?;
+            for (index, address) in rack.workers.iter().enumerate() {
+                let worker = Worker {
+                    data_centre: data_centre.clone(),
+                    rack: name.clone(),
+                    address: self.address("data-centres.racks.workers", address)?,
+                };
+                let host = format!("{name}-h{}", index + 1);
+                let host = name::Host::try_from(host).map_err(|error| {
+                    self.source.fault(
+                        &rack.name.span(),
+                        "data-centres.racks.name",
+                        &error.to_string(),
+                        "shorten the name of the rack",
+                    )
+                })?;
+                workers.insert(host, worker);
+            }
+        }
+        Ok(())
+    }
+
+    fn name<N>(&mut self, key: &str, text: &Spanned<String>) -> Result<N, Fault>
+    where
+        N: for<'a> TryFrom<&'a str, Error = name::Invalid>,
+    {
+        let fault =
+            |problem: &str| self.source.fault(&text.span(), key, problem, "choose another name");
+        let name = N::try_from(text.get_ref()).map_err(|error| fault(&error.to_string()))?;
+        match self.names.contains(text.get_ref()) {
+            true => Err(fault(&format!("{:?} is used twice", text.get_ref()))),
+            false => {
+                self.names.insert(text.get_ref().clone());
+                Ok(name)
+            }
+        }
+    }
+
+    fn address(&mut self, key: &str, text: &Spanned<String>) -> Result<SocketAddr, Fault> {
+        let address: SocketAddr = text.get_ref().parse().map_err(|_| {
+            self.source.fault(
+                &text.span(),
+                key,
+                &format!("{:?} is not an address", text.get_ref()),
+                "write an IP number and a port, such as \"127.0.0.1:7100\"",
+            )
+        })?;
+        let line = self.source.text()[..text.span().start].matches('\n').count() + 1;
+        match self.addresses.get(&address) {
+            Some(first) if address.port() != 0 => Err(self.source.fault(
+                &text.span(),
+                key,
+                &format!("{address} is used twice, first on line {first}"),
+                "give each process an address of its own",
+            )),
+            _ => {
+                self.addresses.insert(address, line);
+                Ok(address)
+            }
+        }
+    }
+
+    fn time(&self, key: &str, text: &Spanned<String>) -> Result<Duration, Fault> {
+        humantime::parse_duration(text.get_ref()).map_err(|error| {
+            self.source.fault(
+                &text.span(),
+                key,
+                &format!("{:?} is not a time ({error})", text.get_ref()),
+                "write a time with its unit, such as \"500us\" or \"3ms\"",
+            )
+        })
+    }
+
+    fn positive(&self, key: &str, number: &Spanned<u32>) -> Result<u32, Fault> {
+        match *number.get_ref() {
+            0 => Err(self.source.fault(&number.span(), key, "is 0", "write at least 1")),
+            number => Ok(number),
+        }
+    }
+}
