Add entry hosts, planners, the command line and stand-ins

The whole path runs: a document is applied by compare-and-swap, entry hosts take it into their view, a caller's request is admitted, claimed where it may not be repeated, queued, dispatched with the host's epoch and answered. Planners hold a data centre by a lease without trusted clocks and move and maintain hosts through conditional transactions.

--- /dev/null
+++ b/crates/skylarkwick-entry/src/lib.rs
@@ -0,0 +1,20 @@
+//! An entry host's process for callers: the door, the dispatch and what they
+//! need.
+//!
+//! One module for each duty. The duties own their state and are joined by
+//! bounded rings; the dispatch never waits for anything but its own ring, so no
+//! circle of full rings can form. See `docs/DESIGN.md`, section "Entry hosts".
+
+mod claims;
+mod dispatch;
+mod door;
+mod entry;
+mod event;
+mod identity;
+mod membership;
+mod peers;
+mod sender;
+mod view;
+mod writer;
+
+pub use self::entry::{Addresses, Entry, Error};
--- /dev/null
+++ b/crates/skylarkwick-stand-in/src/main.rs
@@ -0,0 +1,56 @@
+//! Runs the stand-ins of a site, for trying the product without a platform.
+
+use std::{path::PathBuf, time::Duration};
+
+use clap::{Arg, Command, value_parser};
+use skylarkwick_process::{
+    duty::Stop,
+    exit::ExitStatus,
+    log::{Format, open},
+    settings::{read, site},
+    signal,
+};
+use skylarkwick_stand_in::site::{Addresses, Plan, Site};
+use slog::{Logger, error, info};
+
+/// Time that a worker takes to reboot.
+const REBOOT_TIME: Duration = Duration::from_secs(5);
+
+fn main() -> ExitStatus {
+    let arguments = Command::new("skylarkwick-stand-in")
+        .about("Runs small stand-ins of the platform and of a site's workers")
+        .version(clap::crate_version!())
+        .after_help("Example:\n  skylarkwick-stand-in --site examples/caroni/site.toml")
+        .arg(
+            Arg::new("site")
+                .long("site")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings of the site"),
+        )
+        .get_matches();
+    let log = open(Format::Human, slog::Level::Info);
+    let path = arguments.get_one::<PathBuf>("site").cloned().unwrap_or_default();
+    match run(&path, &log) {
+        Ok(()) => ExitStatus::Success,
+        Err(error) => {
+            error!(log, "{error}");
+            ExitStatus::Error
+        }
+    }
+}
+
+fn run(path: &std::path::Path, log: &Logger) -> Result<(), String> {
+    let source = read(path).map_err(|error| error.to_string())?;
+    let settings = site::Settings::load(&source).map_err(|error| error.to_string())?;
+    let stop = Stop::default();
+    signal::watch(stop.clone()).map_err(|error| error.to_string())?;
+    let plan = Plan { addresses: Addresses::Settings, reboot_time: REBOOT_TIME, has_relays: false };
+    let site = Site::start(&settings, plan).map_err(|error| error.to_string())?;
+    info!(log, "stand-ins are up";
+        "platform" => %site.platform_address, "workers" => site.workers.len());
+    stop.wait();
+    site.stop();
+    Ok(())
+}
--- /dev/null
+++ b/crates/skylarkwick-stand-in/src/table.rs
@@ -0,0 +1,139 @@
+//! The table service, in memory.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use skylarkwick_connection::platform::{Commit, Fault, Key, Row, Scan, Table, Transaction};
+use skylarkwick_version::revision::Revision;
+
+use crate::fault::Switches;
+
+/// An in-memory table with transactions.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    /// The fault switches.
+    pub switches: Switches,
+    rows: Arc<Mutex<Rows>>,
+    counts: Arc<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    revision: Revision,
+    rows: BTreeMap<Key, Row>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    reads: AtomicU64,
+    writes: AtomicU64,
+}
+
+impl Memory {
+    /// Returns the number of reads and of accepted transactions so far.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.counts.reads.load(Ordering::Relaxed), self.counts.writes.load(Ordering::Relaxed))
+    }
+
+    /// Reads the rows under a prefix past every fault, for checks.
+    pub fn peek(&self, prefix: &str) -> Vec<Row> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner).under(prefix, Revision::ABSENT)
+    }
+
+    fn enter(&self) -> Result<(), Fault> {
+        let faults = self.switches.get();
+        if !faults.delay.is_zero() {
+            std::thread::sleep(faults.delay);
+        }
+        match faults.is_out {
+            true => Err(Fault::Unreachable),
+            false => Ok(()),
+        }
+    }
+
+    fn loses_answer(&self, accepted: u64) -> bool {
+        let every = self.switches.get().lost_answer_every;
+        every > 0 && accepted.is_multiple_of(every)
+    }
+}
+
+impl Rows {
+    fn get(&self, key: &Key) -> Row {
+        self.rows.get(key).cloned().unwrap_or(Row {
+            key: key.clone(),
+            revision: Revision::ABSENT,
+            token: None,
+            value: None,
+        })
+    }
+
+    fn under(&self, prefix: &str, after: Revision) -> Vec<Row> {
+        self.rows
+            .range(Key::new(prefix)..)
+            .take_while(|(key, _)| key.as_str().starts_with(prefix))
+            .filter(|(_, row)| row.revision > after)
+            .map(|(_, row)| row.clone())
+            .collect()
+    }
+
+    fn commit(&mut self, transaction: &Transaction) -> Commit {
+        let unmet: Vec<Row> = transaction
+            .conditions
+            .iter()
+            .map(|(key, revision)| (self.get(key), revision))
+            .filter(|(row, revision)| row.revision != **revision)
+            .map(|(row, _)| row)
+            .collect();
+        if !unmet.is_empty() {
+            return Commit::Conflict(unmet);
+        }
+        self.revision = Revision(self.revision.0 + 1);
+        for (key, value) in &transaction.writes {
+            let row = Row {
+                key: key.clone(),
+                revision: self.revision,
+                token: Some(transaction.token),
+                value: value.as_deref().map(Arc::from),
+            };
+            self.rows.insert(key.clone(), row);
+        }
+        Commit::Applied(self.revision)
+    }
+}
+
+impl Table for Memory {
+    fn read(&self, keys: &[Key]) -> Result<Vec<Row>, Fault> {
+        self.enter()?;
+        self.counts.reads.fetch_add(1, Ordering::Relaxed);
+        let rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(keys.iter().map(|key| rows.get(key)).collect())
+    }
+
+    fn scan(&self, prefix: &str, after: Revision) -> Result<Scan, Fault> {
+        self.enter()?;
+        self.counts.reads.fetch_add(1, Ordering::Relaxed);
+        let rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(Scan { rows: rows.under(prefix, after), through: rows.revision })
+    }
+
+    fn commit(&self, transaction: &Transaction) -> Result<Commit, Fault> {
+        self.enter()?;
+        let commit = {
+            let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
+            rows.commit(transaction)
+        };
+        if let Commit::Conflict(_) = commit {
+            return Ok(commit);
+        }
+        let accepted = 1 + self.counts.writes.fetch_add(1, Ordering::Relaxed);
+        match self.loses_answer(accepted) {
+            true => Err(Fault::Lost),
+            false => Ok(commit),
+        }
+    }
+}
