Add the demo of both sites

One process runs a site with stand-ins, entry hosts, planners and callers over real HTTP and compares what callers were told with what really ran.

--- /dev/null
+++ b/crates/skylarkwick-demo/src/arguments.rs
@@ -0,0 +1,93 @@
+//! The demo's arguments.
+
+use std::{path::PathBuf, time::Duration};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+use crate::fault::Fault;
+
+/// Checked arguments.
+#[derive(Clone, Debug)]
+pub(crate) struct Arguments {
+    pub(crate) examples: PathBuf,
+    pub(crate) site: String,
+    pub(crate) time: Duration,
+    pub(crate) seed: u64,
+    pub(crate) faults: Vec<Fault>,
+    pub(crate) is_json: bool,
+    pub(crate) is_verbose: bool,
+}
+
+/// Describes the command line.
+pub(crate) fn command() -> Command {
+    Command::new("skylarkwick-demo")
+        .about("Runs a site with its callers in one process and checks every promise")
+        .version(clap::crate_version!())
+        .after_help(
+            "Exit status: 0 every promise held, 1 one broke, 2 wrong settings or arguments.\n\n\
+             Examples:\n  skylarkwick-demo --site caroni --seconds 10 --seed 1\n  \
+             skylarkwick-demo --site pamet --fault platform-out --json",
+        )
+        .arg(
+            Arg::new("site")
+                .long("site")
+                .value_name("NAME")
+                .default_value("caroni")
+                .help("Folder of the site below --examples"),
+        )
+        .arg(
+            Arg::new("examples")
+                .long("examples")
+                .value_name("DIR")
+                .default_value("examples")
+                .value_parser(value_parser!(PathBuf))
+                .help("Folder of the sites' settings and documents"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("N")
+                .default_value("10")
+                .value_parser(value_parser!(u64).range(1..=3600))
+                .help("How long callers send"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Seed of the demand"),
+        )
+        .arg(
+            Arg::new("fault")
+                .long("fault")
+                .value_name("NAME")
+                .action(ArgAction::Append)
+                .help("Switch a fault on; may be repeated"),
+        )
+        .arg(flag("list-faults", "List the faults and exit"))
+        .arg(flag("json", "Print one JSON object in place of the table"))
+        .arg(flag("verbose", "Log what the entry hosts and planners do"))
+}
+
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
+}
+
+impl Arguments {
+    /// Checks the arguments.
+    pub(crate) fn from_matches(matches: &ArgMatches) -> Result<Arguments, String> {
+        let named = matches.get_many::<String>("fault").into_iter().flatten();
+        let faults = named.map(|name| Fault::named(name)).collect::<Result<_, _>>()?;
+        Ok(Arguments {
+            examples: matches.get_one("examples").cloned().unwrap_or_default(),
+            site: matches.get_one("site").cloned().unwrap_or_default(),
+            time: Duration::from_secs(matches.get_one("seconds").copied().unwrap_or(10)),
+            seed: matches.get_one("seed").copied().unwrap_or(1),
+            faults,
+            is_json: matches.get_flag("json"),
+            is_verbose: matches.get_flag("verbose"),
+        })
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-demo/src/main.rs
@@ -0,0 +1,67 @@
+//! Both sites in one process: the product's main job, shown and checked.
+//!
+//! Entry hosts and planners run beside stand-ins of the platform and of the
+//! backend servers. Callers send the brief's demand over real HTTP on loopback.
+//! In the end, what callers were told is compared with what the backend servers
+//! really ran, promise by promise.
+
+mod arguments;
+mod callers;
+mod demand;
+mod fault;
+mod operator;
+mod report;
+mod run;
+mod sampler;
+mod site;
+
+use std::io::{self, Write};
+
+use skylarkwick_process::{
+    exit::ExitStatus,
+    log::{Format, discard, open},
+};
+use slog::Logger;
+
+use crate::arguments::Arguments;
+
+fn main() -> ExitStatus {
+    let matches = arguments::command().get_matches();
+    let mut output = io::stdout();
+    if matches.get_flag("list-faults") {
+        let names = fault::Fault::ALL.iter().map(|fault| fault.name());
+        let text = names.collect::<Vec<_>>().join("\n");
+        return finish(&writeln!(output, "{text}"), ExitStatus::Success);
+    }
+    let arguments = match Arguments::from_matches(&matches) {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            return finish(&writeln!(io::stderr(), "skylarkwick-demo: {error}"), ExitStatus::Error);
+        }
+    };
+    let report = match run::run(&arguments, &log(&arguments)) {
+        Ok(report) => report,
+        Err(error) => {
+            return finish(&writeln!(io::stderr(), "skylarkwick-demo: {error}"), ExitStatus::Error);
+        }
+    };
+    let written = match arguments.is_json {
+        true => writeln!(output, "{}", report.json()),
+        false => write!(output, "{}", report.table()),
+    };
+    finish(&written, if report.holds() { ExitStatus::Success } else { ExitStatus::Failure })
+}
+
+fn log(arguments: &Arguments) -> Logger {
+    match arguments.is_verbose {
+        true => open(Format::Human, slog::Level::Info),
+        false => discard(),
+    }
+}
+
+fn finish(written: &io::Result<()>, status: ExitStatus) -> ExitStatus {
+    match written {
+        Ok(()) => status,
+        Err(_) => ExitStatus::Error,
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-demo/src/report.rs
@@ -0,0 +1,176 @@
+//! The report: promises and measures.
+
+use std::{collections::BTreeMap, fmt::Write, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use skylarkwick_stand_in::ledger::{Ledger, Run};
+
+use crate::{
+    callers::{Record, Told},
+    demand::SHORT,
+    sampler::Seen,
+};
+
+/// Longest wait that the report tells apart, in microseconds.
+const MAX_WAIT_US: u64 = 600_000_000;
+/// Time after which a leaving backend server may get no new work.
+const LEAVING_LIMIT_S: f64 = 2.0;
+/// Time in which a document has to be in force everywhere.
+const FORCE_LIMIT_S: f64 = 5.0;
+
+/// What a run showed.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Report {
+    pub(crate) site: String,
+    pub(crate) seed: u64,
+    pub(crate) faults: Vec<&'static str>,
+    pub(crate) requests: u64,
+    pub(crate) done: u64,
+    pub(crate) not_run: u64,
+    pub(crate) unknown: u64,
+    pub(crate) lost: u64,
+    pub(crate) doubled: u64,
+    pub(crate) misdelivered: u64,
+    pub(crate) false_not_run: u64,
+    pub(crate) cut_requests: u64,
+    pub(crate) budget_breaches: u64,
+    pub(crate) two_pool_hosts: u64,
+    pub(crate) reverted_documents: u64,
+    pub(crate) new_work_after_leaving_s: f64,
+    pub(crate) document_in_force_s: f64,
+    pub(crate) short_wait_p50_ms: f64,
+    pub(crate) short_wait_p99_ms: f64,
+    pub(crate) buffer_cost: f64,
+    pub(crate) host_moves: u64,
+    pub(crate) rollout_s: f64,
+    pub(crate) hosts_maintained: u64,
+    pub(crate) platform_reads_per_s: f64,
+    pub(crate) platform_writes_per_s: f64,
+    pub(crate) reasons: BTreeMap<String, u64>,
+}
+
+impl Report {
+    /// Compares what callers were told with what really ran.
+    pub(crate) fn compare(&mut self, records: &[Record], ledger: &Ledger, latency: Duration) {
+        let mut runs: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+        for run in ledger.runs() {
+            runs.entry(run.payload.clone()).or_default().push(run);
+        }
+        let mut waits = Histogram::<u64>::new_with_bounds(1, MAX_WAIT_US, 3)
+            .expect("the bounds and three digits are valid");
+        for record in records {
+            let of_record = runs.get(&record.order.payload).map(Vec::as_slice).unwrap_or_default();
+            self.count(record, of_record);
+            if let (Some(first), true) = (of_record.first(), record.order.kind == SHORT) {
+                let wait = first.started.saturating_duration_since(record.sent + latency);
+                waits.saturating_record(wait.as_micros() as u64);
+            }
+        }
+        self.cut_requests = runs.values().flatten().filter(|run| run.is_cut).count() as u64;
+        self.two_pool_hosts = ledger.two_pool_hosts().len() as u64;
+        self.new_work_after_leaving_s = ledger.latest_after_leaving().as_secs_f64();
+        self.short_wait_p50_ms = waits.value_at_quantile(0.5) as f64 / 1000.0;
+        self.short_wait_p99_ms = waits.value_at_quantile(0.99) as f64 / 1000.0;
+    }
+
+    fn count(&mut self, record: &Record, runs: &[Run]) {
+        self.requests += 1;
+        if !record.order.document.work.is_repeatable && runs.len() > 1 {
+            self.doubled += 1;
+        }
+        match &record.told {
+            Told::Done { is_own } => {
+                self.done += 1;
+                self.misdelivered += u64::from(!is_own);
+                self.lost += u64::from(!runs.iter().any(|run| run.is_finished));
+            }
+            Told::NotRun(reason) => {
+                self.not_run += 1;
+                self.false_not_run += u64::from(!runs.is_empty());
+                *self.reasons.entry(format!("not-run {reason}")).or_default() += 1;
+            }
+            Told::Unknown(reason) => {
+                self.unknown += 1;
+                *self.reasons.entry(format!("unknown {reason}")).or_default() += 1;
+            }
+        }
+    }
+
+    /// Adds what the sampler saw.
+    pub(crate) fn add(&mut self, seen: &Seen) {
+        self.budget_breaches = seen.budget_breaches;
+        self.reverted_documents = seen.reverted_documents;
+        self.host_moves = seen.host_moves;
+        self.buffer_cost = seen.buffer_cost();
+    }
+
+    /// Tells whether every promise held.
+    pub(crate) fn holds(&self) -> bool {
+        self.promises().iter().all(|(_, _, held)| *held)
+    }
+
+    fn promises(&self) -> Vec<(&'static str, String, bool)> {
+        let none = |name, count: u64| (name, count.to_string(), count == 0);
+        vec![
+            none("answers without a run (lost)", self.lost),
+            none("unrepeatable work run twice (doubled)", self.doubled),
+            none("answers to another caller (misdelivered)", self.misdelivered),
+            none("untrue refusals (false not-run)", self.false_not_run),
+            none("requests cut by a planned stop", self.cut_requests),
+            none("budget breaches", self.budget_breaches),
+            none("hosts in two pools", self.two_pool_hosts),
+            none("reverted documents", self.reverted_documents),
+            (
+                "new work after leaving, s",
+                format!("{:.2}", self.new_work_after_leaving_s),
+                self.new_work_after_leaving_s <= LEAVING_LIMIT_S,
+            ),
+            (
+                "document in force everywhere, s",
+                format!("{:.2}", self.document_in_force_s),
+                self.document_in_force_s <= FORCE_LIMIT_S,
+            ),
+        ]
+    }
+
+    /// Returns the report as one JSON object.
+    pub(crate) fn json(&self) -> String {
+        serde_json::to_string(self).expect("a report has string keys and finite numbers")
+    }
+
+    /// Returns the report as a table for people.
+    pub(crate) fn table(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            text,
+            "site {}, seed {}: {} requests, {} done, {} not run, {} unknown",
+            self.site, self.seed, self.requests, self.done, self.not_run, self.unknown
+        );
+        for (reason, count) in &self.reasons {
+            let _ = writeln!(text, "  {reason}: {count}");
+        }
+        for (name, value, held) in self.promises() {
+            let verdict = if held { "held" } else { "BROKEN" };
+            let _ = writeln!(text, "{name:<42} {value:>10}  {verdict}");
+        }
+        for (name, value) in self.measures() {
+            let _ = writeln!(text, "{name:<42} {value:>10}");
+        }
+        text
+    }
+
+    fn measures(&self) -> [(&'static str, String); 8] {
+        [
+            ("wait of short work, p50 ms", format!("{:.1}", self.short_wait_p50_ms)),
+            ("wait of short work, p99 ms", format!("{:.1}", self.short_wait_p99_ms)),
+            ("buffer cost, share of capacity idle", format!("{:.3}", self.buffer_cost)),
+            ("host moves", self.host_moves.to_string()),
+            ("roll-out time, s", format!("{:.2}", self.rollout_s)),
+            ("hosts maintained", self.hosts_maintained.to_string()),
+            ("platform reads a second", format!("{:.1}", self.platform_reads_per_s)),
+            ("platform writes a second", format!("{:.1}", self.platform_writes_per_s)),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-demo/src/site.rs
@@ -0,0 +1,295 @@
+//! A whole site in one process.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use skylarkwick_entry::Entry;
+use skylarkwick_planner::Planner;
+use skylarkwick_process::{
+    duty::Stop,
+    log::Format,
+    settings::{self, process, read, site},
+    view::Shared,
+};
+use skylarkwick_stand_in::{
+    relay::Relay,
+    site::{Addresses, Plan, Site},
+    worker::Faults,
+};
+use skylarkwick_version::{
+    document::{self, Options},
+    name,
+    source::{Fault, Source},
+};
+use slog::Logger;
+
+/// Time that a worker takes to reboot.
+const REBOOT_TIME: Duration = Duration::from_millis(400);
+/// Hosts that faults of single workers befall.
+const FAULTY_HOSTS: usize = 2;
+
+/// Why the site did not start.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
+    #[error(transparent)]
+    File(#[from] Fault),
+    #[error(
+        "{folder}: cannot be read: {error}; run it where the examples are, or name them with --examples"
+    )]
+    Folder {
+        folder: PathBuf,
+        #[source]
+        error: std::io::Error,
+    },
+    #[error("cannot start the stand-ins: {0}")]
+    StandIns(#[from] std::io::Error),
+    #[error(transparent)]
+    Entry(#[from] skylarkwick_entry::Error),
+    #[error(transparent)]
+    Planner(#[from] skylarkwick_planner::Error),
+    #[error("{0}")]
+    Site(String),
+}
+
+/// A site's settings and documents, as its folder holds them.
+#[derive(Debug)]
+pub(crate) struct Folder {
+    pub(crate) settings: site::Settings,
+    pub(crate) documents: Vec<(Source, Arc<document::Settings>)>,
+}
+
+impl Folder {
+    /// Reads and checks every file of a site's folder.
+    pub(crate) fn load(folder: &Path) -> Result<Folder, Error> {
+        let settings = site::Settings::load(&read(&folder.join("site.toml"))?)?;
+        let fail = |error| Error::Folder { folder: folder.to_owned(), error };
+        let mut paths = Vec::new();
+        for file in fs::read_dir(folder).map_err(fail)? {
+            let path = file.map_err(fail)?.path();
+            let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+            if name.ends_with(".toml") && !["site.toml", "entry.toml"].contains(&name) {
+                paths.push(path);
+            }
+        }
+        paths.sort();
+        let documents = paths.iter().map(|path| {
+            let source = read(path)?;
+            let document = Arc::new(Options::load(&source)?);
+            Ok((source, document))
+        });
+        Ok(Folder { settings, documents: documents.collect::<Result<_, Error>>()? })
+    }
+
+    /// Returns the documents, those that somebody waits for first.
+    pub(crate) fn services(&self) -> Vec<Arc<document::Settings>> {
+        let mut services: Vec<_> =
+            self.documents.iter().map(|(_, document)| Arc::clone(document)).collect();
+        services.sort_by_key(|document| (document.priority, document.service.clone()));
+        services
+    }
+}
+
+/// A running site.
+pub(crate) struct Running {
+    pub(crate) settings: site::Settings,
+    pub(crate) stand_ins: Site,
+    pub(crate) peer_relays: BTreeMap<name::Entry, Relay>,
+    pub(crate) maintained: name::Pool,
+    platform_relays: BTreeMap<name::Entry, Relay>,
+    entries: Mutex<BTreeMap<name::Entry, Entry>>,
+    planners: Mutex<BTreeMap<name::Entry, Planner>>,
+    stop: Stop,
+    log: Logger,
+}
+
+impl Running {
+    /// Starts the stand-ins, the entry hosts and the planners of a site.
+    pub(crate) fn start(
+        settings: &site::Settings,
+        maintained: name::Pool,
+        has_relays: bool,
+        log: &Logger,
+    ) -> Result<Running, Error> {
+        let plan = Plan { addresses: Addresses::Free, reboot_time: REBOOT_TIME, has_relays };
+        let stand_ins = Site::start(settings, plan)?;
+        let stop = Stop::default();
+        let mut settings = settings.clone();
+        let mut peer_relays = BTreeMap::new();
+        let mut platform_relays = BTreeMap::new();
+        for (entry, host) in &mut settings.entries {
+            let relay = Relay::start(settings.latency_between_data_centres, stop.clone())?;
+            host.peer = relay.address;
+            peer_relays.insert(entry.clone(), relay);
+            let relay = Relay::start(Duration::ZERO, stop.clone())?;
+            relay.set_target(stand_ins.platform_address);
+            platform_relays.insert(entry.clone(), relay);
+        }
+        let running = Running {
+            settings,
+            stand_ins,
+            peer_relays,
+            maintained,
+            platform_relays,
+            entries: Mutex::default(),
+            planners: Mutex::default(),
+            stop,
+            log: log.clone(),
+        };
+        for entry in running.settings.entries.keys() {
+            running.start_entry(entry)?;
+            running.start_planner(entry)?;
+        }
+        Ok(running)
+    }
+
+    /// Returns where callers reach each entry host, and its view.
+    pub(crate) fn entries(&self) -> Vec<(name::Entry, SocketAddr, Shared)> {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let of = |(name, entry): (&name::Entry, &Entry)| {
+            (name.clone(), entry.addresses.caller, entry.view.clone())
+        };
+        entries.iter().map(of).collect()
+    }
+
+    /// Changes the faults of some workers.
+    pub(crate) fn on_workers(&self, hosts: &BTreeSet<name::Host>, change: impl Fn(&mut Faults)) {
+        for (_, worker) in self.stand_ins.workers.iter().filter(|(host, _)| hosts.contains(*host)) {
+            worker.set_faults(&change);
+        }
+    }
+
+    /// Has some workers say that they are leaving.
+    pub(crate) fn set_leaving(&self, hosts: &BTreeSet<name::Host>, is_leaving: bool) {
+        for (_, worker) in self.stand_ins.workers.iter().filter(|(host, _)| hosts.contains(*host)) {
+            worker.set_leaving(is_leaving);
+        }
+    }
+
+    /// Returns the hosts that faults of single workers befall.
+    pub(crate) fn first_hosts(&self) -> BTreeSet<name::Host> {
+        self.stand_ins.workers.keys().take(FAULTY_HOSTS).cloned().collect()
+    }
+
+    /// Returns the hosts of the first rack.
+    pub(crate) fn first_rack(&self) -> BTreeSet<name::Host> {
+        let workers = &self.settings.workers;
+        let rack = workers.values().next().map(|worker| worker.rack.clone());
+        let of_rack = |worker: &site::Worker| Some(&worker.rack) == rack.as_ref();
+        workers.iter().filter(|(_, w)| of_rack(w)).map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Returns the first data centre.
+    pub(crate) fn first_data_centre(&self) -> name::DataCentre {
+        self.settings.data_centres().remove(0)
+    }
+
+    /// Returns one host of the pool that is maintained.
+    pub(crate) fn one_maintained(&self) -> BTreeSet<name::Host> {
+        let entries = self.entries();
+        let Some((_, _, view)) = entries.first() else { return BTreeSet::new() };
+        let view = view.get();
+        let mut of_pool =
+            view.hosts.iter().filter(|(_, host)| host.ownership.serves(&self.maintained));
+        of_pool.next_back().map(|(host, _)| host.clone()).into_iter().collect()
+    }
+
+    /// Replaces an entry host: a graceful stop, and a new one in its place.
+    pub(crate) fn replace_entry(&self) {
+        let replaced = {
+            let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+            entries.pop_first()
+        };
+        if let Some((name, entry)) = replaced {
+            entry.stop();
+            // A host that can't be started again is missing from then on.
+            let _ = self.start_entry(&name);
+        }
+    }
+
+    /// Replaces the planners of a data centre, which leaves their lease to lapse.
+    pub(crate) fn replace_planner(&self) {
+        let cut = self.first_data_centre();
+        let near = |entry: &name::Entry| self.settings.entries[entry].data_centre == cut;
+        let names: Vec<name::Entry> =
+            self.settings.entries.keys().filter(|entry| near(entry)).cloned().collect();
+        for name in names {
+            let planner = {
+                let mut planners = self.planners.lock().unwrap_or_else(PoisonError::into_inner);
+                planners.remove(&name)
+            };
+            if let Some(planner) = planner {
+                planner.kill();
+                // A planner that can't be started again is missing from then on.
+                let _ = self.start_planner(&name);
+            }
+        }
+    }
+
+    /// Pauses or resumes one planner in the middle of what it says to the
+    /// platform, so that its writes arrive late.
+    pub(crate) fn pause_planner(&self, is_paused: bool) {
+        if let Some(relay) = self.platform_relays.values().next() {
+            match is_paused {
+                true => relay.freeze(),
+                false => relay.pass(),
+            }
+        }
+    }
+
+    /// Stops everything.
+    pub(crate) fn stop(self) {
+        let planners = self.planners.into_inner().unwrap_or_else(PoisonError::into_inner);
+        for planner in planners.into_values() {
+            planner.stop();
+        }
+        let entries = self.entries.into_inner().unwrap_or_else(PoisonError::into_inner);
+        for entry in entries.into_values() {
+            entry.kill();
+        }
+        self.stop.request();
+        self.stand_ins.stop();
+    }
+
+    fn start_entry(&self, name: &name::Entry) -> Result<(), Error> {
+        let mut settings = self.process_settings(name, self.stand_ins.platform_address);
+        if let Some(host) = settings.site.entries.get_mut(name) {
+            host.caller = SocketAddr::from(([127, 0, 0, 1], 0));
+            host.peer = SocketAddr::from(([127, 0, 0, 1], 0));
+        }
+        let entry = Entry::start(&settings, &self.log)?;
+        if let Some(relay) = self.peer_relays.get(name) {
+            relay.set_target(entry.addresses.peer);
+        }
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner).insert(name.clone(), entry);
+        Ok(())
+    }
+
+    fn start_planner(&self, name: &name::Entry) -> Result<(), Error> {
+        let platform = self.platform_relays.get(name).map(|relay| relay.address);
+        let settings =
+            self.process_settings(name, platform.unwrap_or(self.stand_ins.platform_address));
+        let planner = Planner::start(&settings, &self.log)?;
+        self.planners.lock().unwrap_or_else(PoisonError::into_inner).insert(name.clone(), planner);
+        Ok(())
+    }
+
+    fn process_settings(&self, name: &name::Entry, platform: SocketAddr) -> process::Settings {
+        let mut site = self.settings.clone();
+        site.platform = platform;
+        process::Settings {
+            entry: name.clone(),
+            site,
+            log_format: Format::Human,
+            log_level: slog::Level::Info,
+            statsd: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-measure/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
