--- /dev/null
+++ b/crates/skylarkwick-measure/src/planning.rs
@@ -0,0 +1,82 @@
+//! Cost of a planning round by the number of hosts.
+
+use std::{collections::BTreeMap, hint::black_box, sync::Arc, time::Instant};
+
+use skylarkwick_version::{
+    document::{self, Options},
+    host::{Acknowledgement, Epoch, Ownership, Phase},
+    name,
+    plan::{Facts, Known},
+    source::Source,
+};
+
+use crate::{pool::host, rows::Row, slopes::fit};
+
+/// Pools of the size to design for.
+const POOLS: u32 = 51;
+/// Hosts of the sizes measured; the last is the size to design for.
+const SIZES: [u32; 5] = [1_000, 3_000, 6_000, 12_000, 23_000];
+/// Rounds at each size; the fastest counts, since others only disturb it.
+const ROUNDS: u32 = 9;
+
+pub(crate) fn run(_: &[u64]) -> Vec<Row> {
+    let points: Vec<(f64, f64)> =
+        SIZES.iter().map(|&hosts| (f64::from(hosts), round_ms(hosts))).collect();
+    let mut rows: Vec<Row> = points
+        .iter()
+        .map(|(hosts, ms)| Row::new(format!("round at {hosts} hosts and {POOLS} pools"), *ms, "ms"))
+        .collect();
+    if let Some(last) = rows.last_mut() {
+        *last = last.clone().at_most(50.0);
+    }
+    let (slope, error) = fit(&points);
+    rows.push(Row::new("slope", slope * 1000.0, "us/host"));
+    rows.push(Row::new("largest error of the fit", error, "ms"));
+    rows
+}
+
+/// Returns the processor time of one settled round, in milliseconds.
+fn round_ms(count: u32) -> f64 {
+    let place = name::DataCentre::try_from("here").expect("the name is valid");
+    let documents: Vec<Arc<document::Settings>> = (0..POOLS).map(|p| document(p, count)).collect();
+    let hosts: BTreeMap<name::Host, Known> =
+        (0..count).map(|number| (host(number), known(number))).collect();
+    let (budgets, silent) = (BTreeMap::new(), BTreeMap::new());
+    let facts = Facts {
+        data_centre: &place,
+        data_centres: std::slice::from_ref(&place),
+        documents: &documents,
+        hosts: &hosts,
+        budgets: &budgets,
+        silent: &silent,
+        waves: &[],
+    };
+    let times = (0..ROUNDS).map(|_| {
+        let start = Instant::now();
+        black_box(facts.steps());
+        start.elapsed().as_secs_f64() * 1000.0
+    });
+    times.fold(f64::INFINITY, f64::min)
+}
+
+fn document(pool: u32, hosts: u32) -> Arc<document::Settings> {
+    let text = format!(
+        "service = \"s{pool}\"\nteam = \"t\"\npool = \"p{pool}\"\n\
+         [capacity]\nhosts = {}\ndown-at-once = 1\n\
+         [work]\nrepeatable = true\nrun-time = \"60ms\"\ndeadline = \"5s\"\n\
+         [stop]\nmethod = \"drain\"\ngrace = \"30s\"\n",
+        hosts / POOLS
+    );
+    Arc::new(Options::load(&Source::new("measured", &text)).expect("the document is valid"))
+}
+
+fn known(number: u32) -> Known {
+    let pool = name::Pool::try_from(format!("p{}", number % POOLS)).expect("the name is valid");
+    Known {
+        rack: name::Rack::try_from(format!("r{}", number / 4)).expect("the name is valid"),
+        ownership: Some(Ownership { epoch: Epoch(1), phase: Phase::Active { pool } }),
+        said: Some(Acknowledgement { epoch: Epoch(1), running: 3, boot: 1 }),
+        is_leaving: false,
+        is_drained: false,
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-measure/src/slopes.rs
@@ -0,0 +1,133 @@
+//! Processor time and memory by size, for the capacity page.
+
+use std::{collections::BTreeMap, fs, hint::black_box, time::Instant};
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use skylarkwick_process::view::{Change, Row as ViewRow, View};
+use skylarkwick_request::{board::Board, estimate::Length};
+use skylarkwick_version::{
+    host::{Epoch, Ownership, Phase},
+    moment::Moment,
+    name,
+    revision::Revision,
+};
+
+use crate::{pool::host, rows::Row};
+
+/// Hosts of the sizes measured.
+const SIZES: [u32; 5] = [1_000, 3_000, 6_000, 12_000, 23_000];
+/// Repetitions at each size; the fastest counts.
+const REPEATS: u32 = 7;
+/// Choices timed together.
+const CHOICES: u32 = 20_000;
+/// Size of a page of memory, in bytes.
+const PAGE_BYTES: f64 = 4096.0;
+
+pub(crate) fn run(_: &[u64]) -> Vec<Row> {
+    let mut rows = Vec::new();
+    add(&mut rows, "memory of the view", "KiB", view_kib);
+    add(&mut rows, "adoption of one change", "ms", adoption_ms);
+    add(&mut rows, "choice of a worker", "ns", choice_ns);
+    add(&mut rows, "list of a lane's workers", "ms", list_ms);
+    rows
+}
+
+fn add(rows: &mut Vec<Row>, name: &str, unit: &'static str, measure: fn(u32) -> f64) {
+    let points: Vec<(f64, f64)> =
+        SIZES.iter().map(|&hosts| (f64::from(hosts), measure(hosts))).collect();
+    rows.extend(
+        points
+            .iter()
+            .map(|(hosts, value)| Row::new(format!("{name} at {hosts} hosts"), *value, unit)),
+    );
+    let (slope, error) = fit(&points);
+    rows.push(Row::new(format!("{name}: slope a thousand hosts"), slope * 1000.0, unit));
+    rows.push(Row::new(format!("{name}: largest error of the fit"), error, unit));
+}
+
+/// Fits a line by least squares; returns its slope and its largest error.
+pub(crate) fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let count = points.len() as f64;
+    let (sum_x, sum_y) = points.iter().fold((0.0, 0.0), |(x, y), point| (x + point.0, y + point.1));
+    let (mean_x, mean_y) = (sum_x / count, sum_y / count);
+    let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let slope = covariance / variance;
+    let error =
+        points.iter().map(|(x, y)| (y - mean_y - slope * (x - mean_x)).abs()).fold(0.0, f64::max);
+    (slope, error)
+}
+
+fn view(hosts: u32) -> View {
+    let mut view = View::default();
+    let rows = (0..hosts).map(|number| row(number, 1)).collect();
+    view.adopt(rows, Revision(1));
+    view
+}
+
+fn row(number: u32, revision: u64) -> ViewRow {
+    let pool = name::Pool::try_from(format!("p{}", number % 51)).expect("the name is valid");
+    let ownership = Ownership { epoch: Epoch(revision), phase: Phase::Active { pool } };
+    ViewRow { revision: Revision(revision), change: Change::Host(host(number), ownership) }
+}
+
+/// Memory that a view adds to the process, from the system's own count.
+fn view_kib(hosts: u32) -> f64 {
+    let before = resident_pages();
+    let view = black_box(view(hosts));
+    let after = resident_pages();
+    drop(view);
+    (after - before) * PAGE_BYTES / 1024.0
+}
+
+fn resident_pages() -> f64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split_whitespace().nth(1).and_then(|pages| pages.parse().ok()).unwrap_or(0.0)
+}
+
+/// Adopting one row and publishing the changed view, as the view duty does.
+fn adoption_ms(hosts: u32) -> f64 {
+    let mut view = view(hosts);
+    let times = (0..REPEATS).map(|repeat| {
+        let changed = row(7, u64::from(repeat) + 2);
+        let start = Instant::now();
+        let revision = changed.revision;
+        view.adopt(vec![changed], revision);
+        black_box(view.clone());
+        start.elapsed().as_secs_f64() * 1000.0
+    });
+    times.fold(f64::INFINITY, f64::min)
+}
+
+fn listed(hosts: u32) -> BTreeMap<name::Host, (Epoch, u32)> {
+    (0..hosts).map(|number| (host(number), (Epoch(1), 4))).collect()
+}
+
+fn choice_ns(hosts: u32) -> f64 {
+    let mut board = Board::new();
+    board.list(&listed(hosts));
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let times = (0..REPEATS).map(|_| {
+        let start = Instant::now();
+        for _ in 0..CHOICES {
+            if let Some((host, _)) = board.choose(None, Moment::ZERO, &mut random) {
+                board.start(&host, Length::Short, Moment::ZERO);
+                board.finish(&host, Length::Short, None, Moment::ZERO);
+            }
+        }
+        start.elapsed().as_secs_f64() * 1e9 / f64::from(CHOICES)
+    });
+    times.fold(f64::INFINITY, f64::min)
+}
+
+fn list_ms(hosts: u32) -> f64 {
+    let listed = listed(hosts);
+    let mut board = Board::new();
+    let times = (0..REPEATS).map(|_| {
+        let start = Instant::now();
+        board.list(&listed);
+        start.elapsed().as_secs_f64() * 1000.0
+    });
+    times.fold(f64::INFINITY, f64::min)
+}
