Count tripped breakers as they change

Cause: every end of a task walked over the whole pool to count open breakers, so the choice of a worker grew with the pool. Ruled out: the draw itself, which touches two workers.

--- a/crates/skylarkwick-request/src/board.rs
+++ b/crates/skylarkwick-request/src/board.rs
@@ -40,6 +40,8 @@
     workers: BTreeMap<name::Host, Worker>,
     free: Vec<name::Host>,
     slots: Slots,
+    /// Workers whose breakers are not closed, counted as they change.
+    tripped: usize,
 }
 
 impl Board {
@@ -131,16 +133,22 @@
     ) {
         let slots = held(&mut self.slots, length);
         *slots = slots.saturating_sub(1);
-        let may_open = self.may_open(now);
+        let may_open = (self.tripped + 1) * 100 <= self.workers.len() * MAX_OPEN_PERCENT;
         let Some(worker) = self.workers.get_mut(host) else { return };
         worker.held = worker.held.saturating_sub(1);
         if let Some(succeeded) = succeeded {
+            let was_tripped = worker.breaker.is_tripped();
             worker.breaker.finish(succeeded, may_open, now);
+            match (was_tripped, worker.breaker.is_tripped()) {
+                (false, true) => self.tripped += 1,
+                (true, false) => self.tripped -= 1,
+                _ => {}
+            }
         }
         let is_gone = !worker.is_listed && worker.held == 0;
         self.place(host);
-        if is_gone {
-            self.workers.remove(host);
+        if is_gone && self.workers.remove(host).is_some_and(|gone| gone.breaker.is_tripped()) {
+            self.tripped -= 1;
         }
     }
 
@@ -149,15 +157,6 @@
         self.workers.get(host).map(|worker| worker.breaker.state(now))
     }
 
-    fn may_open(&self, now: Moment) -> bool {
-        let open = self
-            .workers
-            .values()
-            .filter(|worker| worker.breaker.state(now) != State::Closed)
-            .count();
-        (open + 1) * 100 <= self.workers.len() * MAX_OPEN_PERCENT
-    }
-
     fn draw<R: Rng>(
         &self,
         avoided: Option<&name::Host>,
@@ -194,6 +193,7 @@
     fn rebuild(&mut self) {
         self.free.clear();
         self.slots.total = 0;
+        self.tripped = self.workers.values().filter(|worker| worker.breaker.is_tripped()).count();
         for (host, worker) in &mut self.workers {
             worker.place = None;
             if !worker.is_listed {
--- a/crates/skylarkwick-request/src/breaker.rs
+++ b/crates/skylarkwick-request/src/breaker.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Tells whether the breaker is open or half open.
+    pub fn is_tripped(&self) -> bool {
+        self.state != State::Closed
+    }
+
     /// Tells whether the worker may be given work.
     pub fn admits(&self, now: Moment) -> bool {
         match self.state(now) {
