--- a/crates/skylarkwick-version/src/plan.rs
+++ b/crates/skylarkwick-version/src/plan.rs
@@ -86,30 +86,45 @@
 impl Facts<'_> {
     /// Returns the steps of this round, those that give capacity back first.
     pub fn steps(&self) -> Vec<Step> {
-        let mut steps = self.reports();
-        steps.extend(self.returns());
-        steps.extend(self.registrations());
-        steps.extend(self.capacity());
-        steps.extend(self.drains());
-        steps.extend(self.waves());
+        let round = Round::new(self);
+        let mut steps = round.reports();
+        steps.extend(round.returns());
+        steps.extend(round.registrations());
+        steps.extend(round.capacity());
+        steps.extend(round.drains());
+        steps.extend(round.waves());
         steps
     }
+}
+
+/// Facts, and the hosts of each pool, found once for the whole round.
+struct Round<'a> {
+    facts: &'a Facts<'a>,
+    owned: BTreeMap<&'a name::Pool, Vec<(&'a name::Host, &'a Known)>>,
+}
+
+impl<'a> Round<'a> {
+    fn new(facts: &'a Facts<'a>) -> Round<'a> {
+        let mut owned: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for (host, known) in facts.hosts {
+            if let Some(pool) = known.ownership.as_ref().and_then(Ownership::pool) {
+                owned.entry(pool).or_default().push((host, known));
+            }
+        }
+        Round { facts, owned }
+    }
 
     /// Returns the hosts that a pool owns here, leaving and maintained ones too.
-    pub fn owned<'a>(
-        &'a self,
-        pool: &'a name::Pool,
-    ) -> impl Iterator<Item = (&'a name::Host, &'a Known)> {
-        self.hosts.iter().filter(move |(_, known)| {
-            known.ownership.as_ref().and_then(Ownership::pool) == Some(pool)
-        })
+    fn owned(&self, pool: &name::Pool) -> impl Iterator<Item = (&'a name::Host, &'a Known)> {
+        self.owned.get(pool).into_iter().flatten().copied()
     }
 
     /// Returns the need of each pool in this data centre.
-    pub fn needs(&self) -> BTreeMap<name::Pool, Need> {
+    fn needs(&self) -> BTreeMap<name::Pool, Need> {
         let mut needs: BTreeMap<name::Pool, Need> = BTreeMap::new();
-        for document in self.documents {
-            let wanted = capacity::split(document.hosts, self.data_centres, self.data_centre);
+        for document in self.facts.documents {
+            let wanted =
+                capacity::split(document.hosts, self.facts.data_centres, self.facts.data_centre);
             let owned = self.owned(&document.pool).filter(|(_, known)| counts(known)).count();
             let need = needs.entry(document.pool.clone()).or_insert(Need {
                 wanted: 0,
@@ -122,24 +137,24 @@
         needs
     }
 
-    fn services_of<'a>(
-        &'a self,
-        pool: &'a name::Pool,
-    ) -> impl Iterator<Item = &'a std::sync::Arc<document::Settings>> {
-        self.documents.iter().filter(move |document| document.pool == *pool)
+    fn services_of<'b>(
+        &'b self,
+        pool: &'b name::Pool,
+    ) -> impl Iterator<Item = &'b std::sync::Arc<document::Settings>> {
+        self.facts.documents.iter().filter(move |document| document.pool == *pool)
     }
 
     fn reports(&self) -> Vec<Step> {
         let empty = Budget::default();
         let mut steps = Vec::new();
-        for document in self.documents {
-            let budget = self.budgets.get(&document.service).unwrap_or(&empty);
+        for document in self.facts.documents {
+            let budget = self.facts.budgets.get(&document.service).unwrap_or(&empty);
             let down: BTreeSet<name::Host> = self
                 .owned(&document.pool)
                 .filter(|(host, known)| known.said.is_none() && !budget.grants.contains_key(*host))
                 .map(|(host, _)| host.clone())
                 .collect();
-            let reported = budget.down.get(self.data_centre).cloned().unwrap_or_default();
+            let reported = budget.down.get(self.facts.data_centre).cloned().unwrap_or_default();
             if down != reported {
                 steps.push(Step::Report(document.service.clone(), down));
             }
@@ -149,7 +164,7 @@
 
     fn returns(&self) -> Vec<Step> {
         let mut steps = Vec::new();
-        for (host, known) in self.hosts {
+        for (host, known) in self.facts.hosts {
             let Some(ownership) = &known.ownership else { continue };
             match (&ownership.phase, known.said) {
                 (Phase::Leaving { .. }, said)
@@ -167,7 +182,8 @@
     }
 
     fn registrations(&self) -> Vec<Step> {
-        self.hosts
+        self.facts
+            .hosts
             .iter()
             .filter(|(_, known)| known.ownership.is_none() && !known.is_leaving)
             .map(|(host, _)| Step::Register(host.clone()))
@@ -175,9 +191,14 @@
     }
 
     fn capacity(&self) -> Vec<Step> {
-        let mut free: BTreeSet<&name::Host> =
-            self.hosts.iter().filter(|(_, known)| is_free(known)).map(|(host, _)| host).collect();
-        let coming = self.hosts.values().filter(|known| is_coming(known)).count() as u32;
+        let mut free: BTreeSet<&name::Host> = self
+            .facts
+            .hosts
+            .iter()
+            .filter(|(_, known)| is_free(known))
+            .map(|(host, _)| host)
+            .collect();
+        let coming = self.facts.hosts.values().filter(|known| is_coming(known)).count() as u32;
         let mut racked = self.racked();
         let mut withdrawn: BTreeSet<name::Host> = BTreeSet::new();
         let mut steps = Vec::new();
@@ -186,7 +207,9 @@
                 Change::Assign { pool } => {
                     let Some(host) = self.least_racked(&pool, &free, &racked) else { continue };
                     free.remove(host);
-                    *racked.entry((pool.clone(), self.hosts[host].rack.clone())).or_default() += 1;
+                    *racked
+                        .entry((pool.clone(), self.facts.hosts[host].rack.clone()))
+                        .or_default() += 1;
                     steps.push(Step::Assign(host.clone(), pool));
                 }
                 Change::Withdraw { pool } => {
@@ -203,7 +226,7 @@
     /// Counts the hosts of each pool in each rack.
     fn racked(&self) -> BTreeMap<(name::Pool, name::Rack), u32> {
         let mut racked = BTreeMap::new();
-        for known in self.hosts.values() {
+        for known in self.facts.hosts.values() {
             if let Some(pool) = known.ownership.as_ref().and_then(Ownership::pool) {
                 *racked.entry((pool.clone(), known.rack.clone())).or_default() += 1;
             }
@@ -213,23 +236,23 @@
 
     /// Chooses a free host in the rack where the pool has the fewest hosts, so
     /// that a rack that fails takes as little of one pool as can be.
-    fn least_racked<'a>(
-        &'a self,
+    fn least_racked(
+        &self,
         pool: &name::Pool,
         free: &BTreeSet<&'a name::Host>,
         racked: &BTreeMap<(name::Pool, name::Rack), u32>,
     ) -> Option<&'a name::Host> {
         let count = |host: &name::Host| {
-            let place = (pool.clone(), self.hosts[host].rack.clone());
+            let place = (pool.clone(), self.facts.hosts[host].rack.clone());
             racked.get(&place).copied().unwrap_or(0)
         };
         free.iter().copied().min_by_key(|host| (count(host), *host))
     }
 
     /// Chooses the active host of a pool with the least work in progress.
-    fn idlest<'a>(
-        &'a self,
-        pool: &'a name::Pool,
+    fn idlest(
+        &self,
+        pool: &name::Pool,
         withdrawn: &BTreeSet<name::Host>,
     ) -> Option<&'a name::Host> {
         self.owned(pool)
@@ -242,7 +265,7 @@
     fn drains(&self) -> Vec<Step> {
         let mut room = self.room();
         let mut steps = Vec::new();
-        for (host, known) in self.hosts {
+        for (host, known) in self.facts.hosts {
             let Some(pool) = known.ownership.as_ref().and_then(Ownership::pool) else { continue };
             if !known.is_drained || !is_active(known) {
                 continue;
@@ -259,21 +282,21 @@
     fn waves(&self) -> Vec<Step> {
         let mut room = self.room();
         let mut steps = Vec::new();
-        for Wave { wave, progress } in self.waves {
+        for Wave { wave, progress } in self.facts.waves {
             if wave.state == wave::State::Paused {
                 continue;
             }
             for hosts in wave::choose(&self.candidates(wave, progress), &room) {
                 let pools: BTreeSet<&name::Pool> = hosts
                     .iter()
-                    .filter_map(|host| self.hosts[host].ownership.as_ref()?.pool())
+                    .filter_map(|host| self.facts.hosts[host].ownership.as_ref()?.pool())
                     .collect();
                 let mut granted = BTreeMap::new();
                 for pool in pools {
                     let of_pool: Vec<name::Host> = hosts
                         .iter()
                         .filter(|host| {
-                            self.hosts[*host].ownership.as_ref().and_then(Ownership::pool)
+                            self.facts.hosts[*host].ownership.as_ref().and_then(Ownership::pool)
                                 == Some(pool)
                         })
                         .cloned()
@@ -290,7 +313,7 @@
     fn candidates(&self, wave: &wave::Wave, progress: &wave::Progress) -> Vec<wave::Candidate> {
         let room = self.room();
         let mut candidates = Vec::new();
-        for (host, known) in self.hosts {
+        for (host, known) in self.facts.hosts {
             let pool = known.ownership.as_ref().and_then(Ownership::pool);
             let (Some(pool), Some(said)) = (pool, known.said) else { continue };
             let is_in_scope = wave.pool.as_ref().is_none_or(|wanted| wanted == pool);
@@ -315,14 +338,15 @@
     }
 
     /// Returns the grants that each budget has left.
-    pub fn room(&self) -> BTreeMap<name::Service, u32> {
+    fn room(&self) -> BTreeMap<name::Service, u32> {
         let empty = Budget::default();
         let nobody = BTreeSet::new();
-        self.documents
+        self.facts
+            .documents
             .iter()
             .map(|document| {
-                let budget = self.budgets.get(&document.service).unwrap_or(&empty);
-                let silent = self.silent.get(&document.pool).unwrap_or(&nobody);
+                let budget = self.facts.budgets.get(&document.service).unwrap_or(&empty);
+                let silent = self.facts.silent.get(&document.pool).unwrap_or(&nobody);
                 let left = document.down_at_once.saturating_sub(budget.unavailable(silent));
                 (document.service.clone(), left)
             })
