Learn a kind from its overruns, and hold more slots for short work

Cause: in a pool's first burst, long work had not ended once, so its kind was still taken for short and filled every slot; later bursts found up to 75% of the slots held by long work. Ruled out: the draw of workers and the hidden stragglers, whose share (10%) changes p99 by less than the caps do. Change: a task that outlives its patience teaches its kind at once; long work is assured 10% of the slots (was 25%) and holds at most 40% (was 75%), chosen from a grid of both.

--- a/crates/skylarkwick-request/src/estimate.rs
+++ b/crates/skylarkwick-request/src/estimate.rs
@@ -77,6 +77,24 @@
     /// Adds one observed run time.
     pub fn observe(&mut self, service: &name::Service, kind: &name::Kind, run_time: Duration) {
         self.pool.observe(run_time);
+        self.observe_kind(service, kind, run_time);
+    }
+
+    /// Adds that a task of a kind still runs after `elapsed`.
+    ///
+    /// A kind that runs long is known from its first overruns, not only once
+    /// its first tasks have ended. The pool's typical run time stays as it is,
+    /// because tasks that end late must not make others look short.
+    pub fn observe_overrun(
+        &mut self,
+        service: &name::Service,
+        kind: &name::Kind,
+        elapsed: Duration,
+    ) {
+        self.observe_kind(service, kind, elapsed);
+    }
+
+    fn observe_kind(&mut self, service: &name::Service, kind: &name::Kind, run_time: Duration) {
         let key = (service.clone(), kind.clone());
         if self.kinds.len() < MAX_KINDS || self.kinds.contains_key(&key) {
             let declared = Typical::declared(self.declared);
--- a/crates/skylarkwick-request/src/lane.rs
+++ b/crates/skylarkwick-request/src/lane.rs
@@ -272,6 +272,8 @@
             if let Some(running) = self.running.get_mut(&attempt) {
                 running.length = Length::Long;
                 self.board.turn_long();
+                let Waiting { service, kind, .. } = &running.waiting;
+                self.estimate.observe_overrun(service, kind, now.since(running.started));
             }
         }
     }
--- a/crates/skylarkwick-request/src/queue.rs
+++ b/crates/skylarkwick-request/src/queue.rs
@@ -31,7 +31,7 @@
 impl Limits {
     /// The limits of an entry host.
     pub const DEFAULT: Limits =
-        Limits { max_waiting: 512, long_percent: 25, idle_long_percent: 75 };
+        Limits { max_waiting: 512, long_percent: 10, idle_long_percent: 40 };
 }
 
 /// A request that waits.
--- a/crates/skylarkwick-request/tests/run_times.rs
+++ b/crates/skylarkwick-request/tests/run_times.rs
@@ -50,3 +50,16 @@
     let unlearned = estimate.run_time(&service(), &kind("k4999"));
     assert!(unlearned < millis(25));
 }
+
+#[test]
+fn overruns_teach_kind() {
+    let mut estimate = Estimate::declared(millis(20));
+    for _ in 0..100 {
+        estimate.observe(&service(), &kind("proof"), millis(20));
+    }
+    for _ in 0..40 {
+        estimate.observe_overrun(&service(), &kind("batch"), millis(400));
+    }
+    assert_eq!(estimate.length(&service(), &kind("batch")), Length::Long);
+    assert_eq!(estimate.length(&service(), &kind("proof")), Length::Short);
+}
