Keep spare threads for bursts of new connections

Cause: a test hung with a request unread in an open connection. The HTTP library hands a new connection to a waiting thread, but counts a thread as waiting until it has woken; when connections come faster than that, the rest stay unread until another one closes. The library offers no setting, so each listener opens and closes a few connections of its own every second.

--- a/crates/skylarkwick-connection/src/listen.rs
+++ b/crates/skylarkwick-connection/src/listen.rs
@@ -1,12 +1,31 @@
 //! Listening for HTTP requests, for callers and for the stand-ins.
+//!
+//! The library gives each connection a thread, and hands a new connection to a
+//! waiting thread or starts one. When several connections come within the time
+//! that a thread takes to wake, more are handed over than threads wait, and the
+//! rest stay unread until another connection closes. [`keep_spares`] opens and
+//! closes a few connections of its own now and then: their threads take up what
+//! was left, and then wait for a while as spares.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
 
 use rouille::{Request, Response, Server};
 use skylarkwick_process::duty::{Duty, Stop};
 
 /// How often a listener that gets no request looks for the stop.
 const STOP_PERIOD: Duration = Duration::from_millis(200);
+/// How often spare threads are made; the library keeps an idle one for 5 s.
+const SPARE_PERIOD: Duration = Duration::from_millis(1000);
+/// Spare threads made at once for each thread that handles requests.
+const SPARES_PER_THREAD: usize = 8;
+/// Most spare threads made at once.
+const MAX_SPARES: usize = 32;
+/// Fewest spare threads made at once.
+const MIN_SPARES: usize = 8;
 
 /// Starts to listen; returns the address in use and the duty.
 ///
@@ -30,6 +49,9 @@
         .map_err(|error| io::Error::other(format!("{address}: {error}")))?
         .pool_size(threads);
     let local = server.server_addr();
+    let spares = (threads / SPARES_PER_THREAD).clamp(MIN_SPARES, MAX_SPARES);
+    let spare_stop = stop.clone();
+    Duty::spawn("spares", move || keep_spares(local, spares, &spare_stop))?;
     let duty = Duty::spawn(name, move || {
         while !stop.is_requested() {
             server.poll_timeout(STOP_PERIOD);
@@ -38,3 +60,13 @@
     })?;
     Ok((local, duty))
 }
+
+/// Keeps threads of the library free for new connections until the stop.
+fn keep_spares(address: SocketAddr, spares: usize, stop: &Stop) {
+    while !stop.sleep(SPARE_PERIOD) {
+        // A connection that can't be opened makes no spare, and the next may.
+        let connections: Vec<_> =
+            (0..spares).filter_map(|_| TcpStream::connect(address).ok()).collect();
+        drop(connections);
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-connection/tests/connect_burst.rs
@@ -0,0 +1,40 @@
+//! Listening: every one of many connections opened at once is answered.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use rouille::Response;
+use skylarkwick_connection::listen::listen;
+use skylarkwick_process::duty::Stop;
+
+const CONNECTIONS: usize = 60;
+const ROUNDS: usize = 3;
+const PATIENCE: Duration = Duration::from_secs(15);
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: test\r\n\r\n";
+
+#[test]
+fn all_answered() {
+    let mut unanswered = 0;
+    for _ in 0..ROUNDS {
+        let stop = Stop::default();
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (address, _) =
+            listen("test", address, 256, |_| Response::text("here"), stop.clone()).unwrap();
+        let mut connections: Vec<TcpStream> =
+            (0..CONNECTIONS).map(|_| TcpStream::connect(address).unwrap()).collect();
+        for connection in &mut connections {
+            connection.set_read_timeout(Some(PATIENCE)).unwrap();
+            connection.write_all(REQUEST).unwrap();
+        }
+        // Nobody closes a connection before all have been answered.
+        unanswered += connections
+            .iter_mut()
+            .filter_map(|connection| connection.read(&mut [0; 64]).err())
+            .count();
+        stop.request();
+    }
+    assert_eq!(unanswered, 0, "of {}", CONNECTIONS * ROUNDS);
+}
