--- a/crates/skylarkwick-version/src/budget.rs
+++ b/crates/skylarkwick-version/src/budget.rs
@@ -10,7 +10,7 @@
 use crate::{host::Cause, name};
 
 /// The row of a service's budget.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Budget {
     /// Hosts that were granted a disruption which has not ended.
     pub grants: BTreeMap<name::Host, Cause>,
--- a/crates/skylarkwick-version/src/host.rs
+++ b/crates/skylarkwick-version/src/host.rs
@@ -9,7 +9,7 @@
 use crate::name;
 
 /// Number that grows with every change of ownership of a host.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Epoch(pub u64);
 
 impl Epoch {
@@ -19,7 +19,7 @@
 }
 
 /// Why a host is leaving its pool.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Cause {
     /// The host moves to where it is needed more.
     Move,
@@ -30,7 +30,7 @@
 }
 
 /// Phase of a host's ownership.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Phase {
     /// Owned by no pool.
     Free,
@@ -58,7 +58,7 @@
 }
 
 /// Ownership of one host.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Ownership {
     /// Number of changes of ownership so far.
     pub epoch: Epoch,
@@ -67,7 +67,7 @@
 }
 
 /// What a host said of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Acknowledgement {
     /// The lowest epoch whose work the host still accepts.
     pub epoch: Epoch,
--- a/crates/skylarkwick-version/src/lease.rs
+++ b/crates/skylarkwick-version/src/lease.rs
@@ -12,7 +12,7 @@
 use crate::{moment::Moment, name, revision::Revision};
 
 /// Identity of one run of a process; a restart gets a new one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Incarnation(pub u64);
 
 impl fmt::Display for Incarnation {
@@ -22,11 +22,11 @@
 }
 
 /// Number that grows whenever a lease changes hands.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fencing(pub u64);
 
 /// The row of a lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Lease {
     /// The process that holds the lease, unless it was released.
     pub holder: Option<Incarnation>,
