Share what processes have in common; race operators from one change

The processes of an entry host repeated their arguments, settings, log and stop; program::run has them once. The demo's race of two operators counted a second change as untold although that operator had read the first one's (trace: change 12 applied on change 11, then 13 on 12, both by --if-match); both now start from the same change, of which at most one may be accepted, as before.

--- a/crates/skylarkwick-demo/src/operator.rs
+++ b/crates/skylarkwick-demo/src/operator.rs
@@ -2,7 +2,6 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -131,27 +130,21 @@
         .sum()
 }
 
-/// Has two operators change one document at the same moment; returns how many
-/// of the changes were accepted.
-pub(crate) fn race(
-    operator: &Operator,
-    source: &Source,
-    document: &Arc<document::Settings>,
-) -> usize {
+/// Has two operators change one document at the same moment, both from the same
+/// last change; returns how many of the changes were accepted.
+pub(crate) fn race(operator: &Operator, source: &Source, document: &document::Settings) -> usize {
+    let Ok((_, Some(current))) = documents::read(&operator.platform, &document.service) else {
+        return 0;
+    };
     let change = |hosts: u32| {
         let (operator, source) = (operator.clone(), with_hosts(source, document, hosts));
+        let last = Some(current.change);
         std::thread::spawn(move || {
-            let read = documents::read(&operator.platform, &name_of(&source)?).ok()?;
-            let last = read.1.map(|document| document.change);
-            documents::apply(&operator.platform, &source, "racer", last, token()).ok()
+            documents::apply(&operator.platform, &source, "racer", last, token())
         })
     };
     let racing = [change(document.hosts), change(document.hosts)];
-    racing.into_iter().filter_map(|racer| racer.join().ok().flatten()).count()
-}
-
-fn name_of(source: &Source) -> Option<name::Service> {
-    document::Options::load(source).ok().map(|document| document.service)
+    racing.into_iter().filter_map(|racer| racer.join().ok()).filter(Result::is_ok).count()
 }
 
 fn token() -> Token {
--- a/crates/skylarkwick-entry/src/main.rs
+++ b/crates/skylarkwick-entry/src/main.rs
@@ -1,69 +1,20 @@
 //! The process of an entry host that serves callers.
 
-use std::path::PathBuf;
-
-use clap::{Arg, Command, value_parser};
-use skylarkwick_entry::Entry;
-use skylarkwick_process::{
-    duty::Stop, exit::ExitStatus, log, settings::process::Settings, signal, trace,
-};
-use slog::{Logger, error, info};
+use skylarkwick_entry::{Entry, Error};
+use skylarkwick_process::{exit::ExitStatus, program};
 
 fn main() -> ExitStatus {
-    let arguments = command().get_matches();
-    let path = arguments.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
-    let name = arguments.get_one::<String>("entry").map(String::as_str);
-    let settings = match Settings::load(&path, name) {
-        Ok(settings) => settings,
-        Err(error) => {
-            error!(log::open(log::Format::Human, slog::Level::Info), "{error}");
-            return ExitStatus::Error;
-        }
-    };
-    let log = log::open(settings.log_format, settings.log_level);
-    trace::open(log.clone());
-    let status = match run(&settings, &log) {
-        Ok(()) => ExitStatus::Success,
-        Err(error) => {
-            error!(log, "{error}");
-            ExitStatus::Error
-        }
-    };
-    fastrace::flush();
-    status
-}
-
-fn command() -> Command {
-    Command::new("skylarkwick-entry")
+    let command = program::command("skylarkwick-entry")
         .about("Serves callers on an entry host: admission, queue, dispatch")
-        .version(clap::crate_version!())
         .after_help(
             "Example:\n  skylarkwick-entry --settings examples/caroni/entry.toml --entry pos-e1\n\n\
              Stops on SIGTERM once every request in progress was replied to.\n\
              Exit status: 0 stopped as asked, 2 the settings are not valid or a port is taken.",
-        )
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .required(true)
-                .value_parser(value_parser!(PathBuf))
-                .help("Settings of the process"),
-        )
-        .arg(
-            Arg::new("entry")
-                .long("entry")
-                .value_name("NAME")
-                .help("Name of the entry host, in place of the one in the settings"),
-        )
-}
-
-fn run(settings: &Settings, log: &Logger) -> Result<(), Box<dyn std::error::Error>> {
-    let stop = Stop::default();
-    signal::watch(stop.clone())?;
-    let entry = Entry::start(settings, log)?;
-    stop.wait();
-    entry.stop();
-    info!(log, "stopped");
-    Ok(())
+        );
+    program::run(&command.get_matches(), |settings, log, stop| {
+        let entry = Entry::start(settings, log)?;
+        stop.wait();
+        entry.stop();
+        Ok::<(), Error>(())
+    })
 }
--- a/crates/skylarkwick-process/src/lib.rs
+++ b/crates/skylarkwick-process/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod exit;
 pub mod log;
 pub mod metrics;
+pub mod program;
 pub mod ring;
 pub mod settings;
 pub mod signal;
--- /dev/null
+++ b/crates/skylarkwick-process/src/program.rs
@@ -0,0 +1,66 @@
+//! What the processes of an entry host have in common: arguments, settings, the
+//! log, and the way from the first signal to the exit status.
+
+use std::{error::Error, path::PathBuf};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use slog::{Logger, error, info};
+
+use crate::{duty::Stop, exit::ExitStatus, log, settings::process::Settings, signal, trace};
+
+/// Describes the arguments that every process of an entry host takes.
+pub fn command(name: &'static str) -> Command {
+    Command::new(name)
+        .version(clap::crate_version!())
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings of the process"),
+        )
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .value_name("NAME")
+                .help("Name of the entry host, in place of the one in the settings"),
+        )
+}
+
+/// Loads the settings, runs the process until it is asked to stop, and tells how
+/// it ended.
+pub fn run<E>(
+    arguments: &ArgMatches,
+    job: impl FnOnce(&Settings, &Logger, &Stop) -> Result<(), E>,
+) -> ExitStatus
+where
+    E: Into<Box<dyn Error>>,
+{
+    let path = arguments.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+    let name = arguments.get_one::<String>("entry").map(String::as_str);
+    let settings = match Settings::load(&path, name) {
+        Ok(settings) => settings,
+        Err(error) => {
+            error!(log::open(log::Format::Human, slog::Level::Info), "{error}");
+            return ExitStatus::Error;
+        }
+    };
+    let log = log::open(settings.log_format, settings.log_level);
+    trace::open(log.clone());
+    let stop = Stop::default();
+    let ended = signal::watch(stop.clone())
+        .map_err(Into::into)
+        .and_then(|_| job(&settings, &log, &stop).map_err(Into::into));
+    fastrace::flush();
+    match ended {
+        Ok(()) => {
+            info!(log, "stopped");
+            ExitStatus::Success
+        }
+        Err(error) => {
+            error!(log, "{error}");
+            ExitStatus::Error
+        }
+    }
+}
