--- a/crates/skylarkwick-connection/src/listen.rs
+++ b/crates/skylarkwick-connection/src/listen.rs
@@ -5,7 +5,8 @@
 //! that a thread takes to wake, more are handed over than threads wait, and the
 //! rest stay unread until another connection closes. [`keep_spares`] opens and
 //! closes a few connections of its own now and then: their threads take up what
-//! was left, and then wait for a while as spares.
+//! was left, and then wait for a while as spares. There are few of them, because
+//! each leaves a closed connection behind in the system's tables for a minute.
 
 use std::{
     io,
@@ -19,13 +20,13 @@
 /// How often a listener that gets no request looks for the stop.
 const STOP_PERIOD: Duration = Duration::from_millis(200);
 /// How often spare threads are made; the library keeps an idle one for 5 s.
-const SPARE_PERIOD: Duration = Duration::from_millis(1000);
-/// Spare threads made at once for each thread that handles requests.
-const SPARES_PER_THREAD: usize = 8;
+const SPARE_PERIOD: Duration = Duration::from_secs(2);
+/// Threads that handle requests for each spare thread made at once.
+const THREADS_PER_SPARE: usize = 12;
 /// Most spare threads made at once.
 const MAX_SPARES: usize = 32;
 /// Fewest spare threads made at once.
-const MIN_SPARES: usize = 8;
+const MIN_SPARES: usize = 2;
 
 /// Starts to listen; returns the address in use and the duty.
 ///
@@ -49,7 +50,7 @@
         .map_err(|error| io::Error::other(format!("{address}: {error}")))?
         .pool_size(threads);
     let local = server.server_addr();
-    let spares = (threads / SPARES_PER_THREAD).clamp(MIN_SPARES, MAX_SPARES);
+    let spares = (threads / THREADS_PER_SPARE).clamp(MIN_SPARES, MAX_SPARES);
     let spare_stop = stop.clone();
     Duty::spawn("spares", move || keep_spares(local, spares, &spare_stop))?;
     let duty = Duty::spawn(name, move || {
