Mend what a second reading found

The entry host and the planner each had the same start error; program::Unstarted serves both. The dispatch cloned the name of every pool after each event, now only of those with something waiting. The demo's report counted reverted documents by adding, overwriting and restoring; it adds once. The stand-in worker locked its state twice in a row for two values.

--- a/crates/skylarkwick-connection/src/peer.rs
+++ b/crates/skylarkwick-connection/src/peer.rs
@@ -6,7 +6,6 @@
 
 use std::sync::Arc;
 
-use skylarkwick_process::view;
 use skylarkwick_request::outcome::Outcome;
 use skylarkwick_version::{host::Epoch, lease::Incarnation, name, revision::Revision};
 
@@ -27,15 +26,6 @@
     pub leaving: Vec<(name::Host, Epoch)>,
 }
 
-/// Rows of a peer's view.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Rows {
-    /// The rows.
-    pub rows: Vec<view::Row>,
-    /// Revision up to which they are complete.
-    pub through: Revision,
-}
-
 /// What an entry host does for its peers.
 pub trait Handler: Send + Sync + 'static {
     /// Takes a heartbeat and returns one.
--- a/crates/skylarkwick-demo/src/run.rs
+++ b/crates/skylarkwick-demo/src/run.rs
@@ -84,12 +84,8 @@
         ..Report::default()
     };
     report.compare(&records, &site.stand_ins.ledger, site.settings.latency_to_callers);
+    report.add(&sampler.stop());
     report.reverted_documents += acted.reverted;
-    let seen = sampler.stop();
-    report.reverted_documents += seen.reverted_documents;
-    let reverted = report.reverted_documents;
-    report.add(&seen);
-    report.reverted_documents = reverted;
     if let Ok(site) = Arc::try_unwrap(site) {
         site.stop();
     }
--- a/crates/skylarkwick-demo/src/site.rs
+++ b/crates/skylarkwick-demo/src/site.rs
@@ -14,6 +14,7 @@
 use skylarkwick_process::{
     duty::Stop,
     log::Format,
+    program::Unstarted,
     settings::{self, process, read, site},
     view::Shared,
 };
@@ -52,9 +53,7 @@
     #[error("cannot start the stand-ins: {0}")]
     StandIns(#[from] std::io::Error),
     #[error(transparent)]
-    Entry(#[from] skylarkwick_entry::Error),
-    #[error(transparent)]
-    Planner(#[from] skylarkwick_planner::Error),
+    Unstarted(#[from] Unstarted),
     #[error("{0}")]
     Site(String),
 }
--- a/crates/skylarkwick-entry/src/dispatch.rs
+++ b/crates/skylarkwick-entry/src/dispatch.rs
@@ -172,7 +172,8 @@
     }
 
     fn start_all(&mut self) {
-        let pools: Vec<name::Pool> = self.lanes.keys().cloned().collect();
+        let waiting = self.lanes.iter().filter(|(_, lane)| lane.waiting() > 0);
+        let pools: Vec<name::Pool> = waiting.map(|(pool, _)| pool.clone()).collect();
         for pool in pools {
             while !self.idle.is_empty() && self.start(&pool) {}
         }
--- a/crates/skylarkwick-entry/src/entry.rs
+++ b/crates/skylarkwick-entry/src/entry.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeMap,
-    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -17,7 +16,9 @@
 use skylarkwick_process::{
     clock::Monotonic,
     duty::{Duty, Stop},
-    metrics, ring,
+    metrics,
+    program::Unstarted,
+    ring,
     settings::{process::Settings, site},
     view::Shared,
 };
@@ -53,16 +54,6 @@
     pub peer: SocketAddr,
 }
 
-/// Why an entry host did not start.
-#[derive(Debug, thiserror::Error)]
-#[error("entry host {entry}: cannot start its {part}: {error}")]
-pub struct Error {
-    entry: name::Entry,
-    part: &'static str,
-    #[source]
-    error: io::Error,
-}
-
 /// A running entry host.
 #[derive(Debug)]
 pub struct Entry {
@@ -85,11 +76,8 @@
     /// # Errors
     ///
     /// Returns which part could not be started, and why.
-    pub fn start(settings: &Settings, log: &Logger) -> Result<Entry, Error> {
-        let fail = |part| {
-            let entry = settings.entry.clone();
-            move |error| Error { entry, part, error }
-        };
+    pub fn start(settings: &Settings, log: &Logger) -> Result<Entry, Unstarted> {
+        let fail = |part| move |error| Unstarted::new("entry", &settings.entry, part, error);
         let site = &settings.site;
         let Some(host) = site.entries.get(&settings.entry) else {
             unreachable!("settings name an entry host of their site");
--- a/crates/skylarkwick-entry/src/lib.rs
+++ b/crates/skylarkwick-entry/src/lib.rs
@@ -17,4 +17,4 @@
 mod view;
 mod writer;
 
-pub use self::entry::{Addresses, Entry, Error};
+pub use self::entry::{Addresses, Entry};
--- a/crates/skylarkwick-entry/src/main.rs
+++ b/crates/skylarkwick-entry/src/main.rs
@@ -1,7 +1,10 @@
 //! The process of an entry host that serves callers.
 
-use skylarkwick_entry::{Entry, Error};
-use skylarkwick_process::{exit::ExitStatus, program};
+use skylarkwick_entry::Entry;
+use skylarkwick_process::{
+    exit::ExitStatus,
+    program::{self, Unstarted},
+};
 
 fn main() -> ExitStatus {
     let command = program::command("skylarkwick-entry")
@@ -15,6 +18,6 @@
         let entry = Entry::start(settings, log)?;
         stop.wait();
         entry.stop();
-        Ok::<(), Error>(())
+        Ok::<(), Unstarted>(())
     })
 }
--- a/crates/skylarkwick-planner/src/lib.rs
+++ b/crates/skylarkwick-planner/src/lib.rs
@@ -11,4 +11,4 @@
 mod round;
 mod write;
 
-pub use self::planner::{Error, Planner};
+pub use self::planner::Planner;
--- a/crates/skylarkwick-planner/src/main.rs
+++ b/crates/skylarkwick-planner/src/main.rs
@@ -1,7 +1,10 @@
 //! The process of an entry host that plans its data centre.
 
-use skylarkwick_planner::{Error, Planner};
-use skylarkwick_process::{exit::ExitStatus, program};
+use skylarkwick_planner::Planner;
+use skylarkwick_process::{
+    exit::ExitStatus,
+    program::{self, Unstarted},
+};
 
 fn main() -> ExitStatus {
     let command = program::command("skylarkwick-planner")
@@ -15,6 +18,6 @@
         let planner = Planner::start(settings, log)?;
         stop.wait();
         planner.stop();
-        Ok::<(), Error>(())
+        Ok::<(), Unstarted>(())
     })
 }
--- a/crates/skylarkwick-planner/src/planner.rs
+++ b/crates/skylarkwick-planner/src/planner.rs
@@ -1,35 +1,23 @@
 //! Starts and stops the duties of a planner.
 
-use std::{
-    io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
 };
 
 use skylarkwick_connection::{backend::http::Backend, platform::http::Platform};
 use skylarkwick_process::{
     clock::Monotonic,
     duty::{Duty, Stop},
+    program::Unstarted,
     ring,
     settings::process::Settings,
 };
-use skylarkwick_version::{lease::Incarnation, name};
+use skylarkwick_version::lease::Incarnation;
 use slog::Logger;
 
 use crate::{leases::Leases, probe, round};
 
-/// Why a planner did not start.
-#[derive(Debug, thiserror::Error)]
-#[error("planner on entry host {entry}: cannot start its {part}: {error}")]
-pub struct Error {
-    entry: name::Entry,
-    part: &'static str,
-    #[source]
-    error: io::Error,
-}
-
 /// A running planner.
 #[derive(Debug)]
 pub struct Planner {
@@ -44,15 +32,12 @@
     /// # Errors
     ///
     /// Returns which part could not be started, and why.
-    pub fn start(settings: &Settings, log: &Logger) -> Result<Planner, Error> {
+    pub fn start(settings: &Settings, log: &Logger) -> Result<Planner, Unstarted> {
         let site = &settings.site;
         let Some(host) = site.entries.get(&settings.entry) else {
             unreachable!("settings name an entry host of their site");
         };
-        let fail = |part| {
-            let entry = settings.entry.clone();
-            move |error| Error { entry, part, error }
-        };
+        let fail = |part| move |error| Unstarted::new("planner", &settings.entry, part, error);
         let stop = Stop::default();
         let keeps_lease = Arc::new(AtomicBool::new(false));
         let clock = Monotonic::default();
--- a/crates/skylarkwick-process/src/program.rs
+++ b/crates/skylarkwick-process/src/program.rs
@@ -1,13 +1,37 @@
 //! What the processes of an entry host have in common: arguments, settings, the
 //! log, and the way from the first signal to the exit status.
 
-use std::{error::Error, path::PathBuf};
+use std::{error::Error, io, path::PathBuf};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
+use skylarkwick_version::name;
 use slog::{Logger, error, info};
 
 use crate::{duty::Stop, exit::ExitStatus, log, settings::process::Settings, signal, trace};
 
+/// Why a process of an entry host did not start.
+#[derive(Debug, thiserror::Error)]
+#[error("{process} on entry host {entry}: cannot start its {part}: {error}")]
+pub struct Unstarted {
+    process: &'static str,
+    entry: name::Entry,
+    part: &'static str,
+    #[source]
+    error: io::Error,
+}
+
+impl Unstarted {
+    /// Tells which part of a process could not be started, and why.
+    pub fn new(
+        process: &'static str,
+        entry: &name::Entry,
+        part: &'static str,
+        error: io::Error,
+    ) -> Unstarted {
+        Unstarted { process, entry: entry.clone(), part, error }
+    }
+}
+
 /// Describes the arguments that every process of an entry host takes.
 pub fn command(name: &'static str) -> Command {
     Command::new(name)
--- a/crates/skylarkwick-stand-in/src/worker.rs
+++ b/crates/skylarkwick-stand-in/src/worker.rs
@@ -168,12 +168,17 @@
                 .with_unique_header(wire::NOT_RUN, denial.code());
         }
         let entry = self.ledger.start(&self.host, &header(wire::SERVICE), &order.payload);
-        let boot = self.lock().boot;
-        let faults = self.lock().faults;
+        let (boot, faults) = {
+            let state = self.lock();
+            (state.boot, state.faults)
+        };
         if !faults.fails_all {
             std::thread::sleep(Duration::from_micros(order.run_us));
         }
-        let is_cut = self.lock().boot != boot || self.lock().is_rebooting;
+        let is_cut = {
+            let state = self.lock();
+            state.boot != boot || state.is_rebooting
+        };
         self.ledger.finish(entry, is_cut);
         let result = match faults.fails_all || is_cut {
             true => Attempt::Failed,
--- a/crates/skylarkwick-stand-in/tests/platform_contract.rs
+++ b/crates/skylarkwick-stand-in/tests/platform_contract.rs
@@ -143,16 +143,14 @@
 #[test]
 fn cut_data_centre_only() {
     let served = Served::start();
-    served.faults().set(|faults| drop_into(&mut faults.cut, origin()));
+    served.faults().set(|faults| {
+        faults.cut.insert(origin());
+    });
     assert_eq!(served.client.scan("", Revision::ABSENT), Err(Fault::Unreachable));
     served.faults().set(|faults| faults.cut.clear());
     assert!(served.client.scan("", Revision::ABSENT).is_ok());
 }
 
-fn drop_into<T: Ord>(set: &mut std::collections::BTreeSet<T>, item: T) {
-    set.insert(item);
-}
-
 #[test]
 fn nobody_listens() {
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
