--- a/crates/skylarkwick-connection/src/agent.rs
+++ b/crates/skylarkwick-connection/src/agent.rs
@@ -73,7 +73,7 @@
 }
 
 /// Tells whether a call failed before any byte of its request left.
-pub(crate) fn never_left(error: &ureq::Error) -> bool {
+pub fn never_left(error: &ureq::Error) -> bool {
     match error {
         ureq::Error::ConnectionFailed
         | ureq::Error::HostNotFound
@@ -84,6 +84,6 @@
 }
 
 /// Tells whether a call failed because nothing came back in time.
-pub(crate) fn is_silence(error: &ureq::Error) -> bool {
+pub fn is_silence(error: &ureq::Error) -> bool {
     matches!(error, ureq::Error::Timeout(_))
 }
--- a/crates/skylarkwick-connection/src/lib.rs
+++ b/crates/skylarkwick-connection/src/lib.rs
@@ -9,5 +9,7 @@
 pub mod backend;
 pub mod caller;
 pub mod listen;
+pub mod order;
 pub mod peer;
 pub mod platform;
+pub mod store;
--- /dev/null
+++ b/crates/skylarkwick-connection/src/order.rs
@@ -0,0 +1,149 @@
+//! Orders for backend servers and for hosts, and what the platform says of both.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use skylarkwick_request::{
+    job::task,
+    shard::{
+        effect::{Start, Target},
+        fact::{Answer, Host, HostAnswer, HostId, Listing, Look, Queue, Wave},
+    },
+};
+use skylarkwick_version::revision::Revision;
+
+use crate::store::Fault;
+
+/// Why a look brought nothing.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Blind {
+    /// No answer came.
+    #[error("no answer: {0}")]
+    Silent(String),
+    /// A later holder has fenced the server.
+    #[error("a later holder has fenced the server")]
+    Fenced,
+    /// Another life of the server, or another server, is at the address.
+    #[error("another life of the server is at the address")]
+    OtherLife,
+}
+
+/// Backend servers that take orders.
+pub trait Orders: Clone + Send + Sync + 'static {
+    /// Starts a task.
+    fn start(&self, target: &Target, start: &Start) -> Answer;
+
+    /// Stops a run.
+    fn stop(&self, target: &Target, task: &task::Id, run: task::Run) -> Answer;
+
+    /// Sets the pace of a run, in percent.
+    fn pace(&self, target: &Target, task: &task::Id, run: task::Run, percent: u32) -> Answer;
+
+    /// Looks at a server, renews its lease and acknowledges ends.
+    ///
+    /// # Errors
+    ///
+    /// Tells why the server said nothing of itself.
+    fn look(
+        &self,
+        target: &Target,
+        until_ms: Option<u64>,
+        acknowledged: u64,
+        wait: Duration,
+    ) -> Result<Look, Blind>;
+}
+
+/// The platform's word on hosts.
+pub trait Hosts: Clone + Send + Sync + 'static {
+    /// Lists the hosts.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault when no answer came.
+    fn hosts(&self) -> Result<Vec<Host>, Fault>;
+
+    /// Moves a host to another pool.
+    fn move_host(&self, seal: &Seal, host: &HostId, pool: &str) -> HostAnswer;
+
+    /// Begins the maintenance of a host.
+    fn maintain(&self, seal: &Seal, host: &HostId, wave: u64) -> HostAnswer;
+}
+
+/// Who gives an order for a host, and its fencing number.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seal {
+    /// The entry host of the process.
+    pub holder: Arc<str>,
+    /// Number that grows with each order for the host.
+    pub fencing: u64,
+}
+
+/// A queue and the requests that belong to it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name that callers ask for.
+    pub host: Arc<str>,
+    /// Start of the paths.
+    pub prefix: Arc<str>,
+    /// The queue.
+    pub queue: Queue,
+}
+
+/// What operators have put in force.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    /// Its version, which only grows.
+    pub version: u64,
+    /// The queues.
+    pub routes: Vec<Route>,
+    /// Pools whose hosts are off.
+    pub spare_pools: BTreeSet<Arc<str>>,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u64,
+}
+
+impl Configuration {
+    /// Returns the queue of a request: the longest prefix that fits.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        self.routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(host))
+            .filter(|route| path.starts_with(&*route.prefix))
+            .max_by_key(|route| route.prefix.len())
+    }
+}
+
+/// What operators wrote since the last look.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// The configuration, when it has changed.
+    pub configuration: Option<Configuration>,
+    /// Waves that were asked for.
+    pub waves: Vec<Wave>,
+    /// Where to go on.
+    pub revision: Revision,
+}
+
+/// What operators and backend servers write at the platform.
+pub trait Directory: Clone + Send + Sync + 'static {
+    /// Waits for what operators write after a revision; reads everything when
+    /// there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault when no answer came.
+    fn notices(&self, after: Option<Revision>, wait: Duration) -> Result<Notice, Fault>;
+
+    /// Lists the backend servers; entries that can't be read name none.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault when no answer came.
+    fn servers(&self) -> Result<Vec<Listing>, Fault>;
+
+    /// Tells operators how far a wave is.
+    ///
+    /// # Errors
+    ///
+    /// Returns a fault when it may not be stored.
+    fn report_wave(&self, number: u64, is_completed: bool) -> Result<(), Fault>;
+}
--- /dev/null
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -0,0 +1,329 @@
+//! The rows that lasting state is kept in, and their compact binary form.
+//!
+//! The first byte is the version of the form, so that a later release can read
+//! the rows of an earlier one. See `docs/DESIGN.md`, section "Rows".
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use skylarkwick_request::job::{
+    Job, Schedule, State, Step,
+    progress::{Note, Place, Progress},
+    task::Run,
+};
+use skylarkwick_version::quantity::Quantity;
+
+use super::Key;
+
+/// Version of the binary form.
+const FORM: u8 = 1;
+
+/// Table of jobs; the part is the queue, the key the job.
+pub const JOBS: &str = "job";
+/// Table of what is known of the tasks of jobs; keys as for jobs.
+pub const PROGRESS: &str = "progress";
+/// Table of the holders of shards.
+pub const LEASES: &str = "lease";
+/// Table of the jobs of each queue that wait.
+pub const BACKLOG: &str = "backlog";
+/// Table of the progress of waves.
+pub const WAVES: &str = "round";
+/// Table of the last order for each host.
+pub const HOSTS: &str = "order";
+
+/// Name of the one shard of a site.
+pub const SHARD: &str = "0";
+
+/// Returns the key of a job's row.
+pub fn job_key(queue: &str, id: &str) -> Key {
+    Key::new(JOBS, queue, id)
+}
+
+/// Returns the key of the row of a job's progress.
+pub fn progress_key(queue: &str, id: &str) -> Key {
+    Key::new(PROGRESS, queue, id)
+}
+
+/// Returns the key of a shard's lease.
+pub fn lease_key(shard: &str) -> Key {
+    Key::new(LEASES, "", shard)
+}
+
+/// Returns the key of a shard's backlog.
+pub fn backlog_key(shard: &str) -> Key {
+    Key::new(BACKLOG, "", shard)
+}
+
+/// Returns the key of the progress of a wave.
+pub fn wave_key(number: u64) -> Key {
+    Key::new(WAVES, "", &number.to_string())
+}
+
+/// Returns the key of the last order for a host.
+pub fn host_key(host: &str) -> Key {
+    Key::new(HOSTS, "", host)
+}
+
+/// A row that can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Malformed {
+    /// A later release has written it.
+    #[error("the row has form {0}, which this release does not know")]
+    Form(u8),
+    /// Its bytes make no sense.
+    #[error("the row cannot be read: {0}")]
+    Bytes(#[from] postcard::Error),
+    /// It has no byte.
+    #[error("the row is empty")]
+    Empty,
+}
+
+/// Writes a row.
+pub fn encode<T: Serialize>(row: &T) -> Vec<u8> {
+    let mut bytes = vec![FORM];
+    // Rows are plain values, and writing those to memory can't fail.
+    if let Ok(body) = postcard::to_allocvec(row) {
+        bytes.extend(body);
+    }
+    bytes
+}
+
+/// Reads a row.
+///
+/// # Errors
+///
+/// Tells why the bytes are not a row.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Malformed> {
+    match bytes.split_first() {
+        None => Err(Malformed::Empty),
+        Some((&FORM, body)) => Ok(postcard::from_bytes(body)?),
+        Some((&form, _)) => Err(Malformed::Form(form)),
+    }
+}
+
+/// A job.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum JobRow {
+    /// It is not over.
+    Live {
+        /// When it was accepted, on the store's clock in milliseconds.
+        accepted_ms: u64,
+        /// What was handed in.
+        body: JobBody,
+    },
+    /// It is over; what was handed in is no longer needed.
+    Over {
+        /// How it ended.
+        state: Over,
+        /// When, on the store's clock in milliseconds.
+        ended_ms: u64,
+    },
+}
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Over {
+    /// Every task ended well.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+impl From<Over> for State {
+    fn from(over: Over) -> State {
+        match over {
+            Over::Completed => State::Completed,
+            Over::Failed => State::Failed,
+            Over::Cancelled => State::Cancelled,
+        }
+    }
+}
+
+/// What was handed in.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobBody {
+    spec: String,
+    steps: Vec<StepBody>,
+    schedule: Option<(u32, u64, u64)>,
+}
+
+/// A step of what was handed in.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct StepBody {
+    count: u32,
+    size: (u64, u64, u64),
+    estimate_ms: u64,
+    after: Vec<usize>,
+    flags: [bool; 6],
+    label: Option<String>,
+    rack: Option<String>,
+    most_per_host: u32,
+    image: Option<String>,
+    target_ms: Option<u64>,
+    may_miss: u32,
+}
+
+impl From<&Job> for JobBody {
+    fn from(job: &Job) -> JobBody {
+        let schedule = job
+            .schedule
+            .map(|schedule| (schedule.count, schedule.first_ms, millis(schedule.interval)));
+        let steps = job.steps.iter().map(StepBody::from).collect();
+        JobBody { spec: job.spec.to_string(), steps, schedule }
+    }
+}
+
+impl From<JobBody> for Job {
+    fn from(body: JobBody) -> Job {
+        let schedule = body.schedule.map(|(count, first_ms, interval_ms)| Schedule {
+            count,
+            first_ms,
+            interval: Duration::from_millis(interval_ms),
+        });
+        let steps = body.steps.into_iter().map(Step::from).collect();
+        Job { spec: Arc::from(body.spec), steps, schedule }
+    }
+}
+
+impl From<&Step> for StepBody {
+    fn from(step: &Step) -> StepBody {
+        let Quantity { millicores, memory_mib, accelerators } = step.size;
+        StepBody {
+            count: step.count,
+            size: (millicores, memory_mib, accelerators),
+            estimate_ms: millis(step.estimate),
+            after: step.after.clone(),
+            flags: [
+                step.is_checkpointing,
+                step.is_gang,
+                step.wants_one_rack,
+                step.is_speculative,
+                step.is_lasting,
+                step.is_filler,
+            ],
+            label: step.label.as_deref().map(str::to_owned),
+            rack: step.rack.as_deref().map(str::to_owned),
+            most_per_host: step.most_per_host,
+            image: step.image.as_deref().map(str::to_owned),
+            target_ms: step.target.map(millis),
+            may_miss: step.may_miss,
+        }
+    }
+}
+
+impl From<StepBody> for Step {
+    fn from(body: StepBody) -> Step {
+        let (millicores, memory_mib, accelerators) = body.size;
+        let [is_checkpointing, is_gang, wants_one_rack, is_speculative, is_lasting, is_filler] =
+            body.flags;
+        Step {
+            count: body.count,
+            size: Quantity { millicores, memory_mib, accelerators },
+            estimate: Duration::from_millis(body.estimate_ms),
+            after: body.after,
+            is_checkpointing,
+            is_gang,
+            wants_one_rack,
+            label: body.label.map(Arc::from),
+            rack: body.rack.map(Arc::from),
+            most_per_host: body.most_per_host,
+            is_speculative,
+            is_lasting,
+            image: body.image.map(Arc::from),
+            target: body.target_ms.map(Duration::from_millis),
+            is_filler,
+            may_miss: body.may_miss,
+        }
+    }
+}
+
+/// What is known of the tasks of a job.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ProgressRow(Vec<NoteRow>);
+
+/// What is known of one task.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct NoteRow {
+    place: (u32, usize, usize),
+    is_done: bool,
+    failures: u32,
+    last_end: u64,
+    checkpoint: String,
+}
+
+impl From<&Progress> for ProgressRow {
+    fn from(progress: &Progress) -> ProgressRow {
+        let row = |(place, note): (&Place, &Note)| NoteRow {
+            place: (place.occurrence, place.step, place.index),
+            is_done: note.is_done,
+            failures: note.failures,
+            last_end: note.last_end.0,
+            checkpoint: note.checkpoint.to_string(),
+        };
+        ProgressRow(progress.notes.iter().map(row).collect())
+    }
+}
+
+impl From<ProgressRow> for Progress {
+    fn from(row: ProgressRow) -> Progress {
+        let note = |row: NoteRow| {
+            let (occurrence, step, index) = row.place;
+            let note = Note {
+                is_done: row.is_done,
+                failures: row.failures,
+                last_end: Run(row.last_end),
+                checkpoint: Arc::from(row.checkpoint),
+            };
+            (Place { occurrence, step, index }, note)
+        };
+        Progress { notes: row.0.into_iter().map(note).collect() }
+    }
+}
+
+/// The holder of a shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRow {
+    /// The entry host of the holder; empty when the lease was released.
+    pub holder: String,
+    /// The run of the holder's process.
+    pub incarnation: u64,
+    /// How many holders there were.
+    pub number: u64,
+    /// Fencing number of the holder; zero in the row that takes the lease,
+    /// whose revision it becomes.
+    pub fencing: u64,
+    /// The store's clock at the last renewal, in milliseconds.
+    pub renewed_ms: u64,
+}
+
+/// The jobs that wait, by queue.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BacklogRow {
+    /// When the row was written, on the store's clock in milliseconds.
+    pub written_ms: u64,
+    /// Jobs of which no task has started.
+    pub waiting: BTreeMap<String, Vec<String>>,
+}
+
+/// Progress of a wave.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveRow {
+    /// Hosts whose maintenance has begun.
+    pub begun: Vec<String>,
+}
+
+/// The last order for a host; the revision of the row is the order's fencing
+/// number.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRow {
+    /// The entry host of the process that gives the order.
+    pub holder: String,
+    /// Fencing number of its shard.
+    pub fencing: u64,
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/skylarkwick-entry/src/lib.rs
+++ b/crates/skylarkwick-entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod event;
 mod identity;
+pub mod jobs;
 mod membership;
 mod peers;
 mod sender;
--- /dev/null
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -0,0 +1,99 @@
+//! The planner of jobs: holds the shard, places tasks, moves and maintains hosts.
+//!
+//! One runs on every entry host; the one whose lease row is confirmed holds the
+//! shard, the others look on. Each module is one duty. The holder's duty owns
+//! the shard and waits for nothing but its own ring; whatever talks to the
+//! platform or to a backend server is a duty of its own. See `docs/DESIGN.md`,
+//! section "Shards".
+
+mod contact;
+mod event;
+mod fleet;
+mod holder;
+mod lease;
+mod load;
+mod saver;
+mod wall;
+mod watch;
+
+use std::{sync::Arc, time::Duration};
+
+use skylarkwick_connection::{
+    order::{Directory, Hosts, Orders},
+    store::Store,
+};
+use skylarkwick_process::duty::Stop;
+use skylarkwick_request::shard::Rules;
+use skylarkwick_version::{holding, lease::Incarnation};
+use slog::Logger;
+
+/// Lease of everything that runs, as far as the platform allows it.
+const LEASE: Duration = Duration::from_millis(4600);
+/// Longest time that a start may still begin after it was sent.
+const START_WINDOW: Duration = Duration::from_millis(1300);
+/// Added to the time between two holders' orders for one host.
+const HANDOVER_MARGIN: Duration = Duration::from_millis(1200);
+/// Slack for slow clocks and for answers under way.
+const DOUBT_MARGIN: Duration = Duration::from_millis(500);
+
+/// The neighbours of a planner.
+#[derive(Clone, Debug)]
+pub struct Neighbours<S, O, H, D> {
+    /// The platform's store.
+    pub store: S,
+    /// Backend servers.
+    pub orders: O,
+    /// The platform's list of hosts.
+    pub hosts: H,
+    /// What operators and backend servers write.
+    pub directory: D,
+}
+
+/// What the platform says of leases and orders.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// The entry host of this process.
+    pub entry: Arc<str>,
+    /// Longest lease of a run.
+    pub longest_lease: Duration,
+    /// Time between orders of two holders for one host.
+    pub handover: Duration,
+    /// Time after which a lasting task that is not at work counts as away.
+    pub notice: Duration,
+}
+
+/// Holds the shard whenever it can, until the stop.
+pub fn run<S, O, H, D>(
+    neighbours: &Neighbours<S, O, H, D>,
+    terms: &Terms,
+    log: &Logger,
+    stop: &Stop,
+) where
+    S: Store,
+    O: Orders,
+    H: Hosts,
+    D: Directory,
+{
+    let incarnation = Incarnation(rand::random());
+    let mut lease = lease::Lease::new(neighbours.store.clone(), &terms.entry, incarnation, log);
+    while let Some(taken) = lease.acquire(stop) {
+        let rules = rules(terms, taken.may_be_contested);
+        holder::hold(neighbours, terms, rules, &mut lease, taken, log, stop);
+    }
+    lease.release();
+}
+
+fn rules(terms: &Terms, may_be_contested: bool) -> Rules {
+    let lease = LEASE.min(terms.longest_lease.mul_f64(0.9));
+    let overhang = match may_be_contested {
+        true => holding::LIMIT.saturating_sub(holding::LAPSE),
+        false => Duration::ZERO,
+    };
+    Rules {
+        lease,
+        start_window: START_WINDOW,
+        doubt: overhang + lease.mul_f64(1.03) + DOUBT_MARGIN,
+        handover: terms.handover + HANDOVER_MARGIN,
+        notice: terms.notice,
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -0,0 +1,57 @@
+//! What the duties of a holder tell the shard's duty.
+
+use skylarkwick_connection::order::{Blind, Configuration};
+use skylarkwick_request::{
+    job::{self, progress::Progress, task},
+    shard::{
+        effect::Batch,
+        fact::{Accepted, Answer, Host, HostAnswer, HostId, Listing, Look, ServerId, Wave},
+    },
+};
+use skylarkwick_version::revision::Revision;
+
+use super::lease::Renewal;
+
+/// One thing that became known.
+#[derive(Debug)]
+pub(super) enum Event {
+    /// A configuration is in force.
+    Configured(Box<Configuration>),
+    /// An operator asks for a wave.
+    WaveAsked(Wave),
+    /// A job was accepted.
+    Submitted(Box<Accepted>),
+    /// A job is over or cancelled.
+    Withdrawn(job::Id),
+    /// The platform lists these servers.
+    Servers(Vec<Listing>),
+    /// The platform lists these hosts.
+    Hosts(Vec<Host>),
+    /// A server says this of itself.
+    Looked(Box<Look>),
+    /// A server said nothing.
+    Blind(ServerId, Blind),
+    /// Answer to a start.
+    Started(ServerId, task::Id, task::Run, Answer),
+    /// Answer to a stop.
+    Stopped(ServerId, task::Id, task::Run, Answer),
+    /// A batch is stored.
+    Saved(Box<Batch>),
+    /// A batch may not be stored.
+    NotSaved(Box<Batch>),
+    /// The row of a job's progress has this revision, and held this besides.
+    Noted(job::Id, Revision, Option<Progress>),
+    /// Answer to an order for a host.
+    HostAnswered(HostId, HostAnswer),
+    /// The progress of a wave is stored, or may not be.
+    WaveStored {
+        /// Number of the wave.
+        wave: u64,
+        /// Whether it is stored.
+        is_stored: bool,
+        /// Whether the wave is over.
+        is_completed: bool,
+    },
+    /// Outcome of a renewal of the lease.
+    Renewed(Renewal),
+}
--- /dev/null
+++ b/crates/skylarkwick-planner/src/jobs/fleet.rs
@@ -0,0 +1,102 @@
+//! Orders for hosts.
+//!
+//! Each order is written down before it is given, on condition that the last
+//! order for the host is the one that was read. The revision of that row is the
+//! order's fencing number, so that numbers only grow for each host, whoever
+//! gives the order. See `docs/DESIGN.md`, section "Hosts and waves".
+
+use std::{io, sync::Arc};
+
+use skylarkwick_connection::{
+    order::{Hosts, Seal},
+    store::{
+        self, Settled, Store, Transaction,
+        row::{self, HostRow},
+    },
+};
+use skylarkwick_process::{duty::Duty, ring};
+use skylarkwick_request::shard::fact::{HostAnswer, HostId};
+use slog::{Logger, info, warn};
+
+use super::event::Event;
+
+/// Orders that wait.
+const RING: usize = 256;
+
+/// An order for a host.
+#[derive(Debug)]
+pub(super) enum Order {
+    /// Move it to a pool.
+    Move(HostId, Arc<str>),
+    /// Begin its maintenance in a wave.
+    Maintain(HostId, u64),
+}
+
+impl Order {
+    fn host(&self) -> &HostId {
+        match self {
+            Order::Move(host, _) | Order::Maintain(host, _) => host,
+        }
+    }
+}
+
+/// Starts the duty; returns its ring.
+pub(super) fn start<S: Store, H: Hosts>(
+    store: S,
+    hosts: H,
+    entry: Arc<str>,
+    fencing: u64,
+    events: ring::Sender<Event>,
+    log: Logger,
+) -> io::Result<ring::Sender<Order>> {
+    let (orders, input) = ring::bounded::<Order>(RING);
+    Duty::spawn("fleet", move || {
+        while let Some(order) = input.receive() {
+            let host = order.host().clone();
+            let answer = match seal(&store, &host, &entry, fencing, &log) {
+                None => HostAnswer::Busy,
+                Some(seal) => give(&hosts, &seal, &order),
+            };
+            info!(log, "host ordered"; "order" => ?order, "answer" => ?answer);
+            if events.send(Event::HostAnswered(host, answer)).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(orders)
+}
+
+fn give<H: Hosts>(hosts: &H, seal: &Seal, order: &Order) -> HostAnswer {
+    match order {
+        Order::Move(host, pool) => hosts.move_host(seal, host, pool),
+        Order::Maintain(host, wave) => hosts.maintain(seal, host, *wave),
+    }
+}
+
+/// Writes an order down; nothing when a later holder may give orders.
+fn seal<S: Store>(
+    store: &S,
+    host: &HostId,
+    entry: &Arc<str>,
+    fencing: u64,
+    log: &Logger,
+) -> Option<Seal> {
+    let key = row::host_key(&host.0);
+    let (last, _) = store::read_one(store, &key)
+        .inspect_err(|error| warn!(log, "order unread"; "host" => %host, "error" => %error))
+        .ok()?;
+    let known = last.value.as_deref().and_then(|value| row::decode::<HostRow>(value).ok());
+    if known.is_some_and(|known| known.fencing > fencing) {
+        warn!(log, "order withheld"; "host" => %host, "because" => "a later holder gives orders");
+        return None;
+    }
+    let next = HostRow { holder: entry.to_string(), fencing };
+    let change = Transaction::default().replace(key, last.revision, row::encode(&next));
+    match store::settle(store, &change) {
+        Settled::Applied(revision) => Some(Seal { holder: Arc::clone(entry), fencing: revision.0 }),
+        outcome => {
+            warn!(log, "order withheld"; "host" => %host, "outcome" => ?outcome);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -0,0 +1,329 @@
+//! The duty of a shard's holder: owns the shard and carries its effects out.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use skylarkwick_connection::{
+    order::{Blind, Directory, Hosts, Orders},
+    store::{Fault, Store},
+};
+use skylarkwick_process::{
+    clock::{Boot, Clock},
+    duty::Stop,
+    ring,
+};
+use skylarkwick_request::{
+    job,
+    shard::{
+        Rules, Shard, Term,
+        effect::{Effect, Reason},
+    },
+};
+use skylarkwick_version::{holding, moment::Moment};
+use slog::{Logger, error, info, warn};
+
+use super::{
+    Neighbours, Terms,
+    contact::{self, Contacts, Glance},
+    event::Event,
+    fleet,
+    lease::{Lease, Renewal, Taken},
+    load::{self, Loaded},
+    saver::{self, Work},
+    wall::Wall,
+    watch,
+};
+
+/// Events that wait for the holder.
+const RING: usize = 4096;
+/// Longest time between two decisions.
+const PERIOD: Duration = Duration::from_millis(100);
+/// Time in which events gather for one decision.
+const GATHER: Duration = Duration::from_millis(4);
+/// How often the backlog is written when it has changed.
+const BACKLOG_PERIOD: Duration = Duration::from_millis(700);
+/// Pause before the rows are read again after a fault.
+const LOAD_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for the lease after its renewals were told to end.
+const LEASE_WAIT: Duration = Duration::from_secs(5);
+
+/// Holds the shard until it is lost or the process has to stop.
+pub(super) fn hold<S, O, H, D>(
+    neighbours: &Neighbours<S, O, H, D>,
+    terms: &Terms,
+    rules: Rules,
+    lease: &mut Lease<S>,
+    taken: Taken,
+    log: &Logger,
+    stop: &Stop,
+) where
+    S: Store,
+    O: Orders,
+    H: Hosts,
+    D: Directory,
+{
+    let done = Stop::default();
+    let (events, input) = ring::bounded(RING);
+    let log = log.new(slog::o!("fencing" => taken.fencing));
+    let renewals = watch::renewals(lease.clone(), events.clone(), log.clone(), done.clone());
+    let holder = renewals.and_then(|(_, given_back)| {
+        let holder = Holder::start(neighbours, terms, rules, taken, &events, &log, &done)?;
+        Ok((holder, given_back))
+    });
+    drop(events);
+    match holder {
+        Err(error) => error!(log, "holder not started"; "error" => %error),
+        Ok((mut holder, given_back)) => {
+            holder.run(&input, stop);
+            done.request();
+            drop(input);
+            drop(holder);
+            if let Ok(last) = given_back.receive_within(LEASE_WAIT) {
+                *lease = last;
+            }
+        }
+    }
+    done.request();
+}
+
+/// What the holder's duty owns.
+struct Holder<O> {
+    shard: Shard,
+    contacts: Contacts<O>,
+    saver: ring::Sender<Work>,
+    fleet: ring::Sender<fleet::Order>,
+    wants_hosts: Arc<AtomicBool>,
+    log: Logger,
+    confirmed: Moment,
+    is_lost: bool,
+    has_configuration: bool,
+    version: u64,
+    wall: Wall,
+    backlog: BTreeMap<Arc<str>, Vec<job::Id>>,
+    backlog_due: Moment,
+    follow_ups: VecDeque<Event>,
+}
+
+impl<O: Orders> Holder<O> {
+    fn start<S: Store, H: Hosts, D: Directory>(
+        neighbours: &Neighbours<S, O, H, D>,
+        terms: &Terms,
+        rules: Rules,
+        taken: Taken,
+        events: &ring::Sender<Event>,
+        log: &Logger,
+        done: &Stop,
+    ) -> io::Result<Holder<O>> {
+        let Neighbours { store, orders, hosts, directory } = neighbours.clone();
+        let Taken { fencing, number, since, .. } = taken;
+        let mut shard = Shard::new(rules, Term { fencing, number, since });
+        let wants_hosts = Arc::new(AtomicBool::new(true));
+        let next = || (events.clone(), log.clone(), done.clone());
+        let (ring, line, stop) = next();
+        watch::servers(directory.clone(), ring, line, stop)?;
+        let (ring, line, stop) = next();
+        watch::notices(store.clone(), directory.clone(), ring, line, stop)?;
+        let (ring, line, stop) = next();
+        watch::hosts(hosts.clone(), Arc::clone(&wants_hosts), ring, line, stop)?;
+        let Loaded { jobs, revision } = load_all(&store, log, since);
+        info!(log, "jobs loaded"; "jobs" => jobs.len(), "revision" => revision.0,
+            "ms" => millis(Boot.now().since(since)));
+        for accepted in jobs {
+            shard.submit(Boot.now(), accepted);
+        }
+        let (ring, line, stop) = next();
+        watch::jobs(store.clone(), revision, ring, line, stop)?;
+        let (ring, line, stop) = next();
+        let saver = saver::start(store.clone(), directory, ring, line, stop)?;
+        let entry = Arc::clone(&terms.entry);
+        let fleet = fleet::start(store, hosts, entry, fencing, events.clone(), log.clone())?;
+        Ok(Holder {
+            shard,
+            contacts: Contacts::new(orders, events.clone(), log.clone()),
+            saver,
+            fleet,
+            wants_hosts,
+            log: log.clone(),
+            confirmed: since,
+            is_lost: false,
+            has_configuration: false,
+            version: 0,
+            wall: Wall::new(Boot.now()),
+            backlog: BTreeMap::new(),
+            backlog_due: Moment::ZERO,
+            follow_ups: VecDeque::new(),
+        })
+    }
+
+    fn run(&mut self, input: &ring::Receiver<Event>, stop: &Stop) {
+        while !stop.is_requested() && !self.is_lost {
+            match input.receive_within(PERIOD) {
+                Ok(event) => {
+                    std::thread::sleep(GATHER);
+                    self.apply(event);
+                }
+                Err(ring::Empty::TimedOut) => {}
+                Err(ring::Empty::Closed) => return,
+            }
+            while let Some(event) = input.take() {
+                self.apply(event);
+            }
+            while let Some(event) = self.follow_ups.pop_front() {
+                self.apply(event);
+            }
+            self.decide();
+        }
+        info!(self.log, "shard given up"; "lost" => self.is_lost);
+    }
+
+    fn apply(&mut self, event: Event) {
+        let now = Boot.now();
+        match event {
+            Event::Configured(next) if next.version > self.version => {
+                self.version = next.version;
+                self.has_configuration = true;
+                self.shard.set_spare_pools(next.spare_pools);
+                self.shard.configure(next.routes.into_iter().map(|route| route.queue).collect());
+            }
+            Event::Configured(_) => {}
+            Event::WaveAsked(wave) => self.shard.ask_maintenance(wave),
+            Event::Submitted(accepted) => self.shard.submit(now, *accepted),
+            Event::Withdrawn(id) => self.shard.withdraw(now, &id),
+            Event::Servers(servers) => self.shard.list(now, servers),
+            Event::Hosts(hosts) => self.shard.list_hosts(now, hosts),
+            Event::Looked(look) => self.shard.look(now, *look),
+            Event::Blind(_, Blind::Fenced) => self.is_lost = true,
+            Event::Blind(server, Blind::OtherLife) => self.shard.replaced(&server),
+            Event::Blind(server, Blind::Silent(_)) => self.shard.silent(now, &server),
+            Event::Started(server, task, run, answer) => {
+                self.shard.started(now, &server, &task, run, answer);
+            }
+            Event::Stopped(server, task, run, answer) => {
+                self.shard.stopped(now, &server, &task, run, answer);
+            }
+            Event::Saved(batch) => self.shard.saved(&batch),
+            Event::NotSaved(batch) => self.shard.not_saved(&batch),
+            Event::Noted(id, revision, other) => self.shard.noted(&id, revision, other.as_ref()),
+            Event::HostAnswered(host, answer) => self.shard.host_answered(now, &host, answer),
+            Event::WaveStored { wave, is_stored: true, is_completed } => {
+                self.shard.wave_stored(wave, is_completed);
+            }
+            Event::WaveStored { wave, .. } => self.shard.wave_not_stored(wave),
+            Event::Renewed(Renewal::Confirmed) => self.confirmed = now,
+            Event::Renewed(Renewal::Unconfirmed) => {}
+            Event::Renewed(Renewal::Lost) => {
+                warn!(self.log, "shard lost"; "because" => "another holder has the lease");
+                self.is_lost = true;
+            }
+        }
+    }
+
+    /// Decides, unless the lease was not confirmed for so long that another
+    /// holder may rely on our silence.
+    fn decide(&mut self) {
+        let now = Boot.now();
+        let may_act = now.since(self.confirmed) < holding::LIMIT;
+        if self.is_lost || !may_act || !self.has_configuration {
+            return;
+        }
+        let unix_ms = self.wall.unix_ms(now);
+        for effect in self.shard.decide(now, unix_ms) {
+            self.carry_out(effect);
+        }
+        self.wants_hosts.store(self.shard.wants_hosts(), Ordering::Release);
+        self.publish_backlog(now);
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let follow_up = match effect {
+            Effect::Start { target, start } => {
+                self.contacts.order(contact::Order::Start(target, start))
+            }
+            Effect::Stop { target, task, run } => {
+                self.contacts.order(contact::Order::Stop(target, task, run))
+            }
+            Effect::Pace { target, task, run, percent } => {
+                self.contacts.order(contact::Order::Pace(target, task, run, percent))
+            }
+            Effect::Look { target, until_ms, acknowledged, wait } => {
+                self.contacts.look(Glance { target, until_ms, acknowledged, wait })
+            }
+            Effect::Forget(server) => {
+                self.contacts.forget(&server);
+                None
+            }
+            Effect::Save(batch) => match self.saver.offer(Work::Batch(batch)) {
+                Ok(()) => None,
+                Err(ring::Refused::Full(Work::Batch(batch))) => {
+                    Some(Event::NotSaved(Box::new(batch)))
+                }
+                Err(_) => None,
+            },
+            Effect::Move { host, pool } => self.order_host(fleet::Order::Move(host, pool)),
+            Effect::Maintain { host, wave } => self.order_host(fleet::Order::Maintain(host, wave)),
+            Effect::Wave { wave, begun, is_completed } => {
+                let begun = begun.iter().map(ToString::to_string).collect();
+                let offered = self.saver.offer(Work::Wave { wave, begun, is_completed });
+                let refused = Event::WaveStored { wave, is_stored: false, is_completed };
+                offered.is_err().then_some(refused)
+            }
+            Effect::Explain(Reason { what, subject, place, because }) => {
+                info!(self.log, "{}", what; "task" => subject, "at" => &*place,
+                    "because" => because);
+                None
+            }
+            Effect::StepDown => {
+                warn!(self.log, "shard lost"; "because" => "a backend server was fenced");
+                self.is_lost = true;
+                None
+            }
+        };
+        self.follow_ups.extend(follow_up);
+    }
+
+    fn order_host(&mut self, order: fleet::Order) -> Option<Event> {
+        // An order that finds the ring full is settled by the platform's list.
+        if self.fleet.offer(order).is_err() {
+            warn!(self.log, "host order dropped"; "because" => "too many wait");
+        }
+        None
+    }
+
+    fn publish_backlog(&mut self, now: Moment) {
+        if now < self.backlog_due {
+            return;
+        }
+        self.backlog_due = now + BACKLOG_PERIOD;
+        let backlog = self.shard.backlog();
+        if backlog != self.backlog {
+            let row = saver::backlog_row(backlog.clone());
+            if self.saver.offer(Work::Backlog(row)).is_ok() {
+                self.backlog = backlog;
+            }
+        }
+    }
+}
+
+/// Reads the rows of jobs until it succeeds, or the lease can't be valid.
+fn load_all<S: Store>(store: &S, log: &Logger, since: Moment) -> Loaded {
+    loop {
+        match load::load(store, log) {
+            Ok(loaded) => return loaded,
+            Err(fault) => warn!(log, "jobs not loaded"; "error" => %fault,
+                "lost_answer" => matches!(fault, Fault::Unknown(_)),
+                "ms" => millis(Boot.now().since(since))),
+        }
+        std::thread::sleep(LOAD_PAUSE);
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -0,0 +1,187 @@
+//! The lease of the shard: taken, renewed and released by one row.
+
+use std::{sync::Arc, time::Duration};
+
+use skylarkwick_connection::store::{
+    self, Row, Settled, Store, Transaction,
+    row::{self, LeaseRow},
+};
+use skylarkwick_process::{
+    clock::{Boot, Clock},
+    duty::Stop,
+};
+use skylarkwick_version::{
+    holding::{self, Holder, Sight, Step},
+    lease::Incarnation,
+    moment::Moment,
+    revision::Revision,
+};
+use slog::{Logger, info, warn};
+
+/// How often a process looks at a shard that another holds.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+
+/// A shard that was just taken.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Taken {
+    pub(super) fencing: u64,
+    pub(super) number: u64,
+    pub(super) since: Moment,
+    /// Whether the last holder may still be at work.
+    pub(super) may_be_contested: bool,
+}
+
+/// What came of a renewal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Renewal {
+    /// The store has confirmed it.
+    Confirmed,
+    /// Nobody knows, or the store is out.
+    Unconfirmed,
+    /// Another process holds the shard.
+    Lost,
+}
+
+/// The lease of the shard, as this process knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Lease<S> {
+    store: S,
+    entry: Arc<str>,
+    incarnation: Incarnation,
+    log: Logger,
+    held: Option<(Revision, LeaseRow)>,
+    sight: Sight,
+}
+
+impl<S: Store> Lease<S> {
+    pub(super) fn new(
+        store: S,
+        entry: &Arc<str>,
+        incarnation: Incarnation,
+        log: &Logger,
+    ) -> Lease<S> {
+        let (entry, log) = (Arc::clone(entry), log.clone());
+        Lease { store, entry, incarnation, log, held: None, sight: Sight::default() }
+    }
+
+    /// Waits until the shard can be taken, and takes it; nothing on the stop.
+    pub(super) fn acquire(&mut self, stop: &Stop) -> Option<Taken> {
+        self.held = None;
+        while !stop.is_requested() {
+            if let Some(taken) = self.try_acquire() {
+                return Some(taken);
+            }
+            stop.sleep(LOOK_PERIOD);
+        }
+        None
+    }
+
+    fn try_acquire(&mut self) -> Option<Taken> {
+        let (seen, now_ms) = store::read_one(&self.store, &row::lease_key(row::SHARD))
+            .inspect_err(|error| warn!(self.log, "lease unread"; "error" => %error))
+            .ok()?;
+        let known = self.decode(&seen);
+        self.sight = self.sight.update(seen.revision, Boot.now());
+        let holder = known.as_ref().map(Holder::from_row);
+        let step = holding::step(holder.as_ref(), self.sight, &self.entry, now_ms);
+        if step == Step::Wait {
+            return None;
+        }
+        let since = Boot.now();
+        let next = LeaseRow {
+            holder: self.entry.to_string(),
+            incarnation: self.incarnation.0,
+            number: known.as_ref().map_or(0, |known| known.number) + 1,
+            fencing: 0,
+            renewed_ms: now_ms,
+        };
+        let revision = self.write(seen.revision, &next)?;
+        let number = next.number;
+        info!(self.log, "shard taken"; "shard" => row::SHARD, "fencing" => revision.0,
+            "number" => number, "step" => ?step,
+            "before" => known.map(|known| known.holder).unwrap_or_default());
+        self.held = Some((revision, LeaseRow { fencing: revision.0, ..next }));
+        let may_be_contested = step == Step::TakeOver;
+        Some(Taken { fencing: revision.0, number, since, may_be_contested })
+    }
+
+    fn decode(&self, seen: &Row) -> Option<LeaseRow> {
+        let value = seen.value.as_deref()?;
+        row::decode(value)
+            .inspect_err(|error| warn!(self.log, "lease unreadable"; "error" => %error))
+            .ok()
+    }
+
+    fn write(&self, revision: Revision, next: &LeaseRow) -> Option<Revision> {
+        let key = row::lease_key(row::SHARD);
+        let change = Transaction::default().replace(key, revision, row::encode(next));
+        match store::settle(&self.store, &change) {
+            Settled::Applied(revision) => Some(revision),
+            outcome => {
+                info!(self.log, "lease not written"; "outcome" => ?outcome);
+                None
+            }
+        }
+    }
+
+    /// Renews the lease with one write.
+    pub(super) fn renew(&mut self) -> Renewal {
+        let Some((revision, held)) = self.held.clone() else {
+            return Renewal::Lost;
+        };
+        let next = LeaseRow { renewed_ms: self.store.clock_ms(), ..held };
+        let key = row::lease_key(row::SHARD);
+        let change = Transaction::default().replace(key, revision, row::encode(&next));
+        match store::settle(&self.store, &change) {
+            Settled::Applied(revision) => {
+                self.held = Some((revision, next));
+                Renewal::Confirmed
+            }
+            Settled::Conflict(rows) => self.recover(&rows, next),
+            Settled::NotDone(error) | Settled::Unknown(error) => {
+                warn!(self.log, "lease not renewed"; "error" => error);
+                Renewal::Unconfirmed
+            }
+        }
+    }
+
+    /// Tells a renewal of our own that arrived late from another holder's row.
+    fn recover(&mut self, rows: &[Row], next: LeaseRow) -> Renewal {
+        let seen = rows.first();
+        let known = seen.and_then(|seen| self.decode(seen));
+        match (seen, known) {
+            (Some(seen), Some(known)) if known.incarnation == self.incarnation.0 => {
+                self.held =
+                    Some((seen.revision, LeaseRow { renewed_ms: known.renewed_ms, ..next }));
+                Renewal::Unconfirmed
+            }
+            _ => Renewal::Lost,
+        }
+    }
+
+    /// Gives the shard up, so that another process need not wait.
+    pub(super) fn release(&mut self) {
+        let Some((revision, held)) = self.held.take() else {
+            return;
+        };
+        let next = LeaseRow { holder: String::new(), ..held };
+        if self.write(revision, &next).is_some() {
+            info!(self.log, "shard released"; "shard" => row::SHARD);
+        }
+    }
+}
+
+/// Reads the holder of a row.
+trait FromRow {
+    fn from_row(row: &LeaseRow) -> Self;
+}
+
+impl FromRow for Holder {
+    fn from_row(row: &LeaseRow) -> Holder {
+        Holder {
+            entry: (!row.holder.is_empty()).then(|| row.holder.clone()),
+            incarnation: Incarnation(row.incarnation),
+            renewed_ms: row.renewed_ms,
+        }
+    }
+}
--- a/crates/skylarkwick-planner/src/lib.rs
+++ b/crates/skylarkwick-planner/src/lib.rs
@@ -4,6 +4,7 @@
 //! centre plans; the others look on and take over when the lease lapses. All
 //! state is in the platform's rows. See `docs/DESIGN.md`, section "Planners".
 
+pub mod jobs;
 mod leases;
 mod mirror;
 mod planner;
--- a/crates/skylarkwick-process/src/clock.rs
+++ b/crates/skylarkwick-process/src/clock.rs
@@ -31,6 +31,20 @@
     }
 }
 
+/// The boot-time clock of the host, which also counts time in which the host was
+/// suspended; leases that others grant go on meanwhile.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Boot;
+
+impl Clock for Boot {
+    fn now(&self) -> Moment {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+        Moment::from_start(Duration::new(seconds, nanos))
+    }
+}
+
 /// A clock that moves only when it is told to.
 #[derive(Clone, Debug, Default)]
 pub struct Manual {
--- a/crates/skylarkwick-process/src/log.rs
+++ b/crates/skylarkwick-process/src/log.rs
@@ -27,6 +27,12 @@
     }
 }
 
+/// Creates a log of JSON lines on standard output, for collectors; lines that
+/// the collector does not take in time are dropped and counted.
+pub fn open_stdout(level: slog::Level) -> Logger {
+    root(slog_json::Json::default(std::io::stdout()).fuse(), level)
+}
+
 /// Creates a log that drops everything, for tests.
 pub fn discard() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/crates/skylarkwick-process/src/signal.rs
+++ b/crates/skylarkwick-process/src/signal.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals,
 };
 
@@ -22,3 +22,17 @@
         }
     })
 }
+
+/// Calls `reload` on each SIGHUP, which would end the process otherwise.
+///
+/// # Errors
+///
+/// Returns the system's error when the handler can't be installed.
+pub fn watch_reload(reload: impl Fn() + Send + 'static) -> io::Result<Duty> {
+    let mut signals = Signals::new([SIGHUP])?;
+    Duty::spawn("reload", move || {
+        for _ in signals.forever() {
+            reload();
+        }
+    })
+}
--- /dev/null
+++ b/crates/skylarkwick-request/src/job.rs
@@ -0,0 +1,190 @@
+//! Jobs: steps of tasks that callers hand in.
+//!
+//! A job is accepted once it is stored, and from then on its tasks are started
+//! until each has ended well, the job has failed or it was cancelled. See
+//! `docs/DESIGN.md`, section "Jobs".
+
+pub mod progress;
+pub mod task;
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use skylarkwick_version::quantity::Quantity;
+
+/// Most tasks of one step; a larger count can't be meant.
+const MAX_TASKS: u32 = 10_000;
+/// Most steps of one job.
+const MAX_STEPS: usize = 1_000;
+/// Most times that one job may repeat.
+const MAX_OCCURRENCES: u32 = 100_000;
+
+/// Identity of a job, chosen by its caller.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Id(Arc<str>);
+
+impl Id {
+    /// Makes an identity of a text.
+    pub fn new(text: &str) -> Id {
+        Id(Arc::from(text))
+    }
+
+    /// Returns the identity as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// What a caller handed in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// What the tasks run, opaque to the system.
+    pub spec: Arc<str>,
+    /// The steps, in the caller's order.
+    pub steps: Vec<Step>,
+    /// When the steps run, unless they run once and at once.
+    pub schedule: Option<Schedule>,
+}
+
+/// Due times of a job that runs more than once or later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Schedule {
+    /// Number of occurrences.
+    pub count: u32,
+    /// When the first is due, in Unix milliseconds.
+    pub first_ms: u64,
+    /// Time between two occurrences.
+    pub interval: Duration,
+}
+
+/// Tasks that are alike.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Step {
+    /// Number of tasks.
+    pub count: u32,
+    /// What one task takes.
+    pub size: Quantity,
+    /// The caller's rough estimate of a task's run time.
+    pub estimate: Duration,
+    /// Steps whose tasks must all have ended well first.
+    pub after: Vec<usize>,
+    /// Whether tasks keep checkpoints.
+    pub is_checkpointing: bool,
+    /// Whether the tasks work only while all of them run.
+    pub is_gang: bool,
+    /// Whether the tasks are slower on more than one rack.
+    pub wants_one_rack: bool,
+    /// Label that a host must have.
+    pub label: Option<Arc<str>>,
+    /// Rack of the data.
+    pub rack: Option<Arc<str>>,
+    /// Most tasks of an occurrence on one host; zero is no limit.
+    pub most_per_host: u32,
+    /// Whether copies of a task may run at once.
+    pub is_speculative: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub is_lasting: bool,
+    /// What the tasks run, for learning from others of the same image.
+    pub image: Option<Arc<str>>,
+    /// Bound of the tail of response times of a serving task.
+    pub target: Option<Duration>,
+    /// Whether the tasks use only processor time that others leave.
+    pub is_filler: bool,
+    /// Tasks that may be away at once because of the system.
+    pub may_miss: u32,
+}
+
+impl Step {
+    /// Returns what a task takes of its host's room; a filler gets only the
+    /// processor time that others leave.
+    pub fn taken(&self) -> Quantity {
+        match self.is_filler {
+            true => Quantity { millicores: 0, ..self.size },
+            false => self.size,
+        }
+    }
+}
+
+/// Why a job is not valid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The job has no step or too many.
+    #[error("a job needs 1 to {MAX_STEPS} steps")]
+    Steps,
+    /// A step has no task or too many.
+    #[error("step {0} needs 1 to {MAX_TASKS} tasks")]
+    Count(usize),
+    /// A step waits for itself, a later step or one that does not exist.
+    #[error("step {0} may only wait for earlier steps")]
+    After(usize),
+    /// The job repeats too often.
+    #[error("a job may repeat {MAX_OCCURRENCES} times at most")]
+    Occurrences,
+}
+
+impl Job {
+    /// Checks what a caller handed in.
+    ///
+    /// # Errors
+    ///
+    /// Names the first step that is not valid.
+    pub fn check(&self) -> Result<(), Fault> {
+        if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
+            return Err(Fault::Steps);
+        }
+        if self.schedule.is_some_and(|schedule| schedule.count > MAX_OCCURRENCES) {
+            return Err(Fault::Occurrences);
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if !(1..=MAX_TASKS).contains(&step.count) {
+                return Err(Fault::Count(number));
+            }
+            if step.after.iter().any(|&earlier| earlier >= number) {
+                return Err(Fault::After(number));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns how often the steps run.
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.count.max(1))
+    }
+
+    /// Returns when an occurrence is due, in Unix milliseconds, if it is timed.
+    pub fn due_ms(&self, occurrence: u32) -> Option<u64> {
+        let schedule = self.schedule?;
+        let interval = u64::try_from(schedule.interval.as_millis()).unwrap_or(u64::MAX);
+        Some(schedule.first_ms.saturating_add(interval.saturating_mul(u64::from(occurrence))))
+    }
+
+    /// Returns the estimated length of the longest chain of steps.
+    pub fn chain(&self) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let start = step.after.iter().filter_map(|&earlier| ends.get(earlier)).max();
+            ends.push(start.copied().unwrap_or_default() + step.estimate);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+}
+
+/// What a caller is told about a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// No task has started yet.
+    Queued,
+    /// At least one task has started.
+    Running,
+    /// Every task has ended well.
+    Completed,
+    /// A task has failed as often as it may.
+    Failed,
+    /// The caller cancelled the job.
+    Cancelled,
+}
--- /dev/null
+++ b/crates/skylarkwick-request/src/job/progress.rs
@@ -0,0 +1,54 @@
+//! What of a job's progress has to last.
+//!
+//! A backend server forgets an end once it was acknowledged, so the end is
+//! written here first. See `docs/DESIGN.md`, section "Jobs".
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use super::task::Run;
+
+/// Place of a task in its job.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// Number of the occurrence.
+    pub occurrence: u32,
+    /// Number of the step.
+    pub step: usize,
+    /// Number of the task in its step.
+    pub index: usize,
+}
+
+/// What is known of one task.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Note {
+    /// Whether a run has ended well.
+    pub is_done: bool,
+    /// Runs that have failed.
+    pub failures: u32,
+    /// The last run whose end was counted; a later holder may be told of it again.
+    pub last_end: Run,
+    /// Latest checkpoint, empty when there is none.
+    pub checkpoint: Arc<str>,
+}
+
+/// What is known of a job's tasks; tasks without a note have not ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// The notes.
+    pub notes: BTreeMap<Place, Note>,
+}
+
+impl Progress {
+    /// Adds what another holder has stored; nothing that is known is lost.
+    pub fn merge(&mut self, other: &Progress) {
+        for (&place, note) in &other.notes {
+            let known = self.notes.entry(place).or_default();
+            if known.last_end < note.last_end && !known.is_done {
+                known.checkpoint = Arc::clone(&note.checkpoint);
+            }
+            known.is_done |= note.is_done;
+            known.failures = known.failures.max(note.failures);
+            known.last_end = known.last_end.max(note.last_end);
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -0,0 +1,189 @@
+//! A shard: the jobs of some pools and the hosts that run them.
+//!
+//! One process holds a shard at a time. The shard is a pure state machine: its
+//! holder tells it what callers, backend servers and the platform said, and
+//! [`Shard::decide`] returns what to do next. It reads no clock and knows no
+//! encoding, so the same code runs under the bench, in the emulator and in
+//! tests. See `docs/DESIGN.md`, section "Shards".
+
+mod active;
+mod evacuation;
+mod fleet;
+mod looks;
+mod order;
+mod pace;
+mod placement;
+mod saving;
+mod server;
+
+pub mod effect;
+pub mod fact;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use skylarkwick_version::moment::Moment;
+
+use self::{active::Active, effect::Effect, fact::Queue, fleet::Fleet, server::Server};
+use crate::job::{self, State, task};
+
+/// What bounds a shard; the platform states most of these.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// Lease of everything that runs on a backend server, renewed by each look.
+    pub lease: Duration,
+    /// Longest time that a start may still begin after it was sent.
+    pub start_window: Duration,
+    /// Longest time that the last holder may have gone on without its lease,
+    /// and what it started after that.
+    pub doubt: Duration,
+    /// Time after a takeover in which no host may be moved or maintained,
+    /// because the last holder's orders may still arrive.
+    pub handover: Duration,
+    /// Time after which a lasting task that is not at work counts as away.
+    pub notice: Duration,
+}
+
+/// The holding of a shard by one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Term {
+    /// Number that grows with each change of the holder; backend servers
+    /// refuse orders with a lower one.
+    pub fencing: u64,
+    /// How many holders there were, this one included.
+    pub number: u64,
+    /// When the shard was taken.
+    pub since: Moment,
+}
+
+/// The jobs of some pools and the hosts that run them.
+#[derive(Debug)]
+pub struct Shard {
+    rules: Rules,
+    term: Term,
+    queues: BTreeMap<Arc<str>, Queue>,
+    jobs: BTreeMap<job::Id, Active>,
+    servers: BTreeMap<fact::ServerId, Server>,
+    fleet: Fleet,
+    next_run: task::Run,
+    dirty: BTreeSet<job::Id>,
+    is_saving: bool,
+    effects: Vec<Effect>,
+}
+
+impl Shard {
+    /// Starts to hold a shard whose jobs and servers are not known yet.
+    pub fn new(rules: Rules, term: Term) -> Shard {
+        Shard {
+            rules,
+            term,
+            queues: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            fleet: Fleet::default(),
+            next_run: task::Run::first_of(term.number),
+            dirty: BTreeSet::new(),
+            is_saving: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Puts queues in force.
+    pub fn configure(&mut self, queues: Vec<Queue>) {
+        self.queues = queues.into_iter().map(|queue| (Arc::clone(&queue.name), queue)).collect();
+    }
+
+    /// Adds a job, unless it is known.
+    pub fn submit(&mut self, now: Moment, accepted: fact::Accepted) {
+        let id = accepted.id.clone();
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let active = Active::new(now, accepted);
+        self.jobs.insert(id.clone(), active);
+        self.settle_job(&id);
+    }
+
+    /// Notes that a job needs no more work: it was cancelled, or it is over.
+    pub fn withdraw(&mut self, now: Moment, id: &job::Id) {
+        let Some(active) = self.jobs.remove(id) else {
+            return;
+        };
+        self.dirty.remove(id);
+        for (server, task) in active.runs() {
+            self.stop(now, &server, &task);
+        }
+    }
+
+    /// Decides what to do next; the caller carries every effect out.
+    pub fn decide(&mut self, now: Moment, unix_ms: u64) -> Vec<Effect> {
+        self.expire(now);
+        self.open_occurrences(unix_ms);
+        self.place(now);
+        self.evacuate(now);
+        self.move_hosts(now);
+        self.adjust_pace(now);
+        self.retry_stops(now);
+        self.save();
+        self.ask(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Counts the jobs of each queue of which no task has started.
+    pub fn backlog(&self) -> BTreeMap<Arc<str>, Vec<job::Id>> {
+        let mut waiting: BTreeMap<Arc<str>, Vec<job::Id>> =
+            self.queues.keys().map(|queue| (Arc::clone(queue), Vec::new())).collect();
+        for (id, active) in &self.jobs {
+            if !active.has_begun() {
+                waiting.entry(Arc::clone(&active.queue)).or_default().push(id.clone());
+            }
+        }
+        waiting
+    }
+
+    /// Returns the sizes of what the shard knows, for logs and metrics.
+    pub fn summary(&self) -> Summary {
+        Summary {
+            jobs: self.jobs.len(),
+            servers: self.servers.len(),
+            runs: self.servers.values().map(|server| server.runs.len()).sum(),
+            unmet_millicores: self.fleet.unmet.values().sum(),
+        }
+    }
+
+    /// Notes a job's outcome once its tasks allow one.
+    fn settle_job(&mut self, id: &job::Id) {
+        let Some(active) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let limit = self.queues.get(&active.queue).map_or(u32::MAX, |queue| queue.max_attempts);
+        match active.judge(limit) {
+            Some(State::Failed) => {
+                for (server, task) in active.runs() {
+                    self.stop(Moment::ZERO, &server, &task);
+                }
+                self.dirty.insert(id.clone());
+            }
+            Some(_) => {
+                self.dirty.insert(id.clone());
+            }
+            None => {}
+        }
+    }
+}
+
+/// Sizes of what a shard knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Jobs that are not over.
+    pub jobs: usize,
+    /// Backend servers.
+    pub servers: usize,
+    /// Runs in progress.
+    pub runs: usize,
+    /// Processor time that ready tasks lack, in thousandths of a core.
+    pub unmet_millicores: u64,
+}
--- /dev/null
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -0,0 +1,213 @@
+//! Jobs that are not over, as their shard's holder knows them.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use skylarkwick_version::{moment::Moment, revision::Revision};
+
+use super::fact::{Accepted, ServerId};
+use crate::job::{
+    Id, Job, State,
+    progress::{Note, Place, Progress},
+    task,
+};
+
+/// Where a task stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// It may be started once its turn has come.
+    #[default]
+    Waiting,
+    /// It may run on this server.
+    On(ServerId),
+    /// A run has ended well.
+    Done,
+}
+
+/// A task of a job.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Task {
+    pub(super) phase: Phase,
+    pub(super) note: Note,
+    /// The server where the last run failed or was lost.
+    pub(super) avoid: Option<ServerId>,
+}
+
+/// One time that the steps run.
+#[derive(Clone, Debug)]
+pub(super) struct Occurrence {
+    pub(super) steps: Vec<Vec<Task>>,
+}
+
+impl Occurrence {
+    fn new(job: &Job) -> Occurrence {
+        let tasks = |count| vec![Task::default(); usize::try_from(count).unwrap_or_default()];
+        Occurrence { steps: job.steps.iter().map(|step| tasks(step.count)).collect() }
+    }
+
+    /// Tells whether every task of a step has ended well.
+    pub(super) fn is_step_done(&self, step: usize) -> bool {
+        self.steps[step].iter().all(|task| task.phase == Phase::Done)
+    }
+
+    /// Tells whether a step waits for no other step.
+    pub(super) fn is_open(&self, job: &Job, step: usize) -> bool {
+        job.steps[step].after.iter().all(|&earlier| self.is_step_done(earlier))
+    }
+
+    fn is_done(&self) -> bool {
+        (0..self.steps.len()).all(|step| self.is_step_done(step))
+    }
+
+    fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.steps.iter().flatten()
+    }
+}
+
+/// A job that is not over.
+#[derive(Clone, Debug)]
+pub(super) struct Active {
+    pub(super) id: Id,
+    pub(super) queue: Arc<str>,
+    pub(super) job: Arc<Job>,
+    pub(super) revision: Revision,
+    pub(super) progress_revision: Revision,
+    pub(super) accepted: Moment,
+    pub(super) is_inherited: bool,
+    pub(super) outcome: Option<State>,
+    pub(super) occurrences: BTreeMap<u32, Occurrence>,
+}
+
+impl Active {
+    pub(super) fn new(now: Moment, accepted: Accepted) -> Active {
+        let mut active = Active {
+            id: accepted.id,
+            queue: accepted.queue,
+            job: accepted.job,
+            revision: accepted.revision,
+            progress_revision: accepted.progress_revision,
+            accepted: now - accepted.age,
+            is_inherited: accepted.is_inherited,
+            outcome: None,
+            occurrences: BTreeMap::new(),
+        };
+        if active.job.schedule.is_none() {
+            active.open(0);
+        }
+        active.restore(accepted.progress);
+        active
+    }
+
+    /// Opens an occurrence whose time has come.
+    pub(super) fn open(&mut self, occurrence: u32) {
+        let job = Arc::clone(&self.job);
+        self.occurrences.entry(occurrence).or_insert_with(|| Occurrence::new(&job));
+    }
+
+    fn restore(&mut self, progress: Progress) {
+        for (place, note) in progress.notes {
+            self.open(place.occurrence);
+            let Some(task) = self.task_mut(place) else {
+                continue;
+            };
+            if note.is_done {
+                task.phase = Phase::Done;
+            }
+            task.note = note;
+        }
+    }
+
+    /// Returns the first occurrence that was never opened.
+    pub(super) fn next_occurrence(&self) -> u32 {
+        self.occurrences.keys().next_back().map_or(0, |last| last + 1)
+    }
+
+    /// Adds what another holder has stored of the tasks.
+    pub(super) fn absorb(&mut self, other: &Progress) {
+        let mut progress = self.progress();
+        progress.merge(other);
+        self.restore(progress);
+    }
+
+    /// Returns a task by its place.
+    pub(super) fn task_mut(&mut self, place: Place) -> Option<&mut Task> {
+        self.occurrences.get_mut(&place.occurrence)?.steps.get_mut(place.step)?.get_mut(place.index)
+    }
+
+    /// Returns a task by its place.
+    pub(super) fn task(&self, place: Place) -> Option<&Task> {
+        self.occurrences.get(&place.occurrence)?.steps.get(place.step)?.get(place.index)
+    }
+
+    /// Returns what has to last of the tasks.
+    pub(super) fn progress(&self) -> Progress {
+        let mut progress = Progress::default();
+        for (&occurrence, steps) in &self.occurrences {
+            for (step, tasks) in steps.steps.iter().enumerate() {
+                for (index, task) in tasks.iter().enumerate() {
+                    if task.note != Note::default() {
+                        progress.notes.insert(Place { occurrence, step, index }, task.note.clone());
+                    }
+                }
+            }
+        }
+        progress
+    }
+
+    /// Returns the tasks that may run somewhere.
+    pub(super) fn runs(&self) -> Vec<(ServerId, task::Id)> {
+        let mut runs = Vec::new();
+        for (&occurrence, steps) in &self.occurrences {
+            for (step, tasks) in steps.steps.iter().enumerate() {
+                for (index, task) in tasks.iter().enumerate() {
+                    if let Phase::On(server) = &task.phase {
+                        let id = task::Id { job: self.id.clone(), occurrence, step, index };
+                        runs.push((server.clone(), id));
+                    }
+                }
+            }
+        }
+        runs
+    }
+
+    /// Tells whether a task has started.
+    pub(super) fn has_begun(&self) -> bool {
+        self.occurrences
+            .values()
+            .flat_map(Occurrence::tasks)
+            .any(|task| task.phase != Phase::Waiting || task.note != Note::default())
+    }
+
+    /// Decides whether the job is over, and how.
+    pub(super) fn judge(&mut self, max_attempts: u32) -> Option<State> {
+        let job = Arc::clone(&self.job);
+        let has_failed = self.occurrences.values().any(|occurrence| {
+            occurrence.steps.iter().zip(&job.steps).any(|(tasks, step)| {
+                !step.is_lasting && tasks.iter().any(|task| has_failed(task, max_attempts))
+            })
+        });
+        let done = self.occurrences.values().filter(|occurrence| occurrence.is_done()).count();
+        let is_done = u32::try_from(done).is_ok_and(|done| done >= job.occurrences());
+        self.outcome = match self.outcome {
+            Some(outcome) => Some(outcome),
+            None if has_failed => Some(State::Failed),
+            None if is_done => Some(State::Completed),
+            None => None,
+        };
+        self.outcome
+    }
+
+    /// Returns the time by which the job should be over, and the time after
+    /// which it is of no more use.
+    pub(super) fn objective(&self, stretch: f64, target: Duration) -> (Moment, Moment) {
+        let chain = self.job.chain();
+        let objective = chain.mul_f64(stretch.clamp(1.0, 100.0)) + target;
+        (self.accepted + objective, self.accepted + objective * USELESS_AFTER)
+    }
+}
+
+/// Objectives after which a job is of no more use to its caller.
+const USELESS_AFTER: u32 = 3;
+
+fn has_failed(task: &Task, max_attempts: u32) -> bool {
+    task.phase != Phase::Done && task.note.failures >= max_attempts.max(1)
+}
--- /dev/null
+++ b/crates/skylarkwick-request/src/shard/evacuation.rs
@@ -0,0 +1,87 @@
+//! Emptying a host: for maintenance, or because its server is leaving.
+//!
+//! Tasks that end by themselves are waited for. Lasting tasks are stopped and
+//! started elsewhere, as many at once as their step may miss.
+
+use std::collections::BTreeMap;
+
+use skylarkwick_version::moment::Moment;
+
+use super::{
+    Shard,
+    active::Phase,
+    fact::ServerId,
+    server::{Server, Stage},
+};
+use crate::job::{self, progress::Place, task};
+
+/// A step of one occurrence of a job.
+type StepId = (job::Id, u32, usize);
+
+impl Shard {
+    /// Stops lasting tasks on hosts that are to be empty, within their budgets.
+    pub(super) fn evacuate(&mut self, now: Moment) {
+        let mut stops: Vec<(ServerId, task::Id)> = Vec::new();
+        let mut away: BTreeMap<StepId, u32> = BTreeMap::new();
+        for server in self.servers.values().filter(|server| self.must_empty(server)) {
+            for (task, taken) in &server.runs {
+                let Some(step) = self.step(task).filter(|step| step.is_lasting) else {
+                    continue;
+                };
+                if taken.stage != Stage::Running {
+                    continue;
+                }
+                let id = (task.job.clone(), task.occurrence, task.step);
+                let count = *away.entry(id.clone()).or_insert_with(|| self.away(task));
+                let is_away = taken.percent < 100;
+                let may_stop = is_away || count < step.may_miss.max(1);
+                let pool = &server.listing.pool;
+                let has_place = self.choose(now, pool, step, task, None, None).is_some();
+                if !may_stop || !has_place {
+                    continue;
+                }
+                if !is_away {
+                    away.insert(id, count + 1);
+                }
+                stops.push((server.id().clone(), task.clone()));
+            }
+        }
+        for (server, task) in stops {
+            self.stop(now, &server, &task);
+            self.explain("task moved", &task, &server, "its host has to be empty");
+        }
+    }
+
+    fn must_empty(&self, server: &Server) -> bool {
+        server.listing.is_leaving || self.fleet.is_emptying(server)
+    }
+
+    /// Counts the tasks of a step that are not at work.
+    fn away(&self, task: &task::Id) -> u32 {
+        let Some(active) = self.jobs.get(&task.job) else {
+            return u32::MAX;
+        };
+        let Some(step) = active.job.steps.get(task.step) else {
+            return u32::MAX;
+        };
+        let count = usize::try_from(step.count).unwrap_or_default();
+        let away = (0..count).filter(|&index| {
+            let id = task::Id { index, ..task.clone() };
+            !self.is_at_work(&id)
+        });
+        u32::try_from(away.count()).unwrap_or(u32::MAX)
+    }
+
+    fn is_at_work(&self, task: &task::Id) -> bool {
+        let place = Place { occurrence: task.occurrence, step: task.step, index: task.index };
+        let known = self.jobs.get(&task.job).and_then(|active| active.task(place));
+        match known.map(|known| &known.phase) {
+            Some(Phase::On(server)) => self
+                .servers
+                .get(server)
+                .and_then(|server| server.runs.get(task))
+                .is_some_and(|taken| taken.stage == Stage::Running && taken.percent >= 100),
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-request/src/shard/order.rs
@@ -0,0 +1,99 @@
+//! The order in which waiting work gets room.
+
+use std::cmp::Reverse;
+
+use skylarkwick_version::moment::Moment;
+
+use super::{
+    Shard,
+    active::{Active, Phase},
+    fact::Queue,
+};
+use crate::job::{self, Job};
+
+/// Use that a start now would still be of, most useful first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Use {
+    /// The tasks last, and serve callers of their own.
+    Lasting,
+    /// The objective can still be met.
+    Timely,
+    /// The objective is missed, and the result is still of some use.
+    Late,
+    /// The result is of no more use.
+    Useless,
+}
+
+/// Place in the order; the lowest is first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    use_left: Use,
+    priority: u32,
+    due: Moment,
+    begun: Reverse<bool>,
+}
+
+/// A step whose tasks may start.
+#[derive(Clone, Debug)]
+pub(super) struct Ready {
+    pub(super) rank: Rank,
+    pub(super) job: job::Id,
+    pub(super) occurrence: u32,
+    pub(super) step: usize,
+    pub(super) tasks: Vec<usize>,
+}
+
+impl Shard {
+    /// Returns the steps whose tasks may start, in the order of their rank.
+    pub(super) fn ready(&self, now: Moment) -> Vec<Ready> {
+        let mut ready = Vec::new();
+        for (id, active) in &self.jobs {
+            let Some(queue) = self.queues.get(&active.queue) else {
+                continue;
+            };
+            if active.outcome.is_some() || !self.is_free_of_doubt(now, active, queue) {
+                continue;
+            }
+            for (&occurrence, steps) in &active.occurrences {
+                for (step, tasks) in steps.steps.iter().enumerate() {
+                    let waiting: Vec<usize> = (0..tasks.len())
+                        .filter(|&index| tasks[index].phase == Phase::Waiting)
+                        .collect();
+                    if waiting.is_empty() || !steps.is_open(&active.job, step) {
+                        continue;
+                    }
+                    let rank = rank(now, active, &active.job, step, queue);
+                    let job = id.clone();
+                    ready.push(Ready { rank, job, occurrence, step, tasks: waiting });
+                }
+            }
+        }
+        ready.sort_by(|left, right| left.rank.cmp(&right.rank));
+        ready
+    }
+
+    /// Tells whether no run of an earlier holder can be unknown: a job is in
+    /// doubt until every server of its pool has answered, or what an earlier
+    /// holder could have started has lapsed.
+    fn is_free_of_doubt(&self, now: Moment, active: &Active, queue: &Queue) -> bool {
+        !active.is_inherited
+            || now.since(self.term.since) > self.rules.doubt
+            || self
+                .servers
+                .values()
+                .filter(|server| server.listing.pool == queue.pool)
+                .all(|server| server.is_fenced)
+    }
+}
+
+fn rank(now: Moment, active: &Active, job: &Job, step: usize, queue: &Queue) -> Rank {
+    let (objective, useless) = active.objective(queue.stretch, queue.target);
+    let use_left = match () {
+        () if job.steps[step].is_lasting => Use::Lasting,
+        () if now < objective => Use::Timely,
+        () if now < useless => Use::Late,
+        () => Use::Useless,
+    };
+    let begun = Reverse(active.has_begun());
+    Rank { use_left, priority: queue.priority, due: objective, begun }
+}
--- /dev/null
+++ b/crates/skylarkwick-request/src/shard/saving.rs
@@ -0,0 +1,135 @@
+//! What has to last, written before ends are acknowledged.
+
+use skylarkwick_version::revision::Revision;
+
+use super::{
+    Shard,
+    effect::{Batch, Change, Cursor, Effect, Entry},
+};
+use crate::job::{self, State, progress::Progress};
+
+/// Jobs written at once; the platform takes a hundred rows, and a job that is
+/// over changes two.
+const MAX_ENTRIES: usize = 40;
+
+impl Shard {
+    /// Writes what changed, one batch at a time.
+    pub(super) fn save(&mut self) {
+        if self.is_saving {
+            return;
+        }
+        if self.dirty.is_empty() {
+            self.settle_ends();
+            return;
+        }
+        let ids: Vec<job::Id> = self.dirty.iter().take(MAX_ENTRIES).cloned().collect();
+        let entries: Vec<Entry> = ids.iter().filter_map(|id| self.entry(id)).collect();
+        for id in &ids {
+            self.dirty.remove(id);
+        }
+        let cursors = match self.dirty.is_empty() {
+            true => self.cursors(),
+            false => Vec::new(),
+        };
+        self.is_saving = true;
+        self.effects.push(Effect::Save(Batch { entries, cursors }));
+    }
+
+    /// Lets ends be acknowledged that changed nothing that has to last.
+    fn settle_ends(&mut self) {
+        for server in self.servers.values_mut() {
+            server.saved = server.seen;
+        }
+    }
+
+    /// Notes that a batch is stored.
+    pub fn saved(&mut self, batch: &Batch) {
+        self.is_saving = false;
+        for cursor in &batch.cursors {
+            if let Some(server) = self.servers.get_mut(&cursor.server) {
+                if server.listing.born_ms == cursor.born_ms {
+                    server.saved = server.saved.max(cursor.number);
+                }
+            }
+        }
+        for entry in &batch.entries {
+            if matches!(entry.change, Change::Over(_)) {
+                self.jobs.remove(&entry.id);
+            }
+        }
+    }
+
+    /// Notes the revision of a job's stored progress, and what else was there.
+    pub fn noted(&mut self, id: &job::Id, revision: Revision, other: Option<&Progress>) {
+        let Some(active) = self.jobs.get_mut(id) else {
+            return;
+        };
+        active.progress_revision = revision;
+        if let Some(other) = other {
+            active.absorb(other);
+            self.dirty.insert(id.clone());
+            self.settle_job(id);
+        }
+    }
+
+    /// Notes that a batch was not stored, or that nobody knows; it is written
+    /// again.
+    pub fn not_saved(&mut self, batch: &Batch) {
+        self.is_saving = false;
+        for entry in &batch.entries {
+            if self.jobs.contains_key(&entry.id) {
+                self.dirty.insert(entry.id.clone());
+            }
+        }
+    }
+
+    /// Opens the occurrences that are due.
+    pub(super) fn open_occurrences(&mut self, unix_ms: u64) {
+        for active in self.jobs.values_mut() {
+            if active.job.schedule.is_none() {
+                continue;
+            }
+            let first = active.next_occurrence();
+            for occurrence in first..active.job.occurrences() {
+                match active.job.due_ms(occurrence) {
+                    Some(due_ms) if due_ms <= unix_ms => active.open(occurrence),
+                    _ => break,
+                }
+            }
+        }
+    }
+
+    fn entry(&self, id: &job::Id) -> Option<Entry> {
+        let active = self.jobs.get(id)?;
+        let change = match active.outcome {
+            // What still runs of a failed job is stopped first, so that its
+            // caller is not told too early.
+            Some(State::Failed) if !active.runs().is_empty() => Change::Progress(active.progress()),
+            Some(outcome) => Change::Over(outcome),
+            None => Change::Progress(active.progress()),
+        };
+        Some(Entry {
+            id: id.clone(),
+            queue: active.queue.clone(),
+            revision: active.revision,
+            progress_revision: active.progress_revision,
+            change,
+        })
+    }
+
+    fn cursors(&self) -> Vec<Cursor> {
+        let unsaved = self.servers.values().filter(|server| server.seen > server.saved);
+        unsaved
+            .map(|server| Cursor {
+                server: server.id().clone(),
+                born_ms: server.listing.born_ms,
+                number: server.seen,
+            })
+            .collect()
+    }
+
+    /// Tells when the next occurrence of any job is due, in Unix milliseconds.
+    pub fn next_due_ms(&self) -> Option<u64> {
+        self.jobs.values().filter_map(|active| active.job.due_ms(active.next_occurrence())).min()
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-version/src/holding.rs
@@ -0,0 +1,78 @@
+//! The holding of a shard: who may take it, and how long a holder may go on.
+//!
+//! Taking a shard over is safe at any time, because the next holder fences
+//! every backend server before it gives an order; the times here only avoid
+//! needless takeovers. All observers use the store's clock, which the store
+//! sends with each answer. See `docs/DESIGN.md`, section "Shards".
+
+use std::time::Duration;
+
+use crate::{lease::Incarnation, moment::Moment, revision::Revision};
+
+/// Time without a renewal, on the store's clock, after which others may take a
+/// shard.
+pub const LAPSE: Duration = Duration::from_millis(3000);
+/// Time for which an observer must have seen the same row, so that a holder can
+/// renew first when the store comes back after an outage.
+pub const OBSERVATION: Duration = Duration::from_millis(1000);
+/// Longest time between two reads of one observation.
+const READ_GAP: Duration = Duration::from_millis(1600);
+/// Time since its last confirmed renewal for which a holder goes on; meanwhile
+/// the store may be out for all, and then nobody can have taken over.
+pub const LIMIT: Duration = Duration::from_millis(9000);
+
+/// The holder that a row names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// Its entry host; none when the shard was released.
+    pub entry: Option<String>,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// The store's clock at its last renewal, in milliseconds.
+    pub renewed_ms: u64,
+}
+
+/// What a process does about a shard that it does not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Take it; the last holder may still be at work.
+    TakeOver,
+    /// Take it; the last holder has ended.
+    Succeed,
+    /// Leave it to its holder.
+    Wait,
+}
+
+/// What a process has seen of a shard's row.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sight {
+    revision: Revision,
+    first: Moment,
+    last: Moment,
+}
+
+impl Sight {
+    /// Notes a read of the row.
+    pub fn update(self, revision: Revision, now: Moment) -> Sight {
+        let goes_on = revision == self.revision && now.since(self.last) <= READ_GAP;
+        Sight { revision, first: if goes_on { self.first } else { now }, last: now }
+    }
+
+    fn age(self) -> Duration {
+        self.last.since(self.first)
+    }
+}
+
+/// Decides what to do about a shard that another process held last.
+pub fn step(holder: Option<&Holder>, sight: Sight, me: &str, now_ms: u64) -> Step {
+    let Some(holder) = holder else {
+        return Step::Succeed;
+    };
+    let silence = Duration::from_millis(now_ms.saturating_sub(holder.renewed_ms));
+    match &holder.entry {
+        None => Step::Succeed,
+        Some(entry) if entry == me => Step::Succeed,
+        Some(_) if silence >= LAPSE && sight.age() >= OBSERVATION => Step::TakeOver,
+        Some(_) => Step::Wait,
+    }
+}
--- a/crates/skylarkwick-version/src/lib.rs
+++ b/crates/skylarkwick-version/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod capacity;
 pub mod document;
+pub mod holding;
 pub mod host;
 pub mod lease;
 pub mod moment;
