Drop the tracing library that calibrates a clock in a busy loop

Ruled out: rings, the log's writer, the listener (each slept in the sampled threads). Change: trace::Span holds the two identities and the start itself.

--- a/crates/skylarkwick-entry/src/dispatch.rs
+++ b/crates/skylarkwick-entry/src/dispatch.rs
@@ -9,13 +9,13 @@
 };
 
 use cadence::{Counted, StatsdClient, Timed};
-use fastrace::Span;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use skylarkwick_connection::{
     backend::{Answer, Task},
     platform::{Listed, Standing},
 };
+use skylarkwick_process::trace::Span;
 use skylarkwick_process::{
     clock::Clock,
     duty::Stop,
--- a/crates/skylarkwick-entry/src/door.rs
+++ b/crates/skylarkwick-entry/src/door.rs
@@ -11,12 +11,12 @@
 };
 
 use cadence::{Counted, StatsdClient};
-use fastrace::Span;
 use rouille::{Request, Response};
 use skylarkwick_connection::{
     caller::{Call, Guard, wire},
     peer::client::Client,
 };
+use skylarkwick_process::trace::Span;
 use skylarkwick_process::{
     ring::{self, Refused},
     trace,
--- a/crates/skylarkwick-entry/src/event.rs
+++ b/crates/skylarkwick-entry/src/event.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use fastrace::Span;
 use skylarkwick_connection::{
     backend::{Answer, Task},
     caller::Call,
     platform::Listed,
 };
+use skylarkwick_process::trace::Span;
 use skylarkwick_process::{ring, view::View};
 use skylarkwick_request::{
     claim::Claim,
--- a/crates/skylarkwick-entry/src/peers.rs
+++ b/crates/skylarkwick-entry/src/peers.rs
@@ -9,12 +9,12 @@
     time::Duration,
 };
 
-use fastrace::Span;
 use skylarkwick_connection::{
     caller::Call,
     peer::{self, Heartbeat, client::Client},
     platform,
 };
+use skylarkwick_process::trace::Span;
 use skylarkwick_process::{clock::Clock, duty::Stop, ring, settings::site, view::Shared};
 use skylarkwick_request::outcome::{Doubt, Outcome, Refusal};
 use skylarkwick_version::{lease::Incarnation, name, revision::Revision};
--- a/crates/skylarkwick-process/src/program.rs
+++ b/crates/skylarkwick-process/src/program.rs
@@ -76,7 +76,6 @@
     let ended = signal::watch(stop.clone())
         .map_err(Into::into)
         .and_then(|_| job(&settings, &log, &stop).map_err(Into::into));
-    fastrace::flush();
     match ended {
         Ok(()) => {
             info!(log, "stopped");
