Fence before starting, and count an earlier holder's leases

A holder told to stop forgot its lease before giving it back. Ruled out: answers that arrive late; run numbers (they rose as they should). Change: a list is needed before doubt ends; the first look counts the longest lease of an earlier holder; the lease is forgotten only when the next is looked for.

--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -66,8 +66,8 @@
 
     /// Waits until the shard can be taken, and takes it; nothing on the stop.
     pub(super) fn acquire(&mut self, stop: &Stop) -> Option<Taken> {
-        self.held = None;
         while !stop.is_requested() {
+            self.held = None;
             if let Some(taken) = self.try_acquire() {
                 return Some(taken);
             }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -67,6 +67,8 @@
     queues: BTreeMap<Arc<str>, Queue>,
     jobs: BTreeMap<job::Id, Active>,
     servers: BTreeMap<fact::ServerId, Server>,
+    /// Whether the platform's list of servers was read since the takeover.
+    has_list: bool,
     fleet: Fleet,
     next_run: task::Run,
     dirty: BTreeSet<job::Id>,
@@ -83,6 +85,7 @@
             queues: BTreeMap::new(),
             jobs: BTreeMap::new(),
             servers: BTreeMap::new(),
+            has_list: false,
             fleet: Fleet::default(),
             next_run: task::Run::first_of(term.number),
             dirty: BTreeSet::new(),
--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -9,7 +9,7 @@
     active::Phase,
     effect::{Effect, Reason},
     fact::{Answer, Ended, Listing, Look, Reading, Refusal, Running, ServerId},
-    server::{Server, Stage, Use},
+    server::{Server, Stage, Use, millis},
 };
 use crate::job::{progress::Place, task};
 
@@ -38,6 +38,7 @@
     pub fn list(&mut self, now: Moment, listings: Vec<Listing>) {
         let listed: std::collections::BTreeSet<ServerId> =
             listings.iter().map(|listing| listing.id.clone()).collect();
+        self.has_list = true;
         for server in self.servers.values_mut() {
             server.is_unlisted = !listed.contains(server.id());
         }
@@ -77,7 +78,12 @@
             return;
         }
         server.note(look.reading);
-        server.is_fenced = true;
+        if !server.is_fenced {
+            // An earlier holder may have renewed the lease right before.
+            let granted = look.reading.clock_ms + millis(self.rules.lease);
+            server.lease_until_ms = server.lease_until_ms.max(granted);
+            server.is_fenced = true;
+        }
         for ended in look.ended {
             self.end(now, &id, ended);
         }
--- a/crates/skylarkwick-request/src/shard/order.rs
+++ b/crates/skylarkwick-request/src/shard/order.rs
@@ -68,7 +68,7 @@
                 }
             }
         }
-        ready.sort_by(|left, right| left.rank.cmp(&right.rank));
+        ready.sort_by_key(|ready| ready.rank);
         ready
     }
 
@@ -78,11 +78,12 @@
     fn is_free_of_doubt(&self, now: Moment, active: &Active, queue: &Queue) -> bool {
         !active.is_inherited
             || now.since(self.term.since) > self.rules.doubt
-            || self
-                .servers
-                .values()
-                .filter(|server| server.listing.pool == queue.pool)
-                .all(|server| server.is_fenced)
+            || (self.has_list
+                && self
+                    .servers
+                    .values()
+                    .filter(|server| server.listing.pool == queue.pool)
+                    .all(|server| server.is_fenced))
     }
 }
 
--- a/crates/skylarkwick-request/src/shard/saving.rs
+++ b/crates/skylarkwick-request/src/shard/saving.rs
@@ -46,10 +46,11 @@
     pub fn saved(&mut self, batch: &Batch) {
         self.is_saving = false;
         for cursor in &batch.cursors {
-            if let Some(server) = self.servers.get_mut(&cursor.server) {
-                if server.listing.born_ms == cursor.born_ms {
+            match self.servers.get_mut(&cursor.server) {
+                Some(server) if server.listing.born_ms == cursor.born_ms => {
                     server.saved = server.saved.max(cursor.number);
                 }
+                _ => {}
             }
         }
         for entry in &batch.entries {
