--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -258,17 +258,22 @@
     }
 
     /// Tells whether a host is up and certainly runs nothing.
+    ///
+    /// For a while after a move or maintenance the platform may list the host's
+    /// last server beside its new one, so every server of the host counts.
     fn is_empty_and_up(&self, id: &HostId) -> bool {
         let is_up = |host: &Host| host.standing == Standing::Up;
         let Some(host) = self.fleet.hosts.get(id).filter(|host| is_up(host)) else {
             return false;
         };
-        match self.server_of(id) {
-            Some(server) => {
-                server.is_fenced && server.runs.is_empty() && !server.listing.is_leaving
-            }
-            None => self.fleet.spare_pools.contains(&host.pool),
-        }
+        let mut servers = self.servers.values().filter(|server| server.host() == Some(id));
+        let is_busy =
+            servers.clone().any(|server| !server.runs.is_empty() || server.listing.is_leaving);
+        let is_known = match &host.server {
+            Some(current) => servers.any(|server| server.id() == current && server.is_fenced),
+            None => self.fleet.spare_pools.contains(&host.pool) || servers.any(|s| s.is_fenced),
+        };
+        !is_busy && is_known
     }
 
     fn order(&mut self, now: Moment, host: HostId, purpose: Purpose) {
--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -78,6 +78,7 @@
             return;
         }
         server.note(look.reading);
+        server.is_silent = false;
         if !server.is_fenced {
             // An earlier holder may have renewed the lease right before.
             let granted = look.reading.clock_ms + millis(self.rules.lease);
@@ -106,6 +107,7 @@
         if let Some(server) = self.servers.get_mut(id) {
             server.next_look = Some(now + SILENT_PAUSE);
             server.awaits_save = false;
+            server.is_silent = true;
         }
     }
 
@@ -251,7 +253,10 @@
             if !server.next_look.is_some_and(|due| due <= now || is_stored) {
                 continue;
             }
-            let until_ms = server.until_ms(now, self.rules.lease);
+            // A look without an answer may have renewed the lease, so a silent
+            // server's lease is left to lapse.
+            let renewed = server.until_ms(now, self.rules.lease);
+            let until_ms = renewed.filter(|_| !server.is_silent);
             server.lease_until_ms = server.lease_until_ms.max(until_ms.unwrap_or_default());
             server.next_look = None;
             self.effects.push(Effect::Look {
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -95,6 +95,8 @@
     pub(super) next_look: Option<Moment>,
     /// Whether the next look waits for ends to be stored.
     pub(super) awaits_save: bool,
+    /// Whether the last look had no answer.
+    pub(super) is_silent: bool,
     /// Whether the platform no longer lists it.
     pub(super) is_unlisted: bool,
     failures: u32,
@@ -114,6 +116,7 @@
             is_fenced: false,
             next_look: Some(now),
             awaits_save: false,
+            is_silent: false,
             is_unlisted: false,
             failures: 0,
             rests: 0,
@@ -151,6 +154,7 @@
         let answers = self.reading.is_some_and(|reading| now.since(reading.received) < QUIET);
         answers
             && self.is_fenced
+            && !self.is_silent
             && !self.listing.is_leaving
             && !self.is_unlisted
             && now >= self.resting_until
