Give up a silent server's runs only while the lease is certain

Ruled out: the worker's clock (the lapse was worked out rightly); the fence. Change: Hold::Certain, 2.5 s from the send of a confirmed renewal, 0.5 s under the time after which others may take the shard.

--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -8,7 +8,7 @@
         fact::{Accepted, Answer, Host, HostAnswer, HostId, Listing, Look, ServerId, Wave},
     },
 };
-use skylarkwick_version::revision::Revision;
+use skylarkwick_version::{moment::Moment, revision::Revision};
 
 use super::lease::Renewal;
 
@@ -52,6 +52,6 @@
         /// Whether the wave is over.
         is_completed: bool,
     },
-    /// Outcome of a renewal of the lease.
-    Renewed(Renewal),
+    /// Outcome of a renewal of the lease, and when it was sent.
+    Renewed(Renewal, Moment),
 }
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -22,7 +22,7 @@
 use skylarkwick_request::{
     job,
     shard::{
-        Rules, Shard, Term,
+        Hold, Rules, Shard, Term,
         effect::{Effect, Reason},
     },
 };
@@ -216,9 +216,9 @@
                 self.shard.wave_stored(wave, is_completed);
             }
             Event::WaveStored { wave, .. } => self.shard.wave_not_stored(wave),
-            Event::Renewed(Renewal::Confirmed) => self.confirmed = now,
-            Event::Renewed(Renewal::Unconfirmed) => {}
-            Event::Renewed(Renewal::Lost) => {
+            Event::Renewed(Renewal::Confirmed, sent) => self.confirmed = sent,
+            Event::Renewed(Renewal::Unconfirmed, _) => {}
+            Event::Renewed(Renewal::Lost, _) => {
                 warn!(self.log, "shard lost"; "because" => "another holder has the lease");
                 self.is_lost = true;
             }
@@ -229,12 +229,14 @@
     /// holder may rely on our silence.
     fn decide(&mut self) {
         let now = Boot.now();
-        let may_act = now.since(self.confirmed) < holding::LIMIT;
+        let silence = now.since(self.confirmed);
+        let may_act = silence < holding::LIMIT;
+        let hold = if silence < holding::CERTAIN { Hold::Certain } else { Hold::Probable };
         if self.is_lost || !may_act || !self.has_configuration {
             return;
         }
         let unix_ms = self.wall.unix_ms(now);
-        for effect in self.shard.decide(now, unix_ms) {
+        for effect in self.shard.decide(now, unix_ms, hold) {
             self.carry_out(effect);
         }
         self.wants_hosts.store(self.shard.wants_hosts(), Ordering::Release);
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -17,6 +17,7 @@
     },
 };
 use skylarkwick_process::{
+    clock::{Boot, Clock},
     duty::{Duty, Stop},
     ring,
 };
@@ -210,8 +211,9 @@
     let (give_back, given_back) = ring::bounded(1);
     let duty = Duty::spawn("renewals", move || {
         while !stop.sleep(RENEWAL_PERIOD) {
+            let sent = Boot.now();
             let renewal = lease.renew();
-            if !tell(&events, Event::Renewed(renewal)) || renewal == Renewal::Lost {
+            if !tell(&events, Event::Renewed(renewal, sent)) || renewal == Renewal::Lost {
                 break;
             }
         }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -59,6 +59,15 @@
     pub since: Moment,
 }
 
+/// How sure a holder is that nobody else holds the shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hold {
+    /// The lease was confirmed so lately that nobody can have taken it.
+    Certain,
+    /// The store has not confirmed the lease for a while.
+    Probable,
+}
+
 /// The jobs of some pools and the hosts that run them.
 #[derive(Debug)]
 pub struct Shard {
@@ -122,8 +131,14 @@
     }
 
     /// Decides what to do next; the caller carries every effect out.
-    pub fn decide(&mut self, now: Moment, unix_ms: u64) -> Vec<Effect> {
-        self.expire(now);
+    ///
+    /// What a silent server runs is given up only while the lease was confirmed
+    /// so lately that no other holder can have taken it over: the next holder may
+    /// reach a server that this one can't, and keep its runs alive.
+    pub fn decide(&mut self, now: Moment, unix_ms: u64, hold: Hold) -> Vec<Effect> {
+        if hold == Hold::Certain {
+            self.expire(now);
+        }
         self.open_occurrences(unix_ms);
         self.place(now);
         self.evacuate(now);
--- a/crates/skylarkwick-version/src/holding.rs
+++ b/crates/skylarkwick-version/src/holding.rs
@@ -12,6 +12,9 @@
 /// Time without a renewal, on the store's clock, after which others may take a
 /// shard.
 pub const LAPSE: Duration = Duration::from_millis(3000);
+/// Time since a confirmed renewal was sent in which nobody can have taken the
+/// shard; shorter than the lapse by what two clocks may differ.
+pub const CERTAIN: Duration = Duration::from_millis(2500);
 /// Time for which an observer must have seen the same row, so that a holder can
 /// renew first when the store comes back after an outage.
 pub const OBSERVATION: Duration = Duration::from_millis(1000);
