--- /dev/null
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -0,0 +1,157 @@
+//! Hosts are moved and maintained only while nothing runs on them.
+
+mod shard;
+
+use std::collections::BTreeSet;
+
+use shard::{POOL, Site, host, listing, rules, starts, step, task, up};
+use skylarkwick_request::{
+    job::task::Run,
+    shard::{
+        effect::Effect,
+        fact::{HostAnswer, Standing, Wave},
+    },
+};
+
+fn maintained(effects: &[Effect]) -> Vec<String> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Maintain { host, .. } => Some(host.to_string()),
+            _ => None,
+        })
+        .collect()
+}
+
+fn wave(hosts: &[&str], most_down: usize) -> Wave {
+    let hosts = hosts.iter().map(|name| host(name)).collect();
+    Wave { number: 1, hosts, most_down, begun: BTreeSet::new() }
+}
+
+/// A site whose holder may give orders for hosts.
+fn settled(names: &[&str]) -> Site {
+    let mut site = Site::with_servers(names);
+    site.now = site.now + rules().handover;
+    let hosts = names.iter().map(|name| up(name, POOL, Some(name))).collect();
+    site.shard.list_hosts(site.now, hosts);
+    for name in names {
+        site.look(name, &[], &[]);
+    }
+    site
+}
+
+#[test]
+fn no_order_right_after_a_takeover() {
+    let mut site = Site::with_servers(&["a"]);
+    site.shard.list_hosts(site.now, vec![up("a", POOL, Some("a"))]);
+    site.shard.ask_maintenance(wave(&["a"], 1));
+    assert!(maintained(&site.decide()).is_empty(), "the last holder's order may still arrive");
+}
+
+#[test]
+fn no_more_than_the_most_at_once() {
+    let mut site = settled(&["a", "b", "c"]);
+    site.shard.ask_maintenance(wave(&["a", "b", "c"], 2));
+    let first = maintained(&site.decide());
+    assert_eq!(first.len(), 2);
+    site.shard.host_answered(site.now, &host(&first[0]), HostAnswer::Done);
+    site.shard.host_answered(site.now, &host(&first[1]), HostAnswer::Unknown);
+    assert!(maintained(&site.decide()).is_empty());
+}
+
+#[test]
+fn busy_hosts_are_emptied_first() {
+    let mut site = settled(&["a"]);
+    site.submit("job", vec![step(1, 4)]);
+    let effects = site.decide();
+    let (_, start) = site.confirm(&effects).remove(0);
+    site.shard.ask_maintenance(wave(&["a"], 1));
+    assert!(maintained(&site.decide()).is_empty());
+    site.submit("next", vec![step(1, 4)]);
+    assert!(starts(&site.decide()).is_empty(), "the host is being emptied");
+    site.advance(50);
+    let end = shard::ended(1, start.task, start.run, skylarkwick_request::job::task::End::Done);
+    site.look("a", &[], &[end]);
+    assert_eq!(maintained(&site.decide()), ["a"]);
+}
+
+#[test]
+fn every_server_of_a_host_counts() {
+    let mut site = settled(&["a"]);
+    // After a move the platform may list the last server beside the new one.
+    let listings = vec![listing("a", POOL, "a"), listing("a2", POOL, "a")];
+    site.shard.list(site.now, listings);
+    site.submit("job", vec![step(1, 4)]);
+    site.look("a2", &[(task("job", 0, 0), Run(3), 10)], &[]);
+    site.shard.list_hosts(site.now, vec![up("a", POOL, Some("a"))]);
+    site.shard.ask_maintenance(wave(&["a"], 1));
+    assert!(maintained(&site.decide()).is_empty());
+}
+
+#[test]
+fn a_wave_is_completed_when_each_host_has_begun() {
+    let mut site = settled(&["a"]);
+    site.shard.ask_maintenance(wave(&["a"], 1));
+    let is_completed = |effects: &[Effect]| {
+        effects.iter().any(|effect| matches!(effect, Effect::Wave { is_completed: true, .. }))
+    };
+    let effects = site.decide();
+    assert_eq!(maintained(&effects), ["a"]);
+    assert!(!is_completed(&effects));
+    site.shard.host_answered(site.now, &host("a"), HostAnswer::Done);
+    assert!(is_completed(&site.decide()));
+}
+
+#[test]
+fn lasting_tasks_leave_one_at_a_time() {
+    let mut site = settled(&["a", "b"]);
+    let lasting = skylarkwick_request::job::Step { is_lasting: true, may_miss: 1, ..step(3, 4) };
+    site.submit("job", vec![lasting]);
+    let effects = site.decide();
+    let started = site.confirm(&effects);
+    let place = started[0].0.to_string();
+    let running: Vec<_> =
+        started.iter().map(|(_, start)| (start.task.clone(), start.run, 100)).collect();
+    site.advance(50);
+    site.look(&place, &running, &[]);
+    site.shard.ask_maintenance(wave(&[&place], 1));
+    let mut effects = site.decide();
+    effects.extend(site.decide());
+    assert_eq!(shard::stops(&effects).len(), 1, "the step may miss one task");
+    assert!(maintained(&effects).is_empty());
+}
+
+#[test]
+fn waiting_work_brings_idle_hosts() {
+    let names = ["a", "b", "c", "d", "e"];
+    let mut site = settled(&names);
+    let mut listings = site.listings.clone();
+    for listing in &mut listings[1..] {
+        listing.pool = "other".into();
+    }
+    site.shard.list(site.now, listings);
+    let mut hosts = vec![up("a", POOL, Some("a"))];
+    hosts.extend(names[1..].iter().map(|name| up(name, "other", Some(name))));
+    site.shard.list_hosts(site.now, hosts);
+    site.submit("job", vec![step(30, 16)]);
+    site.decide();
+    site.advance(300);
+    for name in names {
+        site.shard.heard(&shard::server(name), site.reading());
+    }
+    let moved = site.decide();
+    let moved: Vec<_> =
+        moved.iter().filter(|effect| matches!(effect, Effect::Move { .. })).collect();
+    assert!(!moved.is_empty());
+    assert!(moved.len() <= 2, "the giving pool keeps some idle hosts");
+}
+
+#[test]
+fn a_host_that_is_not_up_gets_no_order() {
+    let mut site = settled(&["a"]);
+    let mut busy = up("a", POOL, Some("a"));
+    busy.standing = Standing::Busy;
+    site.shard.list_hosts(site.now, vec![busy]);
+    site.shard.ask_maintenance(wave(&["a"], 1));
+    assert!(maintained(&site.decide()).is_empty());
+}
--- /dev/null
+++ b/crates/skylarkwick-request/tests/job_life.rs
@@ -0,0 +1,155 @@
+//! A job's steps run in order, its ends are stored before they are
+//! acknowledged, and it is over when its tasks say so.
+
+mod shard;
+
+use shard::{Site, batches, ended, starts, step, stops, task};
+use skylarkwick_request::{
+    job::{
+        Id, Job, State, Step,
+        task::{self as tasks, End},
+    },
+    shard::effect::{Change, Effect},
+};
+
+fn run_first(site: &mut Site) -> (String, tasks::Id, tasks::Run) {
+    let effects = site.decide();
+    let (place, start) = site.confirm(&effects).remove(0);
+    site.advance(50);
+    (place.to_string(), start.task, start.run)
+}
+
+#[test]
+fn later_steps_wait() {
+    let mut site = Site::with_servers(&["a"]);
+    let second = Step { after: vec![0], ..step(1, 4) };
+    site.submit("job", vec![step(1, 4), second]);
+    let (place, first, run) = run_first(&mut site);
+    assert_eq!(first, task("job", 0, 0));
+    assert!(starts(&site.decide()).is_empty());
+    site.look(&place, &[], &[ended(1, first, run, End::Done)]);
+    assert_eq!(starts(&site.decide())[0].1.task, task("job", 1, 0));
+}
+
+#[test]
+fn ends_are_stored_before_they_are_acknowledged() {
+    let mut site = Site::with_servers(&["a"]);
+    site.submit("job", vec![step(1, 4)]);
+    let (place, id, run) = run_first(&mut site);
+    site.look(&place, &[], &[ended(1, id, run, End::Done)]);
+    let effects = site.decide();
+    let batch = batches(&effects).remove(0);
+    assert_eq!(batch.entries[0].change, Change::Over(State::Completed));
+    let acknowledged = |effects: &[Effect]| {
+        effects.iter().any(|effect| matches!(effect, Effect::Look { acknowledged: 1, .. }))
+    };
+    site.advance(1000);
+    assert!(!acknowledged(&effects) && !acknowledged(&site.decide()));
+    site.look(&place, &[], &[]);
+    site.shard.saved(&batch);
+    assert!(acknowledged(&site.decide()));
+}
+
+#[test]
+fn a_batch_that_is_not_stored_is_written_again() {
+    let mut site = Site::with_servers(&["a"]);
+    site.submit("job", vec![step(1, 4)]);
+    let (place, id, run) = run_first(&mut site);
+    site.look(&place, &[], &[ended(1, id, run, End::Done)]);
+    let batch = batches(&site.decide()).remove(0);
+    assert!(batches(&site.decide()).is_empty(), "one batch at a time");
+    site.shard.not_saved(&batch);
+    assert_eq!(batches(&site.decide()).len(), 1);
+}
+
+#[test]
+fn a_job_fails_after_its_attempts() {
+    let mut site = Site::with_servers(&["a", "b", "c"]);
+    site.submit("job", vec![step(1, 4)]);
+    for number in 1..=2 {
+        let (place, id, run) = run_first(&mut site);
+        site.look(&place, &[], &[ended(number, id, run, End::Failed)]);
+    }
+    let effects = site.decide();
+    assert!(starts(&effects).is_empty());
+    let batch = batches(&effects).remove(0);
+    assert_eq!(batch.entries[0].change, Change::Over(State::Failed));
+}
+
+#[test]
+fn a_failed_task_is_tried_elsewhere() {
+    let mut site = Site::with_servers(&["a", "b"]);
+    site.submit("job", vec![step(1, 4)]);
+    let (place, id, run) = run_first(&mut site);
+    site.look(&place, &[], &[ended(1, id, run, End::Failed)]);
+    assert_ne!(starts(&site.decide())[0].0.to_string(), place);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped() {
+    let mut site = Site::with_servers(&["a"]);
+    site.submit("job", vec![step(3, 4)]);
+    run_first(&mut site);
+    site.shard.withdraw(site.now, &Id::new("job"));
+    let effects = site.decide();
+    assert_eq!(stops(&effects).len(), 3);
+    assert!(starts(&effects).is_empty());
+}
+
+#[test]
+fn a_gang_starts_whole_or_not() {
+    let mut site = Site::with_servers(&["a"]);
+    let gang = Step { is_gang: true, ..step(5, 16) };
+    site.submit("job", vec![gang]);
+    assert!(starts(&site.decide()).is_empty(), "one host holds four of the five");
+    let mut site = Site::with_servers(&["a", "b"]);
+    let gang = Step { is_gang: true, ..step(5, 16) };
+    site.submit("job", vec![gang]);
+    let started = starts(&site.decide());
+    assert_eq!(started.len(), 5);
+    assert!(started.iter().all(|(_, start)| start.run == started[0].1.run));
+}
+
+#[test]
+fn a_step_spreads_as_it_asks() {
+    let mut site = Site::with_servers(&["a", "b"]);
+    let apart = Step { most_per_host: 1, ..step(3, 4) };
+    site.submit("job", vec![apart]);
+    let started = starts(&site.decide());
+    assert_eq!(started.len(), 2);
+    assert_ne!(started[0].0, started[1].0);
+}
+
+#[test]
+fn room_is_never_exceeded() {
+    let mut site = Site::with_servers(&["a"]);
+    site.submit("job", vec![step(10, 16)]);
+    assert_eq!(starts(&site.decide()).len(), 4);
+    assert!(starts(&site.decide()).is_empty());
+}
+
+#[test]
+fn backlog_counts_jobs_that_have_not_begun() {
+    let mut site = Site::with_servers(&["a"]);
+    site.submit("first", vec![step(4, 16)]);
+    site.submit("second", vec![step(1, 16)]);
+    site.decide();
+    let backlog = site.shard.backlog();
+    assert_eq!(backlog[shard::QUEUE].len(), 1);
+}
+
+#[test]
+fn senseless_jobs_are_refused() {
+    let job = |steps| Job { spec: "".into(), steps, schedule: None };
+    assert!(job(vec![]).check().is_err());
+    assert!(job(vec![step(0, 1)]).check().is_err());
+    assert!(job(vec![Step { after: vec![0], ..step(1, 1) }]).check().is_err());
+    assert!(job(vec![step(1, 1), Step { after: vec![0], ..step(1, 1) }]).check().is_ok());
+}
+
+#[test]
+fn task_names_are_read_back() {
+    let id = task("5c0e7a21d94b36f8", 1, 17);
+    assert_eq!(id.to_string().parse(), Ok(id));
+    assert!("no.number.0.x".parse::<tasks::Id>().is_err());
+}
--- /dev/null
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -0,0 +1,106 @@
+//! A new holder never starts what an earlier one may have running.
+
+mod shard;
+
+use shard::{Site, ended, rules, starts, step, stops, task};
+use skylarkwick_request::{
+    job::{
+        progress::{Note, Place, Progress},
+        task::{End, Run},
+    },
+    shard::{effect::Effect, fact::Accepted},
+};
+use skylarkwick_version::revision::Revision;
+
+fn inherited() -> Accepted {
+    Accepted { is_inherited: true, ..Site::accepted("job", vec![step(2, 4)]) }
+}
+
+#[test]
+fn waits_for_the_list_of_servers() {
+    let mut site = Site::new(2);
+    site.shard.submit(site.now, inherited());
+    assert!(starts(&site.decide()).is_empty(), "no server is known, so none has answered");
+}
+
+#[test]
+fn waits_for_every_server_of_the_pool() {
+    let mut site = Site::new(2);
+    site.shard.submit(site.now, inherited());
+    site.list(&["a", "b"]);
+    site.look("a", &[], &[]);
+    assert!(starts(&site.decide()).is_empty(), "server b may run the tasks");
+    site.look("b", &[], &[]);
+    assert_eq!(starts(&site.decide()).len(), 2);
+}
+
+#[test]
+fn adopts_what_runs() {
+    let mut site = Site::new(2);
+    site.shard.submit(site.now, inherited());
+    site.list(&["a"]);
+    site.look("a", &[(task("job", 0, 0), Run(5), 40)], &[]);
+    let started = starts(&site.decide());
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1.task, task("job", 0, 1));
+    assert!(started[0].1.run > Run(5), "runs rise over holders");
+}
+
+#[test]
+fn adopted_runs_have_a_lease() {
+    let mut site = Site::new(2);
+    site.shard.submit(site.now, inherited());
+    site.list(&["a"]);
+    let run = (task("job", 0, 0), Run(5), 40);
+    site.look("a", &[run.clone(), (task("job", 0, 1), Run(6), 40)], &[]);
+    site.advance(1000);
+    assert!(starts(&site.decide()).is_empty(), "an earlier holder renewed the lease");
+}
+
+#[test]
+fn new_jobs_need_not_wait() {
+    let mut site = Site::new(2);
+    site.list(&["a", "b"]);
+    site.look("a", &[], &[]);
+    site.submit("new", vec![step(1, 4)]);
+    assert_eq!(starts(&site.decide()).len(), 1);
+}
+
+#[test]
+fn doubt_ends_with_the_last_lease() {
+    let mut site = Site::new(2);
+    site.shard.submit(site.now, inherited());
+    site.list(&["a", "b"]);
+    site.look("a", &[], &[]);
+    assert!(starts(&site.decide()).is_empty());
+    site.now = site.now + rules().doubt;
+    site.advance(100);
+    site.look("a", &[], &[]);
+    assert_eq!(starts(&site.decide()).len(), 2);
+}
+
+#[test]
+fn ends_are_counted_once() {
+    let mut site = Site::new(2);
+    let mut progress = Progress::default();
+    let place = Place { occurrence: 0, step: 0, index: 0 };
+    let note = Note { failures: 1, last_end: Run(5), ..Note::default() };
+    progress.notes.insert(place, note);
+    let accepted = Accepted { progress, progress_revision: Revision(9), ..inherited() };
+    site.shard.submit(site.now, accepted);
+    site.list(&["a"]);
+    // The earlier holder stored the end and could not acknowledge it.
+    site.look("a", &[], &[ended(1, task("job", 0, 0), Run(5), End::Failed)]);
+    let effects = site.decide();
+    assert_eq!(starts(&effects).len(), 2, "one failure of two is no end of the job");
+}
+
+#[test]
+fn runs_of_jobs_that_are_over_are_stopped() {
+    let mut site = Site::new(2);
+    site.list(&["a"]);
+    site.look("a", &[(task("gone", 0, 0), Run(5), 40)], &[]);
+    let effects = site.decide();
+    assert_eq!(stops(&effects).len(), 1);
+    assert!(effects.iter().any(|effect| matches!(effect, Effect::Explain(_))));
+}
--- /dev/null
+++ b/crates/skylarkwick-request/tests/shard/mod.rs
@@ -0,0 +1,238 @@
+//! A shard with a few servers, driven in virtual time.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::{
+    collections::BTreeSet,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use skylarkwick_request::{
+    job::{Id, Job, Step, progress::Progress, task},
+    shard::{
+        Hold, Rules, Shard, Term,
+        effect::{Batch, Effect, Start},
+        fact::{
+            Accepted, Answer, Ended, Host, HostId, Listing, Look, Queue, Reading, Running,
+            ServerId, Standing,
+        },
+    },
+};
+use skylarkwick_version::{moment::Moment, quantity::Quantity, revision::Revision};
+
+pub(crate) const POOL: &str = "pool";
+pub(crate) const QUEUE: &str = "queue";
+const CORES: u64 = 64;
+const CLOCK_START_MS: u64 = 100_000;
+
+pub(crate) struct Site {
+    pub(crate) shard: Shard,
+    pub(crate) now: Moment,
+    pub(crate) listings: Vec<Listing>,
+}
+
+pub(crate) fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+pub(crate) fn rules() -> Rules {
+    Rules {
+        lease: ms(4600),
+        start_window: ms(1300),
+        doubt: ms(11_000),
+        handover: ms(4200),
+        notice: ms(4500),
+    }
+}
+
+pub(crate) fn server(name: &str) -> ServerId {
+    ServerId(Arc::from(name))
+}
+
+pub(crate) fn host(name: &str) -> HostId {
+    HostId(Arc::from(name))
+}
+
+pub(crate) fn step(count: u32, cores: u64) -> Step {
+    let size = Quantity { millicores: cores * 1000, memory_mib: 64, accelerators: 0 };
+    Step { count, size, estimate: ms(1000), ..Step::default() }
+}
+
+pub(crate) fn task(job: &str, step: usize, index: usize) -> task::Id {
+    task::Id { job: Id::new(job), occurrence: 0, step, index }
+}
+
+pub(crate) fn listing(name: &str, pool: &str, host_name: &str) -> Listing {
+    Listing {
+        id: server(name),
+        born_ms: 1,
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9),
+        pool: Arc::from(pool),
+        data_centre: Arc::from("here"),
+        host: Some(host(host_name)),
+        capacity: Quantity { millicores: CORES * 1000, memory_mib: 65_536, accelerators: 0 },
+        labels: BTreeSet::new(),
+        is_leaving: false,
+    }
+}
+
+pub(crate) fn queue(name: &str, pool: &str) -> Queue {
+    Queue {
+        name: Arc::from(name),
+        pool: Arc::from(pool),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.5,
+        target: ms(600),
+    }
+}
+
+pub(crate) fn up(name: &str, pool: &str, current: Option<&str>) -> Host {
+    Host {
+        id: host(name),
+        pool: Arc::from(pool),
+        standing: Standing::Up,
+        data_centre: Arc::from("here"),
+        labels: BTreeSet::new(),
+        capacity: Quantity { millicores: CORES * 1000, memory_mib: 65_536, accelerators: 0 },
+        server: current.map(server),
+    }
+}
+
+impl Site {
+    /// A shard that was just taken, as the `number`th holder.
+    pub(crate) fn new(number: u64) -> Site {
+        let now = Moment::from_start(ms(60_000));
+        let mut shard = Shard::new(rules(), Term { fencing: number, number, since: now });
+        shard.configure(vec![queue(QUEUE, POOL)]);
+        Site { shard, now, listings: Vec::new() }
+    }
+
+    /// A shard whose servers `a`, `b`, ... have answered.
+    pub(crate) fn with_servers(names: &[&str]) -> Site {
+        let mut site = Site::new(1);
+        site.list(names);
+        site.decide();
+        for name in names {
+            site.look(name, &[], &[]);
+        }
+        site
+    }
+
+    pub(crate) fn list(&mut self, names: &[&str]) {
+        self.listings = names.iter().map(|name| listing(name, POOL, name)).collect();
+        self.shard.list(self.now, self.listings.clone());
+    }
+
+    pub(crate) fn advance(&mut self, time: u64) {
+        self.now = self.now + ms(time);
+    }
+
+    pub(crate) fn accepted(id: &str, steps: Vec<Step>) -> Accepted {
+        Accepted {
+            id: Id::new(id),
+            queue: Arc::from(QUEUE),
+            job: Arc::new(Job { spec: Arc::from("spec"), steps, schedule: None }),
+            revision: Revision(7),
+            age: Duration::ZERO,
+            progress: Progress::default(),
+            progress_revision: Revision::ABSENT,
+            is_inherited: false,
+        }
+    }
+
+    pub(crate) fn submit(&mut self, id: &str, steps: Vec<Step>) {
+        self.shard.submit(self.now, Site::accepted(id, steps));
+    }
+
+    pub(crate) fn decide(&mut self) -> Vec<Effect> {
+        self.shard.decide(self.now, 0, Hold::Certain)
+    }
+
+    pub(crate) fn decide_in_doubt(&mut self) -> Vec<Effect> {
+        self.shard.decide(self.now, 0, Hold::Probable)
+    }
+
+    pub(crate) fn reading(&self) -> Reading {
+        let elapsed = u64::try_from(self.now.since_start().as_millis()).unwrap_or_default();
+        Reading { clock_ms: CLOCK_START_MS + elapsed, sent: self.now, received: self.now }
+    }
+
+    pub(crate) fn look(
+        &mut self,
+        name: &str,
+        running: &[(task::Id, task::Run, u32)],
+        ended: &[Ended],
+    ) {
+        let running = running
+            .iter()
+            .map(|(task, run, percent)| Running {
+                task: task.clone(),
+                run: *run,
+                checkpoint: Arc::from(""),
+                percent: *percent,
+                tail_ms: None,
+            })
+            .collect();
+        let look = Look {
+            server: server(name),
+            born_ms: Some(1),
+            reading: self.reading(),
+            running,
+            ended: ended.to_vec(),
+            is_partial: false,
+        };
+        self.shard.look(self.now, look);
+    }
+
+    /// Stores every batch and answers every start with success; returns what was
+    /// started.
+    pub(crate) fn confirm(&mut self, effects: &[Effect]) -> Vec<(ServerId, Start)> {
+        for batch in batches(effects) {
+            self.shard.saved(&batch);
+        }
+        let started = starts(effects);
+        let reading = self.reading();
+        for (server, start) in &started {
+            let answer = Answer::Done(reading);
+            self.shard.started(self.now, server, &start.task, start.run, answer);
+        }
+        started
+    }
+}
+
+pub(crate) fn starts(effects: &[Effect]) -> Vec<(ServerId, Start)> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Start { target, start } => Some((target.server.clone(), (**start).clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+pub(crate) fn stops(effects: &[Effect]) -> Vec<(ServerId, task::Id, task::Run)> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Stop { target, task, run } => Some((target.server.clone(), task.clone(), *run)),
+            _ => None,
+        })
+        .collect()
+}
+
+pub(crate) fn batches(effects: &[Effect]) -> Vec<Batch> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Save(batch) => Some(batch.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+pub(crate) fn ended(number: u64, task: task::Id, run: task::Run, end: task::End) -> Ended {
+    Ended { number, task, run, end, checkpoint: Arc::from("") }
+}
