Acknowledge no end whose row met another write; doubt servers that left the list

Ruled out: run numbers, the order of events on the holder's ring. Change: such a batch counts as not stored; inherited jobs wait for the servers of all hosts of their pool that are up; run times are learned a queue, jobs that can't meet their objective wait, and hosts move for work that takes over 1.5 s.

--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -44,6 +44,14 @@
     },
 }
 
+/// The row of an entry that another write has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Clash {
+    None,
+    Job,
+    Progress,
+}
+
 /// Starts the duty; returns its ring.
 pub(super) fn start<S: Store, D: Directory>(
     store: S,
@@ -104,9 +112,12 @@
         }
     }
 
-    /// Writes the entries of one queue; those that meet another writer's rows
-    /// are taken out, and the rest is written.
+    /// Writes the entries of one queue; false when one of them is not stored.
+    ///
+    /// Entries that meet another writer's rows are taken out, and the rest is
+    /// written.
     fn queue(&self, mut entries: Vec<Entry>) -> bool {
+        let mut is_stored = true;
         while !entries.is_empty() {
             match self.store.commit(&self.transaction(&entries)) {
                 Ok(Commit::Applied(revision)) => {
@@ -114,11 +125,18 @@
                         self.explain(entry);
                         self.note(Event::Noted(entry.id.clone(), revision, None));
                     }
-                    return true;
+                    return is_stored;
                 }
                 Ok(Commit::Conflict(rows)) => {
                     let before = entries.len();
-                    entries.retain(|entry| !self.is_outdated(entry, &rows));
+                    entries.retain(|entry| match self.clash(entry, &rows) {
+                        Clash::None => true,
+                        Clash::Job => false,
+                        Clash::Progress => {
+                            is_stored = false;
+                            false
+                        }
+                    });
                     if entries.len() == before {
                         warn!(self.log, "conflict without a cause"; "jobs" => before);
                         return false;
@@ -132,12 +150,12 @@
                 }
             }
         }
-        true
+        is_stored
     }
 
-    /// Tells whether a row of an entry is not as this holder knew it, and lets
-    /// the shard know how it is.
-    fn is_outdated(&self, entry: &Entry, rows: &[Row]) -> bool {
+    /// Tells which row of an entry is not as this holder knew it, and lets the
+    /// shard know how it is.
+    fn clash(&self, entry: &Entry, rows: &[Row]) -> Clash {
         let find = |key| rows.iter().find(|row| row.key == key);
         let (queue, id) = (&entry.queue, entry.id.as_str());
         let is_changed =
@@ -145,15 +163,18 @@
         if is_changed {
             // The job was cancelled, or an earlier write of ours ended it.
             self.note(Event::Withdrawn(entry.id.clone()));
-            return true;
+            return Clash::Job;
         }
         let progress = find(row::progress_key(queue, id))
             .filter(|row| row.revision != entry.progress_revision);
-        if let Some(row) = progress {
-            let other = load::progress_of(row, &self.log);
-            self.note(Event::Noted(entry.id.clone(), row.revision, other));
+        match progress {
+            None => Clash::None,
+            Some(row) => {
+                let other = load::progress_of(row, &self.log);
+                self.note(Event::Noted(entry.id.clone(), row.revision, other));
+                Clash::Progress
+            }
         }
-        progress.is_some()
     }
 
     fn note(&self, event: Event) {
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -185,17 +185,18 @@
     stop: Stop,
 ) -> io::Result<Duty> {
     Duty::spawn("hosts", move || {
-        while !stop.sleep(HOST_PERIOD) {
-            if !is_wanted.load(Ordering::Acquire) {
-                continue;
-            }
-            match hosts.hosts() {
-                Ok(list) => {
-                    if !tell(&events, Event::Hosts(list)) {
-                        return;
-                    }
+        while !stop.is_requested() {
+            let list = is_wanted.load(Ordering::Acquire).then(|| hosts.hosts());
+            let is_over = match list {
+                None => false,
+                Some(Ok(list)) => !tell(&events, Event::Hosts(list)),
+                Some(Err(error)) => {
+                    warn!(log, "hosts not listed"; "error" => %error);
+                    false
                 }
-                Err(error) => warn!(log, "hosts not listed"; "error" => %error),
+            };
+            if is_over || stop.sleep(HOST_PERIOD) {
+                return;
             }
         }
     })
--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -162,16 +162,6 @@
         let interval = u64::try_from(schedule.interval.as_millis()).unwrap_or(u64::MAX);
         Some(schedule.first_ms.saturating_add(interval.saturating_mul(u64::from(occurrence))))
     }
-
-    /// Returns the estimated length of the longest chain of steps.
-    pub fn chain(&self) -> Duration {
-        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let start = step.after.iter().filter_map(|&earlier| ends.get(earlier)).max();
-            ends.push(start.copied().unwrap_or_default() + step.estimate);
-        }
-        ends.into_iter().max().unwrap_or_default()
-    }
 }
 
 /// What a caller is told about a job.
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -9,6 +9,7 @@
 mod active;
 mod evacuation;
 mod fleet;
+mod learning;
 mod looks;
 mod order;
 mod pace;
@@ -27,7 +28,9 @@
 
 use skylarkwick_version::moment::Moment;
 
-use self::{active::Active, effect::Effect, fact::Queue, fleet::Fleet, server::Server};
+use self::{
+    active::Active, effect::Effect, fact::Queue, fleet::Fleet, learning::Learning, server::Server,
+};
 use crate::job::{self, State, task};
 
 /// What bounds a shard; the platform states most of these.
@@ -79,6 +82,7 @@
     /// Whether the platform's list of servers was read since the takeover.
     has_list: bool,
     fleet: Fleet,
+    learning: Learning,
     next_run: task::Run,
     dirty: BTreeSet<job::Id>,
     is_saving: bool,
@@ -96,6 +100,7 @@
             servers: BTreeMap::new(),
             has_list: false,
             fleet: Fleet::default(),
+            learning: Learning::default(),
             next_run: task::Run::first_of(term.number),
             dirty: BTreeSet::new(),
             is_saving: false,
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -4,7 +4,11 @@
 
 use skylarkwick_version::{moment::Moment, revision::Revision};
 
-use super::fact::{Accepted, ServerId};
+use super::{
+    fact::{Accepted, Queue, ServerId},
+    learning::Learning,
+    server::millis,
+};
 use crate::job::{
     Id, Job, State,
     progress::{Note, Place, Progress},
@@ -196,13 +200,47 @@
         self.outcome
     }
 
-    /// Returns the time by which the job should be over, and the time after
-    /// which it is of no more use.
-    pub(super) fn objective(&self, stretch: f64, target: Duration) -> (Moment, Moment) {
-        let chain = self.job.chain();
-        let objective = chain.mul_f64(stretch.clamp(1.0, 100.0)) + target;
+    /// Returns when the job should be over, and after which time it is of no more
+    /// use.
+    pub(super) fn objective(&self, queue: &Queue, learning: &Learning) -> (Moment, Moment) {
+        let chain = self.chain(|_| true, learning);
+        let objective = chain.mul_f64(queue.stretch.clamp(1.0, 100.0)) + queue.target;
         (self.accepted + objective, self.accepted + objective * USELESS_AFTER)
     }
+
+    /// Returns how long an occurrence still takes if nothing waits.
+    pub(super) fn remaining(&self, occurrence: &Occurrence, learning: &Learning) -> Duration {
+        self.chain(|step| !occurrence.is_step_done(step), learning)
+    }
+
+    /// Returns the longest chain of the steps that count.
+    fn chain(&self, counts: impl Fn(usize) -> bool, learning: &Learning) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.job.steps.len());
+        for (number, step) in self.job.steps.iter().enumerate() {
+            let start = step.after.iter().filter_map(|&earlier| ends.get(earlier)).max();
+            let own = match counts(number) {
+                true => learning.run_time(&self.queue, step),
+                false => Duration::ZERO,
+            };
+            ends.push(start.copied().unwrap_or_default() + own);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Returns the work that is left of tasks that end, in core-milliseconds.
+    pub(super) fn work_left(&self, learning: &Learning) -> u64 {
+        let mut work = 0_u64;
+        for occurrence in self.occurrences.values() {
+            let ending = occurrence.steps.iter().zip(&self.job.steps);
+            for (tasks, step) in ending.filter(|(_, step)| !step.is_lasting) {
+                let left = tasks.iter().filter(|task| task.phase != Phase::Done).count();
+                let each = millis(learning.run_time(&self.queue, step));
+                let tasks = u64::try_from(left).unwrap_or_default();
+                work += tasks * each * step.taken().millicores / 1000;
+            }
+        }
+        work
+    }
 }
 
 /// Objectives after which a job is of no more use to its caller.
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -15,7 +15,7 @@
 use super::{
     Shard,
     effect::Effect,
-    fact::{Host, HostAnswer, HostId, Standing, Wave},
+    fact::{Host, HostAnswer, HostId, ServerId, Standing, Wave},
     server::Server,
 };
 
@@ -25,9 +25,10 @@
 /// Pause before a refused order for a host is sent again.
 const ORDER_RETRY: Duration = Duration::from_millis(700);
 /// How long work must lack room before hosts are moved for it.
-const LACK_BEFORE_MOVE: Duration = Duration::from_millis(250);
-/// Share of its hosts' room that a pool's waiting work must exceed.
-const LACK_SHARE: f64 = 0.3;
+const LACK_BEFORE_MOVE: Duration = Duration::from_millis(100);
+/// Time in which a pool should be able to do all work that it was given; longer
+/// than a host takes to move, and short against the objectives of jobs.
+const HORIZON_MS: u64 = 1500;
 /// Idle hosts that a pool keeps when it gives some away.
 const KEPT_IDLE: usize = 2;
 /// Hosts that are emptied ahead of the ones that are down.
@@ -62,6 +63,8 @@
     /// Processor time that ready tasks lack in each pool.
     pub(super) unmet: BTreeMap<Arc<str>, u64>,
     lacking_since: BTreeMap<Arc<str>, Moment>,
+    /// Whether the platform's list of hosts was read since the takeover.
+    has_list: bool,
     hosts: BTreeMap<HostId, Host>,
     spare_pools: BTreeSet<Arc<str>>,
     waves: BTreeMap<u64, Round>,
@@ -70,6 +73,19 @@
 }
 
 impl Fleet {
+    /// Tells whether the platform's list of hosts is known.
+    pub(super) fn is_listed(&self) -> bool {
+        self.has_list
+    }
+
+    /// Returns the servers on the hosts of a pool that are up.
+    pub(super) fn servers_of(&self, pool: &str) -> impl Iterator<Item = &ServerId> {
+        let hosts = self.hosts.values();
+        hosts
+            .filter(move |host| &*host.pool == pool && host.standing == Standing::Up)
+            .filter_map(|host| host.server.as_ref())
+    }
+
     /// Tells whether a server's host is to get no new work.
     pub(super) fn is_reserved(&self, server: &Server) -> bool {
         server
@@ -86,6 +102,7 @@
 impl Shard {
     /// Puts the platform's list of hosts in force.
     pub fn list_hosts(&mut self, now: Moment, hosts: Vec<Host>) {
+        self.fleet.has_list = true;
         self.fleet.hosts = hosts.into_iter().map(|host| (host.id.clone(), host)).collect();
         let hosts = &self.fleet.hosts;
         self.fleet.orders.retain(|id, order| {
@@ -290,18 +307,15 @@
 
     /// Moves idle hosts to pools whose waiting work they can't hold.
     fn meet_lack(&mut self, now: Moment) {
-        let lacking: Vec<(Arc<str>, u64)> = self
+        let lacking: Vec<Arc<str>> = self
             .fleet
-            .unmet
+            .lacking_since
             .iter()
-            .filter(|(pool, _)| {
-                let since = self.fleet.lacking_since.get(*pool);
-                since.is_some_and(|since| now.since(*since) >= LACK_BEFORE_MOVE)
-            })
-            .map(|(pool, unmet)| (Arc::clone(pool), *unmet))
+            .filter(|(_, since)| now.since(**since) >= LACK_BEFORE_MOVE)
+            .map(|(pool, _)| Arc::clone(pool))
             .collect();
-        for (pool, unmet) in lacking {
-            for _ in 0..self.hosts_lacking(&pool, unmet) {
+        for pool in lacking {
+            for _ in 0..self.hosts_lacking(&pool) {
                 let Some(host) = self.giver(&pool) else {
                     return;
                 };
@@ -312,16 +326,32 @@
     }
 
     /// Returns how many more hosts a pool's waiting work needs.
-    #[expect(clippy::cast_precision_loss, reason = "millicores of a pool are far below 2^52")]
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped before")]
-    fn hosts_lacking(&self, pool: &Arc<str>, unmet: u64) -> usize {
+    fn hosts_lacking(&self, pool: &Arc<str>) -> usize {
         let own = self.fleet.hosts.values().filter(|host| host.pool == *pool);
         let room: u64 = own.clone().map(|host| host.capacity.millicores).sum();
-        let hosts = own.count().max(1) as u64;
-        let of_one = (room / hosts).max(1) as f64;
-        let beyond = unmet as f64 - room as f64 * LACK_SHARE;
-        let wanted = (beyond / of_one).ceil().clamp(0.0, 1000.0) as usize;
-        wanted.saturating_sub(self.incoming(pool))
+        let hosts = u64::try_from(own.count()).unwrap_or_default().max(1);
+        let of_one = (room / hosts).max(1);
+        let work: u64 = self
+            .jobs
+            .values()
+            .filter(|active| {
+                self.queues.get(&active.queue).is_some_and(|queue| queue.pool == *pool)
+            })
+            .map(|active| active.work_left(&self.learning))
+            .sum();
+        let wanted = work.saturating_mul(1000) / HORIZON_MS + self.lasting_millicores(pool);
+        let lacking = wanted.saturating_sub(room).div_ceil(of_one);
+        usize::try_from(lacking).unwrap_or_default().saturating_sub(self.incoming(pool))
+    }
+
+    /// Returns the processor time that lasting tasks hold in a pool.
+    fn lasting_millicores(&self, pool: &str) -> u64 {
+        let servers = self.servers.values().filter(|server| &*server.listing.pool == pool);
+        servers
+            .flat_map(|server| &server.runs)
+            .filter(|(task, _)| self.step(task).is_some_and(|step| step.is_lasting))
+            .map(|(_, taken)| taken.size.millicores)
+            .sum()
     }
 
     fn incoming(&self, pool: &Arc<str>) -> usize {
--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -276,11 +276,13 @@
             return;
         }
         server.seen = ended.number;
-        match server.runs.get(&ended.task).map(|taken| taken.run) {
-            Some(run) if run <= ended.run => {
-                server.runs.remove(&ended.task);
-            }
-            _ => {}
+        let known = server.runs.get(&ended.task).filter(|taken| taken.run <= ended.run);
+        let run_time = known.map(|taken| now.since(taken.since));
+        if known.is_some() {
+            server.runs.remove(&ended.task);
+        }
+        if let (Some(run_time), task::End::Done) = (run_time, ended.end) {
+            self.learn(&ended.task, run_time);
         }
         let is_lasting = self.is_lasting(&ended.task);
         let Some(server) = self.servers.get_mut(id) else {
@@ -296,6 +298,15 @@
         self.end_task(id, &ended);
     }
 
+    fn learn(&mut self, task: &task::Id, run_time: Duration) {
+        let Some(active) = self.jobs.get(&task.job) else {
+            return;
+        };
+        if let Some(step) = active.job.steps.get(task.step) {
+            self.learning.observe(&active.queue, step.estimate, run_time);
+        }
+    }
+
     /// Brings an end to its job, unless the task is known to run elsewhere.
     fn end_task(&mut self, id: &ServerId, ended: &Ended) {
         let Some(active) = self.jobs.get_mut(&ended.task.job) else {
--- a/crates/skylarkwick-request/src/shard/order.rs
+++ b/crates/skylarkwick-request/src/shard/order.rs
@@ -6,10 +6,10 @@
 
 use super::{
     Shard,
-    active::{Active, Phase},
+    active::{Active, Occurrence, Phase},
     fact::Queue,
 };
-use crate::job::{self, Job};
+use crate::job;
 
 /// Use that a start now would still be of, most useful first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,7 +62,7 @@
                     if waiting.is_empty() || !steps.is_open(&active.job, step) {
                         continue;
                     }
-                    let rank = rank(now, active, &active.job, step, queue);
+                    let rank = self.rank(now, active, steps, step, queue);
                     let job = id.clone();
                     ready.push(Ready { rank, job, occurrence, step, tasks: waiting });
                 }
@@ -79,22 +79,42 @@
         !active.is_inherited
             || now.since(self.term.since) > self.rules.doubt
             || (self.has_list
-                && self
-                    .servers
-                    .values()
-                    .filter(|server| server.listing.pool == queue.pool)
-                    .all(|server| server.is_fenced))
+                && self.fleet.is_listed()
+                && self.is_listed_pool_fenced(&queue.pool)
+                && self.is_hosted_pool_fenced(&queue.pool))
+    }
+
+    fn is_listed_pool_fenced(&self, pool: &str) -> bool {
+        let mut servers = self.servers.values().filter(|server| &*server.listing.pool == pool);
+        servers.all(|server| server.is_fenced)
     }
-}
 
-fn rank(now: Moment, active: &Active, job: &Job, step: usize, queue: &Queue) -> Rank {
-    let (objective, useless) = active.objective(queue.stretch, queue.target);
-    let use_left = match () {
-        () if job.steps[step].is_lasting => Use::Lasting,
-        () if now < objective => Use::Timely,
-        () if now < useless => Use::Late,
-        () => Use::Useless,
-    };
-    let begun = Reverse(active.has_begun());
-    Rank { use_left, priority: queue.priority, due: objective, begun }
+    /// Tells the same of the servers on the pool's hosts: one that is cut off
+    /// from the platform drops out of the list of servers and works on.
+    fn is_hosted_pool_fenced(&self, pool: &str) -> bool {
+        let mut servers = self.fleet.servers_of(pool);
+        servers.all(|id| self.servers.get(id).is_some_and(|server| server.is_fenced))
+    }
+
+    /// Ranks a step. A job that can't meet its objective any more waits behind
+    /// those that still can, because its result is then worth far less.
+    fn rank(
+        &self,
+        now: Moment,
+        active: &Active,
+        occurrence: &Occurrence,
+        step: usize,
+        queue: &Queue,
+    ) -> Rank {
+        let (objective, useless) = active.objective(queue, &self.learning);
+        let end = now + active.remaining(occurrence, &self.learning);
+        let use_left = match () {
+            () if active.job.steps[step].is_lasting => Use::Lasting,
+            () if end <= objective => Use::Timely,
+            () if end <= useless => Use::Late,
+            () => Use::Useless,
+        };
+        let begun = Reverse(active.has_begun());
+        Rank { use_left, priority: queue.priority, due: objective, begun }
+    }
 }
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -2,7 +2,7 @@
 
 mod shard;
 
-use shard::{Site, ended, rules, starts, step, stops, task};
+use shard::{POOL, Site, ended, rules, starts, step, stops, task, up};
 use skylarkwick_request::{
     job::{
         progress::{Note, Place, Progress},
@@ -12,20 +12,27 @@
 };
 use skylarkwick_version::revision::Revision;
 
+/// A shard just taken, whose hosts are listed.
+fn taken() -> Site {
+    let mut site = Site::new(2);
+    site.shard.list_hosts(site.now, Vec::new());
+    site
+}
+
 fn inherited() -> Accepted {
     Accepted { is_inherited: true, ..Site::accepted("job", vec![step(2, 4)]) }
 }
 
 #[test]
 fn waits_for_the_list_of_servers() {
-    let mut site = Site::new(2);
+    let mut site = taken();
     site.shard.submit(site.now, inherited());
     assert!(starts(&site.decide()).is_empty(), "no server is known, so none has answered");
 }
 
 #[test]
 fn waits_for_every_server_of_the_pool() {
-    let mut site = Site::new(2);
+    let mut site = taken();
     site.shard.submit(site.now, inherited());
     site.list(&["a", "b"]);
     site.look("a", &[], &[]);
@@ -36,7 +43,7 @@
 
 #[test]
 fn adopts_what_runs() {
-    let mut site = Site::new(2);
+    let mut site = taken();
     site.shard.submit(site.now, inherited());
     site.list(&["a"]);
     site.look("a", &[(task("job", 0, 0), Run(5), 40)], &[]);
@@ -48,7 +55,7 @@
 
 #[test]
 fn adopted_runs_have_a_lease() {
-    let mut site = Site::new(2);
+    let mut site = taken();
     site.shard.submit(site.now, inherited());
     site.list(&["a"]);
     let run = (task("job", 0, 0), Run(5), 40);
@@ -59,7 +66,7 @@
 
 #[test]
 fn new_jobs_need_not_wait() {
-    let mut site = Site::new(2);
+    let mut site = taken();
     site.list(&["a", "b"]);
     site.look("a", &[], &[]);
     site.submit("new", vec![step(1, 4)]);
@@ -68,7 +75,7 @@
 
 #[test]
 fn doubt_ends_with_the_last_lease() {
-    let mut site = Site::new(2);
+    let mut site = taken();
     site.shard.submit(site.now, inherited());
     site.list(&["a", "b"]);
     site.look("a", &[], &[]);
@@ -81,7 +88,7 @@
 
 #[test]
 fn ends_are_counted_once() {
-    let mut site = Site::new(2);
+    let mut site = taken();
     let mut progress = Progress::default();
     let place = Place { occurrence: 0, step: 0, index: 0 };
     let note = Note { failures: 1, last_end: Run(5), ..Note::default() };
@@ -97,10 +104,25 @@
 
 #[test]
 fn runs_of_jobs_that_are_over_are_stopped() {
-    let mut site = Site::new(2);
+    let mut site = taken();
     site.list(&["a"]);
     site.look("a", &[(task("gone", 0, 0), Run(5), 40)], &[]);
     let effects = site.decide();
     assert_eq!(stops(&effects).len(), 1);
     assert!(effects.iter().any(|effect| matches!(effect, Effect::Explain(_))));
 }
+
+#[test]
+fn waits_for_servers_that_left_the_list() {
+    let mut site = Site::new(2);
+    site.shard.submit(site.now, inherited());
+    site.list(&["a"]);
+    site.look("a", &[], &[]);
+    assert!(starts(&site.decide()).is_empty(), "the hosts are not listed yet");
+    // Server b is cut off from the platform, so its entry has lapsed.
+    let hosts = vec![up("a", POOL, Some("a")), up("b", POOL, Some("b"))];
+    site.shard.list_hosts(site.now, hosts);
+    assert!(starts(&site.decide()).is_empty(), "server b may run the tasks");
+    site.shard.list_hosts(site.now, vec![up("a", POOL, Some("a"))]);
+    assert_eq!(starts(&site.decide()).len(), 2);
+}
