Count failures as a set of runs, and read progress again once servers are fenced

Change: failed runs are a set, merged by union; a released lease waits for the writes under way; a contested holder reads progress again when the servers are fenced.

--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -248,7 +248,7 @@
 struct NoteRow {
     place: (u32, usize, usize),
     is_done: bool,
-    failures: u32,
+    failed: Vec<u64>,
     last_end: u64,
     checkpoint: String,
 }
@@ -258,7 +258,7 @@
         let row = |(place, note): (&Place, &Note)| NoteRow {
             place: (place.occurrence, place.step, place.index),
             is_done: note.is_done,
-            failures: note.failures,
+            failed: note.failed.iter().map(|run| run.0).collect(),
             last_end: note.last_end.0,
             checkpoint: note.checkpoint.to_string(),
         };
@@ -272,7 +272,7 @@
             let (occurrence, step, index) = row.place;
             let note = Note {
                 is_done: row.is_done,
-                failures: row.failures,
+                failed: row.failed.into_iter().map(Run).collect(),
                 last_end: Run(row.last_end),
                 checkpoint: Arc::from(row.checkpoint),
             };
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -16,7 +16,7 @@
 };
 use skylarkwick_process::{
     clock::{Boot, Clock},
-    duty::Stop,
+    duty::{Duty, Stop},
     ring,
 };
 use skylarkwick_request::{
@@ -84,7 +84,7 @@
             holder.run(&input, stop);
             done.request();
             drop(input);
-            drop(holder);
+            holder.finish();
             if let Ok(last) = given_back.receive_within(LEASE_WAIT) {
                 *lease = last;
             }
@@ -98,6 +98,7 @@
     shard: Shard,
     contacts: Contacts<O>,
     saver: ring::Sender<Work>,
+    saving: Duty,
     fleet: ring::Sender<fleet::Order>,
     wants_hosts: Arc<AtomicBool>,
     log: Logger,
@@ -122,8 +123,9 @@
         done: &Stop,
     ) -> io::Result<Holder<O>> {
         let Neighbours { store, orders, hosts, directory } = neighbours.clone();
-        let Taken { fencing, number, since, .. } = taken;
-        let mut shard = Shard::new(rules, Term { fencing, number, since });
+        let Taken { fencing, number, since, may_be_contested } = taken;
+        let mut shard =
+            Shard::new(rules, Term { fencing, number, since, is_contested: may_be_contested });
         let wants_hosts = Arc::new(AtomicBool::new(true));
         let next = || (events.clone(), log.clone(), done.clone());
         let (ring, line, stop) = next();
@@ -141,13 +143,14 @@
         let (ring, line, stop) = next();
         watch::jobs(store.clone(), revision, ring, line, stop)?;
         let (ring, line, stop) = next();
-        let saver = saver::start(store.clone(), directory, ring, line, stop)?;
+        let (saving, saver) = saver::start(store.clone(), directory, ring, line, stop)?;
         let entry = Arc::clone(&terms.entry);
         let fleet = fleet::start(store, hosts, entry, fencing, events.clone(), log.clone())?;
         Ok(Holder {
             shard,
             contacts: Contacts::new(orders, events.clone(), log.clone()),
             saver,
+            saving,
             fleet,
             wants_hosts,
             log: log.clone(),
@@ -183,6 +186,16 @@
         info!(self.log, "shard given up"; "lost" => self.is_lost);
     }
 
+    /// Ends the duties; what is being written is written first, because the next
+    /// holder starts from it.
+    fn finish(self) {
+        let Holder { saver, saving, contacts, fleet, log, .. } = self;
+        drop((saver, contacts, fleet));
+        if !saving.join() {
+            error!(log, "saver panicked");
+        }
+    }
+
     fn apply(&mut self, event: Event) {
         let now = Boot.now();
         match event {
@@ -211,6 +224,8 @@
             Event::Saved(batch) => self.shard.saved(&batch),
             Event::NotSaved(batch) => self.shard.not_saved(&batch),
             Event::Noted(id, revision, other) => self.shard.noted(&id, revision, other.as_ref()),
+            Event::Reread(Some(rows)) => self.shard.reread(rows),
+            Event::Reread(None) => self.shard.not_reread(),
             Event::HostAnswered(host, answer) => self.shard.host_answered(now, &host, answer),
             Event::WaveStored { wave, is_stored: true, is_completed } => {
                 self.shard.wave_stored(wave, is_completed);
@@ -281,6 +296,10 @@
                     "because" => because);
                 None
             }
+            Effect::Reread => {
+                let offered = self.saver.offer(Work::Reread);
+                offered.is_err().then_some(Event::Reread(None))
+            }
             Effect::StepDown => {
                 warn!(self.log, "shard lost"; "because" => "a backend server was fenced");
                 self.is_lost = true;
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -52,6 +52,19 @@
     known
 }
 
+/// Reads what is known of the tasks of all jobs.
+///
+/// # Errors
+///
+/// Returns a fault when the store does not answer.
+pub(super) fn progress<S: Store>(
+    store: &S,
+    log: &Logger,
+) -> Result<Vec<(job::Id, Revision, Progress)>, Fault> {
+    let known = progress_by_job(&store::read_table(store, row::PROGRESS)?, log);
+    Ok(known.into_iter().map(|(id, (revision, progress))| (id, revision, progress)).collect())
+}
+
 /// Reads the row of a job's progress.
 pub(super) fn progress_of(row: &Row, log: &Logger) -> Option<Progress> {
     let value = row.value.as_deref()?;
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -14,9 +14,10 @@
     ring,
 };
 use skylarkwick_request::{
-    job::{self, State},
+    job::{self, State, progress::Progress},
     shard::effect::{Batch, Change, Entry},
 };
+use skylarkwick_version::revision::Revision;
 use slog::{Logger, info, warn};
 
 use super::{event::Event, load};
@@ -31,6 +32,8 @@
 pub(super) enum Work {
     /// What became known of jobs.
     Batch(Batch),
+    /// Nothing: read the progress of all jobs after what was written before.
+    Reread,
     /// The jobs that wait.
     Backlog(BacklogRow),
     /// The progress of a wave.
@@ -52,18 +55,18 @@
     Progress,
 }
 
-/// Starts the duty; returns its ring.
+/// Starts the duty; returns it with its ring.
 pub(super) fn start<S: Store, D: Directory>(
     store: S,
     directory: D,
     events: ring::Sender<Event>,
     log: Logger,
     stop: Stop,
-) -> io::Result<ring::Sender<Work>> {
+) -> io::Result<(Duty, ring::Sender<Work>)> {
     let (work, input) = ring::bounded(RING);
     let saver = Saver { store, directory, events, log, stop };
-    Duty::spawn("saver", move || saver.run(&input))?;
-    Ok(work)
+    let duty = Duty::spawn("saver", move || saver.run(&input))?;
+    Ok((duty, work))
 }
 
 struct Saver<S, D> {
@@ -79,6 +82,7 @@
         while let Some(work) = input.receive() {
             let event = match work {
                 Work::Batch(batch) => self.batch(batch),
+                Work::Reread => Event::Reread(self.reread()),
                 Work::Backlog(backlog) => {
                     self.backlog(backlog);
                     continue;
@@ -94,6 +98,15 @@
         }
     }
 
+    fn reread(&self) -> Option<Vec<(job::Id, Revision, Progress)>> {
+        load::progress(&self.store, &self.log)
+            .inspect_err(|error| {
+                warn!(self.log, "progress unread"; "error" => %error);
+                self.stop.sleep(FAULT_PAUSE);
+            })
+            .ok()
+    }
+
     fn batch(&self, batch: Batch) -> Event {
         let mut by_queue: BTreeMap<Arc<str>, Vec<Entry>> = BTreeMap::new();
         for entry in &batch.entries {
--- a/crates/skylarkwick-request/src/job/progress.rs
+++ b/crates/skylarkwick-request/src/job/progress.rs
@@ -3,7 +3,10 @@
 //! A backend server forgets an end once it was acknowledged, so the end is
 //! written here first. See `docs/DESIGN.md`, section "Jobs".
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use super::task::Run;
 
@@ -23,8 +26,9 @@
 pub struct Note {
     /// Whether a run has ended well.
     pub is_done: bool,
-    /// Runs that have failed.
-    pub failures: u32,
+    /// Runs that have failed; a set, because two holders may each know of one
+    /// that the other does not.
+    pub failed: BTreeSet<Run>,
     /// The last run whose end was counted; a later holder may be told of it again.
     pub last_end: Run,
     /// Latest checkpoint, empty when there is none.
@@ -47,7 +51,7 @@
                 known.checkpoint = Arc::clone(&note.checkpoint);
             }
             known.is_done |= note.is_done;
-            known.failures = known.failures.max(note.failures);
+            known.failed.extend(&note.failed);
             known.last_end = known.last_end.max(note.last_end);
         }
     }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -60,6 +60,8 @@
     pub number: u64,
     /// When the shard was taken.
     pub since: Moment,
+    /// Whether the last holder may still be at work.
+    pub is_contested: bool,
 }
 
 /// How sure a holder is that nobody else holds the shard.
@@ -71,6 +73,17 @@
     Probable,
 }
 
+/// Whether what the last holder stored has to be read once more.
+///
+/// A holder that was still at work stores and acknowledges ends until the
+/// servers are fenced, so what was read before may lack some.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reread {
+    Due,
+    Asked,
+    Done,
+}
+
 /// The jobs of some pools and the hosts that run them.
 #[derive(Debug)]
 pub struct Shard {
@@ -81,6 +94,8 @@
     servers: BTreeMap<fact::ServerId, Server>,
     /// Whether the platform's list of servers was read since the takeover.
     has_list: bool,
+    /// Whether the progress of inherited jobs is whole.
+    reread: Reread,
     fleet: Fleet,
     learning: Learning,
     next_run: task::Run,
@@ -99,6 +114,7 @@
             jobs: BTreeMap::new(),
             servers: BTreeMap::new(),
             has_list: false,
+            reread: if term.is_contested { Reread::Due } else { Reread::Done },
             fleet: Fleet::default(),
             learning: Learning::default(),
             next_run: task::Run::first_of(term.number),
@@ -145,6 +161,7 @@
             self.expire(now);
         }
         self.open_occurrences(unix_ms);
+        self.ask_reread(now);
         self.place(now);
         self.evacuate(now);
         self.move_hosts(now);
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -247,5 +247,6 @@
 const USELESS_AFTER: u32 = 3;
 
 fn has_failed(task: &Task, max_attempts: u32) -> bool {
-    task.phase != Phase::Done && task.note.failures >= max_attempts.max(1)
+    task.phase != Phase::Done
+        && task.note.failed.len() >= usize::try_from(max_attempts.max(1)).unwrap_or(usize::MAX)
 }
--- a/crates/skylarkwick-request/src/shard/effect.rs
+++ b/crates/skylarkwick-request/src/shard/effect.rs
@@ -88,6 +88,8 @@
     },
     /// Tell why something was decided.
     Explain(Reason),
+    /// Read the progress of inherited jobs once more.
+    Reread,
     /// Another holder has taken over: stop.
     StepDown,
 }
--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -312,6 +312,7 @@
         let Some(active) = self.jobs.get_mut(&ended.task.job) else {
             return;
         };
+        let is_lasting = active.job.steps.get(ended.task.step).is_some_and(|step| step.is_lasting);
         let Some(task) = active.task_mut(Place::of(&ended.task)) else {
             return;
         };
@@ -332,7 +333,9 @@
                 task.note.is_done = true;
             }
             task::End::Failed => {
-                task.note.failures += 1;
+                if !is_lasting {
+                    task.note.failed.insert(ended.run);
+                }
                 task.avoid = Some(id.clone());
             }
             task::End::Stopped => {}
--- a/crates/skylarkwick-request/src/shard/order.rs
+++ b/crates/skylarkwick-request/src/shard/order.rs
@@ -1,15 +1,19 @@
 //! The order in which waiting work gets room.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, sync::Arc, time::Duration};
 
-use skylarkwick_version::moment::Moment;
+use skylarkwick_version::{moment::Moment, revision::Revision};
 
 use super::{
-    Shard,
+    Reread, Shard,
     active::{Active, Occurrence, Phase},
+    effect::Effect,
     fact::Queue,
 };
-use crate::job;
+use crate::job::{self, progress::Progress};
+
+/// Longest wait for servers that do not answer before progress is read again.
+const REREAD_WAIT: Duration = Duration::from_millis(1500);
 
 /// Use that a start now would still be of, most useful first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -78,10 +82,39 @@
     fn is_free_of_doubt(&self, now: Moment, active: &Active, queue: &Queue) -> bool {
         !active.is_inherited
             || now.since(self.term.since) > self.rules.doubt
-            || (self.has_list
-                && self.fleet.is_listed()
-                && self.is_listed_pool_fenced(&queue.pool)
-                && self.is_hosted_pool_fenced(&queue.pool))
+            || (self.reread == Reread::Done && self.is_pool_fenced(&queue.pool))
+    }
+
+    fn is_pool_fenced(&self, pool: &str) -> bool {
+        self.has_list
+            && self.fleet.is_listed()
+            && self.is_listed_pool_fenced(pool)
+            && self.is_hosted_pool_fenced(pool)
+    }
+
+    /// Asks for the progress of inherited jobs once every server that answers is
+    /// fenced, so that the last holder can acknowledge nothing more.
+    pub(super) fn ask_reread(&mut self, now: Moment) {
+        let has_waited = now.since(self.term.since) > REREAD_WAIT;
+        let pools: Vec<&Arc<str>> = self.queues.values().map(|queue| &queue.pool).collect();
+        let is_fenced = pools.into_iter().all(|pool| self.is_pool_fenced(pool));
+        if self.reread == Reread::Due && (is_fenced || has_waited) {
+            self.reread = Reread::Asked;
+            self.effects.push(Effect::Reread);
+        }
+    }
+
+    /// Adds the progress that was read once more.
+    pub fn reread(&mut self, rows: Vec<(job::Id, Revision, Progress)>) {
+        for (id, revision, progress) in rows {
+            self.noted(&id, revision, Some(&progress));
+        }
+        self.reread = Reread::Done;
+    }
+
+    /// Notes that the progress could not be read.
+    pub fn not_reread(&mut self) {
+        self.reread = Reread::Due;
     }
 
     fn is_listed_pool_fenced(&self, pool: &str) -> bool {
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -91,7 +91,7 @@
     let mut site = taken();
     let mut progress = Progress::default();
     let place = Place { occurrence: 0, step: 0, index: 0 };
-    let note = Note { failures: 1, last_end: Run(5), ..Note::default() };
+    let note = Note { failed: [Run(5)].into(), last_end: Run(5), ..Note::default() };
     progress.notes.insert(place, note);
     let accepted = Accepted { progress, progress_revision: Revision(9), ..inherited() };
     site.shard.submit(site.now, accepted);
@@ -126,3 +126,40 @@
     site.shard.list_hosts(site.now, vec![up("a", POOL, Some("a"))]);
     assert_eq!(starts(&site.decide()).len(), 2);
 }
+
+#[test]
+fn progress_is_read_again_once_the_servers_are_fenced() {
+    let mut site = Site::contested(2);
+    site.shard.list_hosts(site.now, Vec::new());
+    site.shard.submit(site.now, inherited());
+    site.list(&["a"]);
+    let asks = |effects: &[Effect]| effects.contains(&Effect::Reread);
+    assert!(!asks(&site.decide()), "the last holder can still acknowledge ends");
+    site.look("a", &[], &[]);
+    let effects = site.decide();
+    assert!(asks(&effects));
+    assert!(starts(&effects).is_empty());
+    // The last holder has stored an end since the jobs were loaded.
+    let mut progress = Progress::default();
+    let place = Place { occurrence: 0, step: 0, index: 0 };
+    progress.notes.insert(place, Note { is_done: true, last_end: Run(5), ..Note::default() });
+    site.shard.reread(vec![(inherited().id, Revision(12), progress)]);
+    let started = starts(&site.decide());
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1.task, task("job", 0, 1));
+}
+
+#[test]
+fn failures_known_to_either_holder_count() {
+    let place = Place { occurrence: 0, step: 0, index: 0 };
+    let failed = |run| {
+        let mut progress = Progress::default();
+        let note = Note { failed: [Run(run)].into(), last_end: Run(run), ..Note::default() };
+        progress.notes.insert(place, note);
+        progress
+    };
+    let mut known = failed(5);
+    known.merge(&failed(6));
+    known.merge(&failed(5));
+    assert_eq!(known.notes[&place].failed.len(), 2);
+}
--- a/crates/skylarkwick-request/tests/shard/mod.rs
+++ b/crates/skylarkwick-request/tests/shard/mod.rs
@@ -104,8 +104,18 @@
 impl Site {
     /// A shard that was just taken, as the `number`th holder.
     pub(crate) fn new(number: u64) -> Site {
+        Site::taken(number, false)
+    }
+
+    /// A shard whose last holder may still be at work.
+    pub(crate) fn contested(number: u64) -> Site {
+        Site::taken(number, true)
+    }
+
+    fn taken(number: u64, is_contested: bool) -> Site {
         let now = Moment::from_start(ms(60_000));
-        let mut shard = Shard::new(rules(), Term { fencing: number, number, since: now });
+        let term = Term { fencing: number, number, since: now, is_contested };
+        let mut shard = Shard::new(rules(), term);
         shard.configure(vec![queue(QUEUE, POOL)]);
         Site { shard, now, listings: Vec::new() }
     }
