Judge jobs again when queues come in force; hand hosts over one by one

Change: configure judges the jobs known so far; batches of 33; a pool of senders, six a server; the wait for the last holder's order is a host's own; an entry host that the store does not answer refuses at once.

--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -322,6 +322,8 @@
     pub holder: String,
     /// Fencing number of its shard.
     pub fencing: u64,
+    /// When the order was written down, on the store's clock in milliseconds.
+    pub ordered_ms: u64,
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -35,7 +35,7 @@
 /// Time after which a refused caller is asked to come back.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Silence of the store after which the entry host is not ready.
-const STORE_SILENCE: Duration = Duration::from_millis(3500);
+const STORE_SILENCE: Duration = Duration::from_millis(2200);
 /// Time that is left of a caller's deadline for the answer to travel.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Pause before a write that was refused is tried again.
@@ -136,10 +136,14 @@
     /// Tells whether callers can be served: the configuration is known, the
     /// store has answered lately and nobody asked the process to stop.
     pub fn is_ready(&self) -> bool {
-        let heard = *self.shared.heard.lock().unwrap_or_else(PoisonError::into_inner);
-        let answers = heard.is_some_and(|heard| Boot.now().since(heard) < STORE_SILENCE);
         let is_stopping = self.shared.is_stopping.load(Ordering::Acquire);
-        answers && !is_stopping && self.configuration().is_some()
+        self.hears_store() && !is_stopping && self.configuration().is_some()
+    }
+
+    /// Tells whether the store has answered lately; its feed answers each second.
+    fn hears_store(&self) -> bool {
+        let heard = *self.shared.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.is_some_and(|heard| Boot.now().since(heard) < STORE_SILENCE)
     }
 
     /// Lets the platform send new callers elsewhere.
@@ -148,10 +152,18 @@
     }
 
     /// Accepts a job once it is stored.
+    ///
+    /// While the store does not answer this entry host, the job is refused before
+    /// anything is sent, so that its caller can try another one at once.
     pub fn submit(&self, queue: &str, id: &Id, job: &Job, deadline: Duration) -> Submitted {
         if let Err(fault) = job.check() {
             return Submitted::Invalid(fault);
         }
+        if !self.hears_store() {
+            info!(self.log, "refused"; "job" => id.as_str(), "queue" => queue,
+                "because" => "the store does not answer");
+            return Submitted::Refused;
+        }
         let body = JobBody::from(job);
         let row = JobRow::Live { accepted_ms: self.store.clock_ms(), body };
         let key = row::job_key(queue, id.as_str());
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -31,8 +31,6 @@
 const LEASE: Duration = Duration::from_millis(4600);
 /// Longest time that a start may still begin after it was sent.
 const START_WINDOW: Duration = Duration::from_millis(1300);
-/// Added to the time between two holders' orders for one host.
-const HANDOVER_MARGIN: Duration = Duration::from_millis(1200);
 /// Slack for slow clocks and for answers under way.
 const DOUBT_MARGIN: Duration = Duration::from_millis(500);
 
@@ -93,7 +91,6 @@
         lease,
         start_window: START_WINDOW,
         doubt: overhang + lease.mul_f64(1.03) + DOUBT_MARGIN,
-        handover: terms.handover + HANDOVER_MARGIN,
         notice: terms.notice,
     }
 }
--- a/crates/skylarkwick-planner/src/jobs/fleet.rs
+++ b/crates/skylarkwick-planner/src/jobs/fleet.rs
@@ -5,7 +5,7 @@
 //! order's fencing number, so that numbers only grow for each host, whoever
 //! gives the order. See `docs/DESIGN.md`, section "Hosts and waves".
 
-use std::{io, sync::Arc};
+use std::{io, sync::Arc, time::Duration};
 
 use skylarkwick_connection::{
     order::{Hosts, Seal},
@@ -40,12 +40,36 @@
     }
 }
 
+/// Who gives orders.
+#[derive(Clone, Debug)]
+pub(super) struct Holder {
+    /// The entry host of this process.
+    pub(super) entry: Arc<str>,
+    /// Fencing number of the shard.
+    pub(super) fencing: u64,
+    /// Time between the orders of two holders for one host.
+    pub(super) handover: Duration,
+}
+
+impl Holder {
+    /// Returns why the last order for a host keeps this holder from giving one.
+    fn obstacle(&self, last: &HostRow, now_ms: u64) -> Option<&'static str> {
+        let age = Duration::from_millis(now_ms.saturating_sub(last.ordered_ms));
+        match () {
+            () if last.fencing > self.fencing => Some("a later holder gives orders"),
+            () if last.fencing < self.fencing && age < self.handover => {
+                Some("the last holder's order may still arrive")
+            }
+            () => None,
+        }
+    }
+}
+
 /// Starts the duty; returns its ring.
 pub(super) fn start<S: Store, H: Hosts>(
     store: S,
     hosts: H,
-    entry: Arc<str>,
-    fencing: u64,
+    holder: Holder,
     events: ring::Sender<Event>,
     log: Logger,
 ) -> io::Result<ring::Sender<Order>> {
@@ -53,7 +77,7 @@
     Duty::spawn("fleet", move || {
         while let Some(order) = input.receive() {
             let host = order.host().clone();
-            let answer = match seal(&store, &host, &entry, fencing, &log) {
+            let answer = match seal(&store, &host, &holder, &log) {
                 None => HostAnswer::Busy,
                 Some(seal) => give(&hosts, &seal, &order),
             };
@@ -74,23 +98,18 @@
 }
 
 /// Writes an order down; nothing when a later holder may give orders.
-fn seal<S: Store>(
-    store: &S,
-    host: &HostId,
-    entry: &Arc<str>,
-    fencing: u64,
-    log: &Logger,
-) -> Option<Seal> {
+fn seal<S: Store>(store: &S, host: &HostId, holder: &Holder, log: &Logger) -> Option<Seal> {
     let key = row::host_key(&host.0);
-    let (last, _) = store::read_one(store, &key)
+    let (last, now_ms) = store::read_one(store, &key)
         .inspect_err(|error| warn!(log, "order unread"; "host" => %host, "error" => %error))
         .ok()?;
     let known = last.value.as_deref().and_then(|value| row::decode::<HostRow>(value).ok());
-    if known.is_some_and(|known| known.fencing > fencing) {
-        warn!(log, "order withheld"; "host" => %host, "because" => "a later holder gives orders");
+    if let Some(because) = known.and_then(|known| holder.obstacle(&known, now_ms)) {
+        warn!(log, "order withheld"; "host" => %host, "because" => because);
         return None;
     }
-    let next = HostRow { holder: entry.to_string(), fencing };
+    let entry = &holder.entry;
+    let next = HostRow { holder: entry.to_string(), fencing: holder.fencing, ordered_ms: now_ms };
     let change = Transaction::default().replace(key, last.revision, row::encode(&next));
     match store::settle(store, &change) {
         Settled::Applied(revision) => Some(Seal { holder: Arc::clone(entry), fencing: revision.0 }),
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -49,6 +49,8 @@
 const GATHER: Duration = Duration::from_millis(4);
 /// How often the backlog is written when it has changed.
 const BACKLOG_PERIOD: Duration = Duration::from_millis(700);
+/// How often the load of each pool is logged.
+const LOAD_PERIOD: Duration = Duration::from_secs(1);
 /// Pause before the rows are read again after a fault.
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for the lease after its renewals were told to end.
@@ -109,6 +111,7 @@
     wall: Wall,
     backlog: BTreeMap<Arc<str>, Vec<job::Id>>,
     backlog_due: Moment,
+    load_due: Moment,
     follow_ups: VecDeque<Event>,
 }
 
@@ -144,8 +147,9 @@
         watch::jobs(store.clone(), revision, ring, line, stop)?;
         let (ring, line, stop) = next();
         let (saving, saver) = saver::start(store.clone(), directory, ring, line, stop)?;
-        let entry = Arc::clone(&terms.entry);
-        let fleet = fleet::start(store, hosts, entry, fencing, events.clone(), log.clone())?;
+        let (entry, handover) = (Arc::clone(&terms.entry), terms.handover);
+        let giver = fleet::Holder { entry, fencing, handover };
+        let fleet = fleet::start(store, hosts, giver, events.clone(), log.clone())?;
         Ok(Holder {
             shard,
             contacts: Contacts::new(orders, events.clone(), log.clone()),
@@ -161,6 +165,7 @@
             wall: Wall::new(Boot.now()),
             backlog: BTreeMap::new(),
             backlog_due: Moment::ZERO,
+            load_due: Moment::ZERO,
             follow_ups: VecDeque::new(),
         })
     }
@@ -215,6 +220,7 @@
             Event::Blind(_, Blind::Fenced) => self.is_lost = true,
             Event::Blind(server, Blind::OtherLife) => self.shard.replaced(&server),
             Event::Blind(server, Blind::Silent(_)) => self.shard.silent(now, &server),
+            Event::Sent(sender, server) => self.contacts.finished(sender, &server),
             Event::Started(server, task, run, answer) => {
                 self.shard.started(now, &server, &task, run, answer);
             }
@@ -256,6 +262,7 @@
         }
         self.wants_hosts.store(self.shard.wants_hosts(), Ordering::Release);
         self.publish_backlog(now);
+        self.log_load(now);
     }
 
     fn carry_out(&mut self, effect: Effect) {
@@ -317,6 +324,18 @@
         None
     }
 
+    fn log_load(&mut self, now: Moment) {
+        if now < self.load_due {
+            return;
+        }
+        self.load_due = now + LOAD_PERIOD;
+        for (pool, load) in self.shard.summary(now) {
+            info!(self.log, "load"; "pool" => &*pool, "jobs" => load.jobs,
+                "servers" => load.servers, "usable" => load.usable, "idle" => load.idle,
+                "runs" => load.runs, "unmet_millicores" => load.unmet_millicores);
+        }
+    }
+
     fn publish_backlog(&mut self, now: Moment) {
         if now < self.backlog_due {
             return;
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -43,9 +43,6 @@
     /// Longest time that the last holder may have gone on without its lease,
     /// and what it started after that.
     pub doubt: Duration,
-    /// Time after a takeover in which no host may be moved or maintained,
-    /// because the last holder's orders may still arrive.
-    pub handover: Duration,
     /// Time after which a lasting task that is not at work counts as away.
     pub notice: Duration,
 }
@@ -124,9 +121,13 @@
         }
     }
 
-    /// Puts queues in force.
+    /// Puts queues in force; what they allow decides of the jobs known so far.
     pub fn configure(&mut self, queues: Vec<Queue>) {
         self.queues = queues.into_iter().map(|queue| (Arc::clone(&queue.name), queue)).collect();
+        let ids: Vec<job::Id> = self.jobs.keys().cloned().collect();
+        for id in &ids {
+            self.settle_job(id);
+        }
     }
 
     /// Adds a job, unless it is known.
@@ -153,9 +154,9 @@
 
     /// Decides what to do next; the caller carries every effect out.
     ///
-    /// What a silent server runs is given up only while the lease was confirmed
-    /// so lately that no other holder can have taken it over: the next holder may
-    /// reach a server that this one can't, and keep its runs alive.
+    /// What a silent server runs is given up, and hosts are ordered, only while the
+    /// lease was confirmed so lately that no other holder can have taken it over:
+    /// the next holder may reach a server that this one can't.
     pub fn decide(&mut self, now: Moment, unix_ms: u64, hold: Hold) -> Vec<Effect> {
         if hold == Hold::Certain {
             self.expire(now);
@@ -164,7 +165,9 @@
         self.ask_reread(now);
         self.place(now);
         self.evacuate(now);
-        self.move_hosts(now);
+        if hold == Hold::Certain {
+            self.move_hosts(now);
+        }
         self.adjust_pace(now);
         self.retry_stops(now);
         self.save();
@@ -184,14 +187,25 @@
         waiting
     }
 
-    /// Returns the sizes of what the shard knows, for logs and metrics.
-    pub fn summary(&self) -> Summary {
-        Summary {
-            jobs: self.jobs.len(),
-            servers: self.servers.len(),
-            runs: self.servers.values().map(|server| server.runs.len()).sum(),
-            unmet_millicores: self.fleet.unmet.values().sum(),
+    /// Returns the load of each pool, for logs and metrics.
+    pub fn summary(&self, now: Moment) -> BTreeMap<Arc<str>, Summary> {
+        let mut pools: BTreeMap<Arc<str>, Summary> = BTreeMap::new();
+        for server in self.servers.values() {
+            let pool = pools.entry(Arc::clone(&server.listing.pool)).or_default();
+            pool.servers += 1;
+            pool.usable += usize::from(server.takes_work(now) && !self.fleet.is_reserved(server));
+            pool.idle += usize::from(server.runs.is_empty());
+            pool.runs += server.runs.len();
+        }
+        for (name, unmet) in &self.fleet.unmet {
+            pools.entry(Arc::clone(name)).or_default().unmet_millicores = *unmet;
+        }
+        for active in self.jobs.values() {
+            if let Some(queue) = self.queues.get(&active.queue) {
+                pools.entry(Arc::clone(&queue.pool)).or_default().jobs += 1;
+            }
         }
+        pools
     }
 
     /// Notes a job's outcome once its tasks allow one.
@@ -215,13 +229,17 @@
     }
 }
 
-/// Sizes of what a shard knows.
+/// Load of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Summary {
     /// Jobs that are not over.
     pub jobs: usize,
     /// Backend servers.
     pub servers: usize,
+    /// Backend servers that take new work.
+    pub usable: usize,
+    /// Backend servers that run nothing.
+    pub idle: usize,
     /// Runs in progress.
     pub runs: usize,
     /// Processor time that ready tasks lack, in thousandths of a core.
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -227,22 +227,32 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the work that is left of tasks that end, in core-milliseconds.
-    pub(super) fn work_left(&self, learning: &Learning) -> u64 {
-        let mut work = 0_u64;
+    /// Returns the processor time that the job uses while nothing of it waits.
+    pub(super) fn millicores_at_full_speed(&self, learning: &Learning) -> u64 {
+        let mut millicores = 0;
         for occurrence in self.occurrences.values() {
-            let ending = occurrence.steps.iter().zip(&self.job.steps);
-            for (tasks, step) in ending.filter(|(_, step)| !step.is_lasting) {
-                let left = tasks.iter().filter(|task| task.phase != Phase::Done).count();
-                let each = millis(learning.run_time(&self.queue, step));
-                let tasks = u64::try_from(left).unwrap_or_default();
-                work += tasks * each * step.taken().millicores / 1000;
-            }
+            let chain = millis(self.remaining(occurrence, learning)).max(SHORTEST_CHAIN_MS);
+            millicores += self.work_left(occurrence, learning) / chain;
+        }
+        millicores
+    }
+
+    /// Returns the work that is left of tasks that end, in millicores times
+    /// milliseconds.
+    fn work_left(&self, occurrence: &Occurrence, learning: &Learning) -> u64 {
+        let mut work = 0_u64;
+        let ending = occurrence.steps.iter().zip(&self.job.steps);
+        for (tasks, step) in ending.filter(|(_, step)| !step.is_lasting) {
+            let left = tasks.iter().filter(|task| task.phase != Phase::Done).count();
+            let each = millis(learning.run_time(&self.queue, step));
+            work += u64::try_from(left).unwrap_or_default() * each * step.taken().millicores;
         }
         work
     }
 }
 
+/// Shortest chain by which work is spread over time.
+const SHORTEST_CHAIN_MS: u64 = 300;
 /// Objectives after which a job is of no more use to its caller.
 const USELESS_AFTER: u32 = 3;
 
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -26,9 +26,9 @@
 const ORDER_RETRY: Duration = Duration::from_millis(700);
 /// How long work must lack room before hosts are moved for it.
 const LACK_BEFORE_MOVE: Duration = Duration::from_millis(100);
-/// Time in which a pool should be able to do all work that it was given; longer
-/// than a host takes to move, and short against the objectives of jobs.
-const HORIZON_MS: u64 = 1500;
+/// Hosts asked for beyond what the jobs at hand use at full speed, in percent:
+/// more come while a host moves.
+const HEADROOM_PERCENT: u64 = 130;
 /// Idle hosts that a pool keeps when it gives some away.
 const KEPT_IDLE: usize = 2;
 /// Hosts that are emptied ahead of the ones that are down.
@@ -144,7 +144,7 @@
                     self.begin_maintenance(number, id);
                 }
             }
-            (HostAnswer::Busy, _) => order.sent = now,
+            (HostAnswer::Busy, _) => order.sent = now - (ORDER_SETTLES - ORDER_RETRY),
             (HostAnswer::Refused, Purpose::Maintain(number)) => {
                 // The platform knows no such host in this wave, so nothing is due.
                 self.fleet.orders.remove(id);
@@ -177,10 +177,9 @@
         }
     }
 
-    /// Moves and maintains hosts, as far as the last holder's orders can't
-    /// arrive any more.
+    /// Moves and maintains hosts.
     pub(super) fn move_hosts(&mut self, now: Moment) {
-        if now.since(self.term.since) < self.rules.handover || self.fleet.hosts.is_empty() {
+        if self.fleet.hosts.is_empty() {
             return;
         }
         self.note_lack(now);
@@ -331,15 +330,15 @@
         let room: u64 = own.clone().map(|host| host.capacity.millicores).sum();
         let hosts = u64::try_from(own.count()).unwrap_or_default().max(1);
         let of_one = (room / hosts).max(1);
-        let work: u64 = self
+        let used: u64 = self
             .jobs
             .values()
             .filter(|active| {
                 self.queues.get(&active.queue).is_some_and(|queue| queue.pool == *pool)
             })
-            .map(|active| active.work_left(&self.learning))
+            .map(|active| active.millicores_at_full_speed(&self.learning))
             .sum();
-        let wanted = work.saturating_mul(1000) / HORIZON_MS + self.lasting_millicores(pool);
+        let wanted = used * HEADROOM_PERCENT / 100 + self.lasting_millicores(pool);
         let lacking = wanted.saturating_sub(room).div_ceil(of_one);
         usize::try_from(lacking).unwrap_or_default().saturating_sub(self.incoming(pool))
     }
--- a/crates/skylarkwick-request/src/shard/saving.rs
+++ b/crates/skylarkwick-request/src/shard/saving.rs
@@ -8,9 +8,9 @@
 };
 use crate::job::{self, State, progress::Progress};
 
-/// Jobs written at once; the platform takes a hundred rows, and a job that is
-/// over changes two.
-const MAX_ENTRIES: usize = 40;
+/// Jobs written at once; the platform takes a hundred conditions, writes and
+/// removals together, and a job needs three.
+const MAX_ENTRIES: usize = 33;
 
 impl Shard {
     /// Writes what changed, one batch at a time.
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -163,3 +163,18 @@
     known.merge(&failed(5));
     assert_eq!(known.notes[&place].failed.len(), 2);
 }
+
+#[test]
+fn attempts_count_before_the_configuration_is_known() {
+    let mut site = taken();
+    site.shard.configure(Vec::new());
+    let mut progress = Progress::default();
+    let place = Place { occurrence: 0, step: 0, index: 0 };
+    let failed = [Run(5), Run(6)].into();
+    progress.notes.insert(place, Note { failed, last_end: Run(6), ..Note::default() });
+    site.shard.submit(site.now, Accepted { progress, ..inherited() });
+    site.shard.configure(vec![shard::queue(shard::QUEUE, POOL)]);
+    site.list(&["a"]);
+    site.look("a", &[], &[]);
+    assert!(starts(&site.decide()).is_empty(), "the task has failed as often as it may");
+}
