--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -295,7 +295,7 @@
             }
             _ => {}
         }
-        self.end_task(id, &ended);
+        self.end_task(now, id, &ended);
     }
 
     fn learn(&mut self, task: &task::Id, run_time: Duration) {
@@ -307,21 +307,26 @@
         }
     }
 
-    /// Brings an end to its job, unless the task is known to run elsewhere.
-    fn end_task(&mut self, id: &ServerId, ended: &Ended) {
+    /// Brings an end to its job.
+    ///
+    /// A new holder hears of ends in any order, of some once more, and of some
+    /// after it has adopted a later run of the same task.
+    fn end_task(&mut self, now: Moment, id: &ServerId, ended: &Ended) {
         let Some(active) = self.jobs.get_mut(&ended.task.job) else {
             return;
         };
-        let is_lasting = active.job.steps.get(ended.task.step).is_some_and(|step| step.is_lasting);
+        let steps = &active.job.steps;
+        let is_lasting = steps.get(ended.task.step).is_some_and(|step| step.is_lasting);
         let Some(task) = active.task_mut(Place::of(&ended.task)) else {
             return;
         };
-        match &task.phase {
-            Phase::Done => return,
-            Phase::On(server) if server != id => return,
-            _ => task.phase = Phase::Waiting,
+        if task.phase == Phase::Done {
+            return;
         }
-        // A new holder hears of ends in any order, and of some once more.
+        let elsewhere = match &task.phase {
+            Phase::On(server) if server != id => Some(server.clone()),
+            _ => None,
+        };
         let is_latest = ended.run > task.note.last_end;
         task.note.last_end = task.note.last_end.max(ended.run);
         if is_latest && !ended.checkpoint.is_empty() {
@@ -340,6 +345,11 @@
             }
             task::End::Stopped => {}
         }
+        match elsewhere {
+            Some(server) if ended.end == task::End::Done => self.stop(now, &server, &ended.task),
+            None if ended.end != task::End::Done => task.phase = Phase::Waiting,
+            _ => {}
+        }
         self.dirty.insert(ended.task.job.clone());
         self.settle_job(&ended.task.job);
     }
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -188,3 +188,28 @@
     site.look("b", &[], &[ended(1, task("job", 0, 0), Run(5), End::Failed)]);
     assert!(starts(&site.decide()).is_empty(), "the task has failed as often as it may");
 }
+
+#[test]
+fn earlier_failures_count_after_a_later_run_is_adopted() {
+    let mut site = taken();
+    site.shard.submit(site.now, inherited());
+    site.list(&["a", "b", "c"]);
+    site.look("a", &[(task("job", 0, 0), Run(7), 10)], &[]);
+    site.look("b", &[], &[ended(1, task("job", 0, 0), Run(5), End::Failed)]);
+    site.look("c", &[], &[ended(1, task("job", 0, 0), Run(6), End::Failed)]);
+    let effects = site.decide();
+    assert!(starts(&effects).is_empty());
+    assert_eq!(stops(&effects).len(), 1, "the job has failed, so its last run is stopped");
+}
+
+#[test]
+fn a_late_good_end_stops_the_run_that_repeats_it() {
+    let mut site = taken();
+    site.shard.submit(site.now, inherited());
+    site.list(&["a", "b"]);
+    site.look("a", &[(task("job", 0, 0), Run(7), 10)], &[]);
+    site.look("b", &[], &[ended(1, task("job", 0, 0), Run(5), End::Done)]);
+    let effects = site.decide();
+    assert_eq!(stops(&effects).len(), 1);
+    assert_eq!(starts(&effects).len(), 1, "only the other task is left");
+}
