Send idle hosts back by peak demand, ask for more ahead; split looks and fleet

Cause: a queue's turn met a pool that had given its hosts away, and the hosts of the last turn stood idle elsewhere for the first seconds of the next.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -7,6 +7,9 @@
 //! tests. See `docs/DESIGN.md`, section "Shards".
 
 mod active;
+mod answers;
+mod demand;
+mod ends;
 mod evacuation;
 mod fleet;
 mod learning;
--- /dev/null
+++ b/crates/skylarkwick-request/src/shard/answers.rs
@@ -0,0 +1,142 @@
+//! Answers of backend servers to orders, and the stops of runs.
+
+use std::time::Duration;
+
+use skylarkwick_version::moment::Moment;
+
+use super::{
+    Shard,
+    effect::Effect,
+    fact::{Answer, Refusal, ServerId},
+    server::Stage,
+};
+use crate::job::task;
+
+/// Pause before a stop without an answer is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(400);
+/// Time without new work for a server that has less room than known.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(150);
+
+impl Shard {
+    /// Notes the answer to a start.
+    pub fn started(
+        &mut self,
+        now: Moment,
+        id: &ServerId,
+        task: &task::Id,
+        run: task::Run,
+        answer: Answer,
+    ) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let Some(taken) = server.runs.get_mut(task).filter(|taken| taken.run == run) else {
+            return;
+        };
+        match answer {
+            Answer::Done(reading) => {
+                if taken.stage == Stage::Starting {
+                    taken.stage = Stage::Running;
+                    taken.since = now;
+                }
+                server.note(reading);
+            }
+            Answer::Refused(Refusal::Fenced, _) => self.effects.push(Effect::StepDown),
+            Answer::Refused(Refusal::OtherLife, _) => {
+                self.forget(id, "another life at the address");
+            }
+            Answer::Refused(refusal, reading) => {
+                match refusal {
+                    Refusal::NoRoom => server.pause(now + NO_ROOM_PAUSE),
+                    Refusal::Unwell => server.rest(now),
+                    _ => {}
+                }
+                if let Some(reading) = reading {
+                    server.note(reading);
+                }
+                self.release(id, task, run, false);
+                self.explain("start refused", task, id, refusal.as_str());
+            }
+            Answer::Unknown => {
+                taken.stage = Stage::Stopping { noted: None, next_try: now };
+                self.explain("start in doubt", task, id, "no answer");
+            }
+        }
+    }
+
+    /// Notes the answer to a stop.
+    pub fn stopped(
+        &mut self,
+        now: Moment,
+        id: &ServerId,
+        task: &task::Id,
+        run: task::Run,
+        answer: Answer,
+    ) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        let Some(taken) = server.runs.get_mut(task).filter(|taken| taken.run == run) else {
+            return;
+        };
+        match answer {
+            Answer::Refused(Refusal::Fenced, _) => self.effects.push(Effect::StepDown),
+            Answer::Refused(Refusal::OtherLife, _) => {
+                self.forget(id, "another life at the address");
+            }
+            Answer::Unknown | Answer::Refused(Refusal::Unwell, _) => {
+                taken.stage = Stage::Stopping { noted: None, next_try: now + STOP_RETRY };
+            }
+            Answer::Done(reading) => {
+                taken.stage = Stage::Stopping { noted: Some(now), next_try: now + STOP_RETRY * 8 };
+                server.note(reading);
+            }
+            Answer::Refused(_, reading) => {
+                taken.stage = Stage::Stopping { noted: Some(now), next_try: now + STOP_RETRY * 8 };
+                if let Some(reading) = reading {
+                    server.note(reading);
+                }
+            }
+        }
+    }
+
+    /// Asks a server to end what it runs of a task.
+    pub(super) fn stop(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
+        let taken = self.servers.get_mut(id).and_then(|server| server.runs.get_mut(task));
+        if let Some(taken) = taken.filter(|taken| !taken.is_stopping()) {
+            taken.stage = Stage::Stopping { noted: None, next_try: now };
+        }
+    }
+
+    /// Sends the stops that are due.
+    pub(super) fn retry_stops(&mut self, now: Moment) {
+        for server in self.servers.values_mut() {
+            let target = server.target(self.term.fencing);
+            for (task, taken) in &mut server.runs {
+                match taken.stage {
+                    Stage::Stopping { next_try, noted } if next_try <= now => {
+                        taken.stage = Stage::Stopping { noted, next_try: now + STOP_RETRY * 4 };
+                        let (task, run) = (task.clone(), taken.run);
+                        self.effects.push(Effect::Stop { target: target.clone(), task, run });
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
+
+impl Refusal {
+    /// Returns the reason in words for the log.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Refusal::Fenced => "a later holder has fenced the server",
+            Refusal::OldRun => "a later run has ended there",
+            Refusal::Late => "the order came too late",
+            Refusal::NoRoom => "the host lacks room",
+            Refusal::Unwell => "the server is not well",
+            Refusal::OtherLife => "another life of the server is there",
+            Refusal::Invalid => "the server can't read the order",
+        }
+    }
+}
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -1,7 +1,6 @@
-//! Which hosts change their pool, and which are maintained next.
+//! The hosts of a shard, and which of them are maintained next.
 //!
-//! A host is moved or maintained only while nothing runs on it. A pool gets
-//! hosts for work that it cannot hold, from pools that do not use theirs.
+//! A host is moved or maintained only while nothing runs on it.
 //! See `docs/DESIGN.md`, section "Hosts and waves".
 
 use std::{
@@ -14,6 +13,7 @@
 
 use super::{
     Shard,
+    demand::Demand,
     effect::Effect,
     fact::{Host, HostAnswer, HostId, ServerId, Standing, Wave},
     server::Server,
@@ -24,19 +24,12 @@
 const ORDER_SETTLES: Duration = Duration::from_millis(1500);
 /// Pause before a refused order for a host is sent again.
 const ORDER_RETRY: Duration = Duration::from_millis(700);
-/// How long work must lack room before hosts are moved for it.
-const LACK_BEFORE_MOVE: Duration = Duration::from_millis(100);
-/// Hosts asked for beyond what the jobs at hand use at full speed, in percent:
-/// more come while a host moves.
-const HEADROOM_PERCENT: u64 = 130;
-/// Idle hosts that a pool keeps when it gives some away.
-const KEPT_IDLE: usize = 2;
 /// Hosts that are emptied ahead of the ones that are down.
 const EMPTIED_AHEAD: usize = 2;
 
 /// What a host is ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
-enum Purpose {
+pub(super) enum Purpose {
     Move(Arc<str>),
     Maintain(u64),
 }
@@ -62,11 +55,13 @@
 pub(super) struct Fleet {
     /// Processor time that ready tasks lack in each pool.
     pub(super) unmet: BTreeMap<Arc<str>, u64>,
-    lacking_since: BTreeMap<Arc<str>, Moment>,
+    pub(super) lacking_since: BTreeMap<Arc<str>, Moment>,
     /// Whether the platform's list of hosts was read since the takeover.
     has_list: bool,
-    hosts: BTreeMap<HostId, Host>,
-    spare_pools: BTreeSet<Arc<str>>,
+    pub(super) hosts: BTreeMap<HostId, Host>,
+    pub(super) spare_pools: BTreeSet<Arc<str>>,
+    pub(super) demand: BTreeMap<Arc<str>, Demand>,
+    pub(super) rebalanced: Moment,
     waves: BTreeMap<u64, Round>,
     orders: BTreeMap<HostId, Order>,
     emptying: BTreeSet<HostId>,
@@ -86,11 +81,28 @@
             .filter_map(|host| host.server.as_ref())
     }
 
+    /// Tells whether a host is being emptied, moved or maintained.
+    pub(super) fn is_ordered(&self, host: &HostId) -> bool {
+        self.orders.contains_key(host) || self.emptying.contains(host)
+    }
+
+    /// Tells whether a host is ordered to move to a pool.
+    pub(super) fn is_incoming(&self, host: &HostId, pool: &Arc<str>) -> bool {
+        let order = self.orders.get(host);
+        order.is_some_and(|order| order.purpose == Purpose::Move(Arc::clone(pool)))
+    }
+
+    /// Returns the pool that a host belongs to once its order is carried out.
+    pub(super) fn pool_after_orders<'a>(&'a self, host: &'a Host) -> &'a Arc<str> {
+        match self.orders.get(&host.id).map(|order| &order.purpose) {
+            Some(Purpose::Move(pool)) => pool,
+            _ => &host.pool,
+        }
+    }
+
     /// Tells whether a server's host is to get no new work.
     pub(super) fn is_reserved(&self, server: &Server) -> bool {
-        server
-            .host()
-            .is_some_and(|host| self.orders.contains_key(host) || self.emptying.contains(host))
+        server.host().is_some_and(|host| self.is_ordered(host))
     }
 
     /// Tells whether a server's host is being emptied.
@@ -188,6 +200,7 @@
             self.maintain(now, number);
         }
         self.meet_lack(now);
+        self.rebalance(now);
     }
 
     fn maintain(&mut self, now: Moment, number: u64) {
@@ -277,7 +290,7 @@
     ///
     /// For a while after a move or maintenance the platform may list the host's
     /// last server beside its new one, so every server of the host counts.
-    fn is_empty_and_up(&self, id: &HostId) -> bool {
+    pub(super) fn is_empty_and_up(&self, id: &HostId) -> bool {
         let is_up = |host: &Host| host.standing == Standing::Up;
         let Some(host) = self.fleet.hosts.get(id).filter(|host| is_up(host)) else {
             return false;
@@ -292,103 +305,7 @@
         !is_busy && is_known
     }
 
-    fn order(&mut self, now: Moment, host: HostId, purpose: Purpose) {
+    pub(super) fn order(&mut self, now: Moment, host: HostId, purpose: Purpose) {
         self.fleet.orders.insert(host, Order { purpose, sent: now, is_answered: false });
     }
-
-    fn note_lack(&mut self, now: Moment) {
-        let unmet = &self.fleet.unmet;
-        self.fleet.lacking_since.retain(|pool, _| unmet.contains_key(pool));
-        for pool in unmet.keys() {
-            self.fleet.lacking_since.entry(Arc::clone(pool)).or_insert(now);
-        }
-    }
-
-    /// Moves idle hosts to pools whose waiting work they can't hold.
-    fn meet_lack(&mut self, now: Moment) {
-        let lacking: Vec<Arc<str>> = self
-            .fleet
-            .lacking_since
-            .iter()
-            .filter(|(_, since)| now.since(**since) >= LACK_BEFORE_MOVE)
-            .map(|(pool, _)| Arc::clone(pool))
-            .collect();
-        for pool in lacking {
-            for _ in 0..self.hosts_lacking(&pool) {
-                let Some(host) = self.giver(&pool) else {
-                    return;
-                };
-                self.order(now, host.clone(), Purpose::Move(Arc::clone(&pool)));
-                self.effects.push(Effect::Move { host, pool: Arc::clone(&pool) });
-            }
-        }
-    }
-
-    /// Returns how many more hosts a pool's waiting work needs.
-    fn hosts_lacking(&self, pool: &Arc<str>) -> usize {
-        let own = self.fleet.hosts.values().filter(|host| host.pool == *pool);
-        let room: u64 = own.clone().map(|host| host.capacity.millicores).sum();
-        let hosts = u64::try_from(own.count()).unwrap_or_default().max(1);
-        let of_one = (room / hosts).max(1);
-        let used: u64 = self
-            .jobs
-            .values()
-            .filter(|active| {
-                self.queues.get(&active.queue).is_some_and(|queue| queue.pool == *pool)
-            })
-            .map(|active| active.millicores_at_full_speed(&self.learning))
-            .sum();
-        let wanted = used * HEADROOM_PERCENT / 100 + self.lasting_millicores(pool);
-        let lacking = wanted.saturating_sub(room).div_ceil(of_one);
-        usize::try_from(lacking).unwrap_or_default().saturating_sub(self.incoming(pool))
-    }
-
-    /// Returns the processor time that lasting tasks hold in a pool.
-    fn lasting_millicores(&self, pool: &str) -> u64 {
-        let servers = self.servers.values().filter(|server| &*server.listing.pool == pool);
-        servers
-            .flat_map(|server| &server.runs)
-            .filter(|(task, _)| self.step(task).is_some_and(|step| step.is_lasting))
-            .map(|(_, taken)| taken.size.millicores)
-            .sum()
-    }
-
-    fn incoming(&self, pool: &Arc<str>) -> usize {
-        let is_incoming = |order: &&Order| order.purpose == Purpose::Move(Arc::clone(pool));
-        let ordered = self.fleet.orders.values().filter(is_incoming).count();
-        let arriving = self
-            .fleet
-            .hosts
-            .values()
-            .filter(|host| host.pool == *pool && host.standing == Standing::Busy)
-            .filter(|host| !self.fleet.orders.contains_key(&host.id))
-            .count();
-        ordered + arriving
-    }
-
-    /// Returns an idle host of the pool that can best spare one.
-    fn giver(&self, taker: &Arc<str>) -> Option<HostId> {
-        let mut idle: BTreeMap<&Arc<str>, Vec<&HostId>> = BTreeMap::new();
-        for (id, host) in &self.fleet.hosts {
-            let is_free = host.pool != *taker
-                && !self.fleet.unmet.contains_key(&host.pool)
-                && !self.fleet.orders.contains_key(id)
-                && !self.fleet.emptying.contains(id)
-                && self.is_empty_and_up(id);
-            if is_free {
-                idle.entry(&host.pool).or_default().push(id);
-            }
-        }
-        let spare = idle
-            .iter()
-            .find(|(pool, _)| self.fleet.spare_pools.contains(**pool))
-            .and_then(|(_, hosts)| hosts.first().copied());
-        let other = idle
-            .iter()
-            .filter(|(pool, _)| !self.fleet.spare_pools.contains(**pool))
-            .max_by_key(|(_, hosts)| hosts.len())
-            .filter(|(_, hosts)| hosts.len() > KEPT_IDLE)
-            .and_then(|(_, hosts)| hosts.first().copied());
-        other.or(spare).cloned()
-    }
 }
--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -1,4 +1,4 @@
-//! What backend servers say: lists of runs and ends, answers to orders.
+//! What backend servers say of themselves, and what their silence means.
 
 use std::{sync::Arc, time::Duration};
 
@@ -8,7 +8,7 @@
     Shard,
     active::Phase,
     effect::{Effect, Reason},
-    fact::{Answer, Ended, Listing, Look, Reading, Refusal, Running, ServerId},
+    fact::{Listing, Look, Reading, Running, ServerId},
     server::{Server, Stage, Use, millis},
 };
 use crate::job::{progress::Place, task};
@@ -19,13 +19,9 @@
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time that ends wait to be stored before the next look goes out.
 const SAVE_WAIT: Duration = Duration::from_millis(400);
-/// Pause before a stop without an answer is sent again.
-const STOP_RETRY: Duration = Duration::from_millis(400);
-/// Time without new work for a server that has less room than known.
-const NO_ROOM_PAUSE: Duration = Duration::from_millis(150);
 
 impl Place {
-    fn of(task: &task::Id) -> Place {
+    pub(super) fn of(task: &task::Id) -> Place {
         Place { occurrence: task.occurrence, step: task.step, index: task.index }
     }
 }
@@ -117,113 +113,6 @@
         self.forget(id, "another life at the address");
     }
 
-    /// Notes the answer to a start.
-    pub fn started(
-        &mut self,
-        now: Moment,
-        id: &ServerId,
-        task: &task::Id,
-        run: task::Run,
-        answer: Answer,
-    ) {
-        let Some(server) = self.servers.get_mut(id) else {
-            return;
-        };
-        let Some(taken) = server.runs.get_mut(task).filter(|taken| taken.run == run) else {
-            return;
-        };
-        match answer {
-            Answer::Done(reading) => {
-                if taken.stage == Stage::Starting {
-                    taken.stage = Stage::Running;
-                    taken.since = now;
-                }
-                server.note(reading);
-            }
-            Answer::Refused(Refusal::Fenced, _) => self.effects.push(Effect::StepDown),
-            Answer::Refused(Refusal::OtherLife, _) => {
-                self.forget(id, "another life at the address");
-            }
-            Answer::Refused(refusal, reading) => {
-                match refusal {
-                    Refusal::NoRoom => server.pause(now + NO_ROOM_PAUSE),
-                    Refusal::Unwell => server.rest(now),
-                    _ => {}
-                }
-                if let Some(reading) = reading {
-                    server.note(reading);
-                }
-                self.release(id, task, run, false);
-                self.explain("start refused", task, id, refusal.as_str());
-            }
-            Answer::Unknown => {
-                taken.stage = Stage::Stopping { noted: None, next_try: now };
-                self.explain("start in doubt", task, id, "no answer");
-            }
-        }
-    }
-
-    /// Notes the answer to a stop.
-    pub fn stopped(
-        &mut self,
-        now: Moment,
-        id: &ServerId,
-        task: &task::Id,
-        run: task::Run,
-        answer: Answer,
-    ) {
-        let Some(server) = self.servers.get_mut(id) else {
-            return;
-        };
-        let Some(taken) = server.runs.get_mut(task).filter(|taken| taken.run == run) else {
-            return;
-        };
-        match answer {
-            Answer::Refused(Refusal::Fenced, _) => self.effects.push(Effect::StepDown),
-            Answer::Refused(Refusal::OtherLife, _) => {
-                self.forget(id, "another life at the address");
-            }
-            Answer::Unknown | Answer::Refused(Refusal::Unwell, _) => {
-                taken.stage = Stage::Stopping { noted: None, next_try: now + STOP_RETRY };
-            }
-            Answer::Done(reading) => {
-                taken.stage = Stage::Stopping { noted: Some(now), next_try: now + STOP_RETRY * 8 };
-                server.note(reading);
-            }
-            Answer::Refused(_, reading) => {
-                taken.stage = Stage::Stopping { noted: Some(now), next_try: now + STOP_RETRY * 8 };
-                if let Some(reading) = reading {
-                    server.note(reading);
-                }
-            }
-        }
-    }
-
-    /// Asks a server to end what it runs of a task.
-    pub(super) fn stop(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
-        let taken = self.servers.get_mut(id).and_then(|server| server.runs.get_mut(task));
-        if let Some(taken) = taken.filter(|taken| !taken.is_stopping()) {
-            taken.stage = Stage::Stopping { noted: None, next_try: now };
-        }
-    }
-
-    /// Sends the stops that are due.
-    pub(super) fn retry_stops(&mut self, now: Moment) {
-        for server in self.servers.values_mut() {
-            let target = server.target(self.term.fencing);
-            for (task, taken) in &mut server.runs {
-                match taken.stage {
-                    Stage::Stopping { next_try, noted } if next_try <= now => {
-                        taken.stage = Stage::Stopping { noted, next_try: now + STOP_RETRY * 4 };
-                        let (task, run) = (task.clone(), taken.run);
-                        self.effects.push(Effect::Stop { target: target.clone(), task, run });
-                    }
-                    _ => {}
-                }
-            }
-        }
-    }
-
     /// Gives up what ran on silent servers once their leases have lapsed.
     pub(super) fn expire(&mut self, now: Moment) {
         let lapsed: Vec<ServerId> = self
@@ -268,92 +157,6 @@
         }
     }
 
-    fn end(&mut self, now: Moment, id: &ServerId, ended: Ended) {
-        let Some(server) = self.servers.get_mut(id) else {
-            return;
-        };
-        if ended.number <= server.seen {
-            return;
-        }
-        server.seen = ended.number;
-        let known = server.runs.get(&ended.task).filter(|taken| taken.run <= ended.run);
-        let run_time = known.map(|taken| now.since(taken.since));
-        if known.is_some() {
-            server.runs.remove(&ended.task);
-        }
-        if let (Some(run_time), task::End::Done) = (run_time, ended.end) {
-            self.learn(&ended.task, run_time);
-        }
-        let is_lasting = self.is_lasting(&ended.task);
-        let Some(server) = self.servers.get_mut(id) else {
-            return;
-        };
-        match ended.end {
-            task::End::Done => server.succeed(),
-            task::End::Failed if !is_lasting && server.fail(now) => {
-                self.explain("server rests", &ended.task, id, "failures in a row");
-            }
-            _ => {}
-        }
-        self.end_task(now, id, &ended);
-    }
-
-    fn learn(&mut self, task: &task::Id, run_time: Duration) {
-        let Some(active) = self.jobs.get(&task.job) else {
-            return;
-        };
-        if let Some(step) = active.job.steps.get(task.step) {
-            self.learning.observe(&active.queue, step.estimate, run_time);
-        }
-    }
-
-    /// Brings an end to its job.
-    ///
-    /// A new holder hears of ends in any order, of some once more, and of some
-    /// after it has adopted a later run of the same task.
-    fn end_task(&mut self, now: Moment, id: &ServerId, ended: &Ended) {
-        let Some(active) = self.jobs.get_mut(&ended.task.job) else {
-            return;
-        };
-        let steps = &active.job.steps;
-        let is_lasting = steps.get(ended.task.step).is_some_and(|step| step.is_lasting);
-        let Some(task) = active.task_mut(Place::of(&ended.task)) else {
-            return;
-        };
-        if task.phase == Phase::Done {
-            return;
-        }
-        let elsewhere = match &task.phase {
-            Phase::On(server) if server != id => Some(server.clone()),
-            _ => None,
-        };
-        let is_latest = ended.run > task.note.last_end;
-        task.note.last_end = task.note.last_end.max(ended.run);
-        if is_latest && !ended.checkpoint.is_empty() {
-            task.note.checkpoint = Arc::clone(&ended.checkpoint);
-        }
-        match ended.end {
-            task::End::Done => {
-                task.phase = Phase::Done;
-                task.note.is_done = true;
-            }
-            task::End::Failed => {
-                if !is_lasting {
-                    task.note.failed.insert(ended.run);
-                }
-                task.avoid = Some(id.clone());
-            }
-            task::End::Stopped => {}
-        }
-        match elsewhere {
-            Some(server) if ended.end == task::End::Done => self.stop(now, &server, &ended.task),
-            None if ended.end != task::End::Done => task.phase = Phase::Waiting,
-            _ => {}
-        }
-        self.dirty.insert(ended.task.job.clone());
-        self.settle_job(&ended.task.job);
-    }
-
     fn progress(&mut self, now: Moment, id: &ServerId, running: Running) {
         let size = self.size_of(&running.task);
         let Some(server) = self.servers.get_mut(id) else {
@@ -440,7 +243,7 @@
     }
 
     /// Frees a task that certainly does not run on a server any more.
-    fn release(&mut self, id: &ServerId, task: &task::Id, run: task::Run, avoid: bool) {
+    pub(super) fn release(&mut self, id: &ServerId, task: &task::Id, run: task::Run, avoid: bool) {
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
@@ -475,14 +278,14 @@
         }
     }
 
-    fn forget(&mut self, id: &ServerId, because: &'static str) {
+    pub(super) fn forget(&mut self, id: &ServerId, because: &'static str) {
         self.release_all(id, because);
         if self.servers.remove(id).is_some() {
             self.effects.push(Effect::Forget(id.clone()));
         }
     }
 
-    fn is_lasting(&self, task: &task::Id) -> bool {
+    pub(super) fn is_lasting(&self, task: &task::Id) -> bool {
         self.jobs
             .get(&task.job)
             .and_then(|active| active.job.steps.get(task.step))
@@ -514,18 +317,3 @@
         }
     }
 }
-
-impl Refusal {
-    /// Returns the reason in words for the log.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Refusal::Fenced => "a later holder has fenced the server",
-            Refusal::OldRun => "a later run has ended there",
-            Refusal::Late => "the order came too late",
-            Refusal::NoRoom => "the host lacks room",
-            Refusal::Unwell => "the server is not well",
-            Refusal::OtherLife => "another life of the server is there",
-            Refusal::Invalid => "the server can't read the order",
-        }
-    }
-}
