Finish begun jobs first, then those with the least work left; small buffers

Cause: with more work than room, jobs ordered by their objectives all miss them by a little; and each connection's two buffers of 128 KiB made most of a planner's memory. Ruled out: priorities (one queue each a pool here). Change: among jobs that can meet their objective, begun ones first, then the least work left; buffers of 16 KiB.

--- a/crates/skylarkwick-connection/src/agent.rs
+++ b/crates/skylarkwick-connection/src/agent.rs
@@ -19,6 +19,10 @@
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Size of each of a connection's two buffers, in bytes; messages are small, and
+/// an entry host keeps hundreds of connections.
+const BUFFER_BYTES: usize = 16 << 10;
+
 /// Number of times that the connections to a place were dropped.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Generation(u64);
@@ -65,6 +69,8 @@
             .no_delay(true)
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .max_idle_age(MAX_IDLE_AGE)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             .max_idle_connections(self.max_idle)
             .max_idle_connections_per_host(self.max_idle)
             .build()
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -239,7 +239,7 @@
 
     /// Returns the work that is left of tasks that end, in millicores times
     /// milliseconds.
-    fn work_left(&self, occurrence: &Occurrence, learning: &Learning) -> u64 {
+    pub(super) fn work_left(&self, occurrence: &Occurrence, learning: &Learning) -> u64 {
         let mut work = 0_u64;
         let ending = occurrence.steps.iter().zip(&self.job.steps);
         for (tasks, step) in ending.filter(|(_, step)| !step.is_lasting) {
--- a/crates/skylarkwick-request/src/shard/order.rs
+++ b/crates/skylarkwick-request/src/shard/order.rs
@@ -33,8 +33,9 @@
 pub(super) struct Rank {
     use_left: Use,
     priority: u32,
-    due: Moment,
     begun: Reverse<bool>,
+    work: u64,
+    due: Moment,
 }
 
 /// A step whose tasks may start.
@@ -148,6 +149,7 @@
             () => Use::Useless,
         };
         let begun = Reverse(active.has_begun());
-        Rank { use_left, priority: queue.priority, due: objective, begun }
+        let work = active.work_left(occurrence, &self.learning);
+        Rank { use_left, priority: queue.priority, begun, work, due: objective }
     }
 }
