Start nothing again from an old row; count waiting jobs while no holder does

Ruled out: the frozen holder (its orders were refused), late orders. Change: jobs that are over are remembered for a minute; the list is written every 0.7 s, and an older one is completed from the jobs' rows.

--- a/crates/skylarkwick-entry/src/jobs/backlog.rs
+++ b/crates/skylarkwick-entry/src/jobs/backlog.rs
@@ -7,12 +7,14 @@
 
 use skylarkwick_connection::store::{
     self, Fault, Store,
-    row::{self, BacklogRow},
+    row::{self, BacklogRow, JobRow},
 };
 use skylarkwick_process::clock::{Boot, Clock};
 use skylarkwick_request::job::Id;
 use skylarkwick_version::moment::Moment;
 
+/// Age up to which the list tells of all jobs that wait.
+const FRESH: Duration = Duration::from_millis(1800);
 /// Age up to which a read is used again.
 const MAX_AGE: Duration = Duration::from_millis(500);
 
@@ -41,8 +43,17 @@
     }
 
     /// Counts the jobs of a queue that wait.
+    ///
+    /// While no holder keeps the list up to date, the jobs that were accepted
+    /// after it was written are counted as well, from their rows.
     pub(super) fn count<S: Store>(&self, store: &S, queue: &str) -> Result<usize, Fault> {
-        Ok(self.get(store)?.waiting.get(queue).map_or(0, Vec::len))
+        let list = self.get(store)?;
+        let listed = list.waiting.get(queue).map_or(0, Vec::len);
+        let age = Duration::from_millis(store.clock_ms().saturating_sub(list.written_ms));
+        match age <= FRESH {
+            true => Ok(listed),
+            false => Ok(listed + newer(store, queue, list.written_ms)?),
+        }
     }
 
     fn get<S: Store>(&self, store: &S) -> Result<Arc<BacklogRow>, Fault> {
@@ -65,3 +76,19 @@
         }
     }
 }
+
+/// Counts the jobs of a queue that are not over and were accepted after a time.
+fn newer<S: Store>(store: &S, queue: &str, written_ms: u64) -> Result<usize, Fault> {
+    let page = store::read_part(store, row::JOBS, queue)?;
+    let is_newer = |value: &Vec<u8>| match row::decode(value) {
+        Ok(JobRow::Live { accepted_ms, .. }) => accepted_ms > written_ms,
+        // A row that can't be read is no job that waits.
+        Ok(JobRow::Over { .. }) | Err(_) => false,
+    };
+    Ok(page
+        .rows
+        .iter()
+        .filter_map(|row| row.value.as_ref())
+        .filter(|value| is_newer(value))
+        .count())
+}
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -1,7 +1,7 @@
 //! The duty of a shard's holder: owns the shard and carries its effects out.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::VecDeque,
     io,
     sync::{
         Arc,
@@ -47,7 +47,7 @@
 const PERIOD: Duration = Duration::from_millis(100);
 /// Time in which events gather for one decision.
 const GATHER: Duration = Duration::from_millis(4);
-/// How often the backlog is written when it has changed.
+/// How often the backlog is written; its age tells entry hosts what it lacks.
 const BACKLOG_PERIOD: Duration = Duration::from_millis(700);
 /// How often the load of each pool is logged.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
@@ -109,7 +109,6 @@
     has_configuration: bool,
     version: u64,
     wall: Wall,
-    backlog: BTreeMap<Arc<str>, Vec<job::Id>>,
     backlog_due: Moment,
     load_due: Moment,
     follow_ups: VecDeque<Event>,
@@ -163,7 +162,6 @@
             has_configuration: false,
             version: 0,
             wall: Wall::new(Boot.now()),
-            backlog: BTreeMap::new(),
             backlog_due: Moment::ZERO,
             load_due: Moment::ZERO,
             follow_ups: VecDeque::new(),
@@ -227,7 +225,7 @@
             Event::Stopped(server, task, run, answer) => {
                 self.shard.stopped(now, &server, &task, run, answer);
             }
-            Event::Saved(batch) => self.shard.saved(&batch),
+            Event::Saved(batch) => self.shard.saved(now, &batch),
             Event::NotSaved(batch) => self.shard.not_saved(&batch),
             Event::Noted(id, revision, other) => self.shard.noted(&id, revision, other.as_ref()),
             Event::Reread(Some(rows)) => self.shard.reread(rows),
@@ -341,12 +339,9 @@
             return;
         }
         self.backlog_due = now + BACKLOG_PERIOD;
-        let backlog = self.shard.backlog();
-        if backlog != self.backlog {
-            let row = saver::backlog_row(backlog.clone());
-            if self.saver.offer(Work::Backlog(row)).is_ok() {
-                self.backlog = backlog;
-            }
+        let row = saver::backlog_row(self.shard.backlog());
+        if self.saver.offer(Work::Backlog(row)).is_err() {
+            warn!(self.log, "backlog not written"; "because" => "too much waits to be written");
         }
     }
 }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -36,6 +36,10 @@
 };
 use crate::job::{self, State, task};
 
+/// How long jobs that are over are remembered; older rows of theirs can't be
+/// under way any more.
+const OVER_KEPT: Duration = Duration::from_secs(60);
+
 /// What bounds a shard; the platform states most of these.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
@@ -99,6 +103,8 @@
     fleet: Fleet,
     learning: Learning,
     next_run: task::Run,
+    /// Jobs that are over, and since when.
+    over: BTreeMap<job::Id, Moment>,
     dirty: BTreeSet<job::Id>,
     is_saving: bool,
     effects: Vec<Effect>,
@@ -118,6 +124,7 @@
             fleet: Fleet::default(),
             learning: Learning::default(),
             next_run: task::Run::first_of(term.number),
+            over: BTreeMap::new(),
             dirty: BTreeSet::new(),
             is_saving: false,
             effects: Vec::new(),
@@ -133,10 +140,12 @@
         }
     }
 
-    /// Adds a job, unless it is known.
+    /// Adds a job, unless it is known or was over before.
+    ///
+    /// A read of all rows may tell of a job that has ended since it began.
     pub fn submit(&mut self, now: Moment, accepted: fact::Accepted) {
         let id = accepted.id.clone();
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.over.contains_key(&id) {
             return;
         }
         let active = Active::new(now, accepted);
@@ -146,6 +155,7 @@
 
     /// Notes that a job needs no more work: it was cancelled, or it is over.
     pub fn withdraw(&mut self, now: Moment, id: &job::Id) {
+        self.over.insert(id.clone(), now);
         let Some(active) = self.jobs.remove(id) else {
             return;
         };
@@ -164,6 +174,7 @@
         if hold == Hold::Certain {
             self.expire(now);
         }
+        self.over.retain(|_, since| now.since(*since) < OVER_KEPT);
         self.open_occurrences(unix_ms);
         self.ask_reread(now);
         self.place(now);
--- a/crates/skylarkwick-request/src/shard/saving.rs
+++ b/crates/skylarkwick-request/src/shard/saving.rs
@@ -1,6 +1,6 @@
 //! What has to last, written before ends are acknowledged.
 
-use skylarkwick_version::revision::Revision;
+use skylarkwick_version::{moment::Moment, revision::Revision};
 
 use super::{
     Shard,
@@ -43,7 +43,7 @@
     }
 
     /// Notes that a batch is stored.
-    pub fn saved(&mut self, batch: &Batch) {
+    pub fn saved(&mut self, now: Moment, batch: &Batch) {
         self.is_saving = false;
         for cursor in &batch.cursors {
             match self.servers.get_mut(&cursor.server) {
@@ -56,6 +56,7 @@
         for entry in &batch.entries {
             if matches!(entry.change, Change::Over(_)) {
                 self.jobs.remove(&entry.id);
+                self.over.insert(entry.id.clone(), now);
             }
         }
     }
--- a/crates/skylarkwick-request/tests/job_life.rs
+++ b/crates/skylarkwick-request/tests/job_life.rs
@@ -46,7 +46,7 @@
     site.advance(1000);
     assert!(!acknowledged(&effects) && !acknowledged(&site.decide()));
     site.look(&place, &[], &[]);
-    site.shard.saved(&batch);
+    site.shard.saved(site.now, &batch);
     assert!(acknowledged(&site.decide()));
 }
 
@@ -153,3 +153,19 @@
     assert_eq!(id.to_string().parse(), Ok(id));
     assert!("no.number.0.x".parse::<tasks::Id>().is_err());
 }
+
+#[test]
+fn an_old_row_starts_nothing_again() {
+    let mut site = Site::with_servers(&["a"]);
+    site.submit("done", vec![step(1, 4)]);
+    let (place, id, run) = run_first(&mut site);
+    site.look(&place, &[], &[ended(1, id, run, End::Done)]);
+    let batch = batches(&site.decide()).remove(0);
+    site.shard.saved(site.now, &batch);
+    site.submit("cancelled", vec![step(1, 4)]);
+    site.shard.withdraw(site.now, &Id::new("cancelled"));
+    // All rows were read again, and the read began before both jobs were over.
+    site.submit("done", vec![step(1, 4)]);
+    site.submit("cancelled", vec![step(1, 4)]);
+    assert!(starts(&site.decide()).is_empty());
+}
--- a/crates/skylarkwick-request/tests/shard/mod.rs
+++ b/crates/skylarkwick-request/tests/shard/mod.rs
@@ -195,7 +195,7 @@
     /// started.
     pub(crate) fn confirm(&mut self, effects: &[Effect]) -> Vec<(ServerId, Start)> {
         for batch in batches(effects) {
-            self.shard.saved(&batch);
+            self.shard.saved(self.now, &batch);
         }
         let started = starts(effects);
         let reading = self.reading();
