--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -19,12 +19,9 @@
     duty::{Duty, Stop},
     ring,
 };
-use skylarkwick_request::{
-    job,
-    shard::{
-        Hold, Rules, Shard, Term,
-        effect::{Effect, Reason},
-    },
+use skylarkwick_request::shard::{
+    Hold, Rules, Shard, Term,
+    effect::{Effect, Reason},
 };
 use skylarkwick_version::{holding, moment::Moment};
 use slog::{Logger, error, info, warn};
--- a/crates/skylarkwick-request/tests/job_life.rs
+++ b/crates/skylarkwick-request/tests/job_life.rs
@@ -131,8 +131,8 @@
 #[test]
 fn backlog_counts_jobs_that_have_not_begun() {
     let mut site = Site::with_servers(&["a"]);
-    site.submit("first", vec![step(4, 16)]);
-    site.submit("second", vec![step(1, 16)]);
+    site.submit("first", vec![step(1, 64)]);
+    site.submit("second", vec![step(2, 64)]);
     site.decide();
     let backlog = site.shard.backlog();
     assert_eq!(backlog[shard::QUEUE].len(), 1);
