Keep a host reserved until its order is answered

Ruled out: the budget of evacuations, takeovers (the same holder ordered it). Change: only an answer settles an order; without one the host stays reserved 4 s more; an order that finds the ring full is answered as busy at once.

--- a/crates/skylarkwick-planner/src/jobs/fleet.rs
+++ b/crates/skylarkwick-planner/src/jobs/fleet.rs
@@ -33,7 +33,8 @@
 }
 
 impl Order {
-    fn host(&self) -> &HostId {
+    /// Returns the host.
+    pub(super) fn host(&self) -> &HostId {
         match self {
             Order::Move(host, _) | Order::Maintain(host, _) => host,
         }
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -22,6 +22,7 @@
 use skylarkwick_request::shard::{
     Hold, Rules, Shard, Term,
     effect::{Effect, Reason},
+    fact::HostAnswer,
 };
 use skylarkwick_version::{holding, moment::Moment};
 use slog::{Logger, error, info, warn};
@@ -312,11 +313,11 @@
     }
 
     fn order_host(&mut self, order: fleet::Order) -> Option<Event> {
-        // An order that finds the ring full is settled by the platform's list.
-        if self.fleet.offer(order).is_err() {
+        let host = order.host().clone();
+        self.fleet.offer(order).is_err().then(|| {
             warn!(self.log, "host order dropped"; "because" => "too many wait");
-        }
-        None
+            Event::HostAnswered(host, HostAnswer::Busy)
+        })
     }
 
     fn log_load(&mut self, now: Moment) {
--- a/crates/skylarkwick-request/src/shard/demand.rs
+++ b/crates/skylarkwick-request/src/shard/demand.rs
@@ -63,13 +63,13 @@
                 let Some(host) = self.giver(&pool) else {
                     return;
                 };
-                self.move_host(now, host, &pool);
+                self.move_host(host, &pool);
             }
         }
     }
 
-    fn move_host(&mut self, now: Moment, host: HostId, pool: &Arc<str>) {
-        self.order(now, host.clone(), Purpose::Move(Arc::clone(pool)));
+    fn move_host(&mut self, host: HostId, pool: &Arc<str>) {
+        self.order(host.clone(), Purpose::Move(Arc::clone(pool)));
         self.effects.push(Effect::Move { host, pool: Arc::clone(pool) });
     }
 
@@ -109,7 +109,7 @@
             .and_then(|(_, hosts)| hosts.first().cloned());
         if let Some(host) = giver {
             self.fleet.rebalanced = now;
-            self.move_host(now, host, taker);
+            self.move_host(host, taker);
         }
     }
 
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -22,6 +22,8 @@
 /// Time after which an order is taken from the platform's list instead of from
 /// its answer.
 const ORDER_SETTLES: Duration = Duration::from_millis(1500);
+/// Time after which an order without an answer can't be carried out any more.
+const DOUBT_SETTLES: Duration = Duration::from_millis(4000);
 /// Pause before a refused order for a host is sent again.
 const ORDER_RETRY: Duration = Duration::from_millis(700);
 /// Hosts that are emptied ahead of the ones that are down.
@@ -38,8 +40,21 @@
 #[derive(Clone, Debug)]
 struct Order {
     purpose: Purpose,
-    sent: Moment,
-    is_answered: bool,
+    /// The platform's answer, and when it came.
+    answer: Option<(HostAnswer, Moment)>,
+}
+
+impl Order {
+    /// Tells whether the platform's list may be trusted again; an order that is
+    /// not answered yet may still be carried out.
+    fn is_settled(&self, now: Moment) -> bool {
+        match self.answer {
+            None => false,
+            Some((HostAnswer::Done, at)) => now.since(at) > ORDER_SETTLES,
+            Some((HostAnswer::Busy | HostAnswer::Refused, at)) => now.since(at) > ORDER_RETRY,
+            Some((HostAnswer::Unknown, at)) => now.since(at) > DOUBT_SETTLES,
+        }
+    }
 }
 
 /// Progress of a wave.
@@ -119,7 +134,7 @@
         let hosts = &self.fleet.hosts;
         self.fleet.orders.retain(|id, order| {
             let is_up = hosts.get(id).is_some_and(|host| host.standing == Standing::Up);
-            !(is_up && now.since(order.sent) > ORDER_SETTLES)
+            !(is_up && order.is_settled(now))
         });
     }
 
@@ -145,10 +160,9 @@
         let Some(order) = self.fleet.orders.get_mut(id) else {
             return;
         };
+        order.answer = Some((answer, now));
         match (answer, order.purpose.clone()) {
             (HostAnswer::Done, purpose) => {
-                order.is_answered = true;
-                order.sent = now;
                 if let Some(host) = self.fleet.hosts.get_mut(id) {
                     host.standing = Standing::Busy;
                 }
@@ -156,14 +170,12 @@
                     self.begin_maintenance(number, id);
                 }
             }
-            (HostAnswer::Busy, _) => order.sent = now - (ORDER_SETTLES - ORDER_RETRY),
             (HostAnswer::Refused, Purpose::Maintain(number)) => {
                 // The platform knows no such host in this wave, so nothing is due.
                 self.fleet.orders.remove(id);
                 self.begin_maintenance(number, id);
             }
-            (HostAnswer::Refused, Purpose::Move(_)) => order.sent = now,
-            (HostAnswer::Unknown, _) => order.sent = now - ORDER_RETRY,
+            _ => {}
         }
     }
 
@@ -197,13 +209,13 @@
         self.note_lack(now);
         let numbers: Vec<u64> = self.fleet.waves.keys().copied().collect();
         for number in numbers {
-            self.maintain(now, number);
+            self.maintain(number);
         }
         self.meet_lack(now);
         self.rebalance(now);
     }
 
-    fn maintain(&mut self, now: Moment, number: u64) {
+    fn maintain(&mut self, number: u64) {
         let Some(round) = self.fleet.waves.get(&number) else {
             return;
         };
@@ -226,7 +238,7 @@
         let mut free = most_down.saturating_sub(self.down_for(number));
         for host in &due {
             if free > 0 && self.is_empty_and_up(host) && !self.fleet.orders.contains_key(host) {
-                self.order(now, host.clone(), Purpose::Maintain(number));
+                self.order(host.clone(), Purpose::Maintain(number));
                 self.effects.push(Effect::Maintain { host: host.clone(), wave: number });
                 free -= 1;
             }
@@ -305,7 +317,7 @@
         !is_busy && is_known
     }
 
-    pub(super) fn order(&mut self, now: Moment, host: HostId, purpose: Purpose) {
-        self.fleet.orders.insert(host, Order { purpose, sent: now, is_answered: false });
+    pub(super) fn order(&mut self, host: HostId, purpose: Purpose) {
+        self.fleet.orders.insert(host, Order { purpose, answer: None });
     }
 }
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -178,3 +178,23 @@
     site.shard.ask_maintenance(wave(&["a"], 1));
     assert!(maintained(&site.decide()).is_empty());
 }
+
+#[test]
+fn a_host_whose_order_waits_gets_no_work() {
+    let mut site = settled(&["a"]);
+    site.shard.ask_maintenance(wave(&["a"], 1));
+    assert_eq!(maintained(&site.decide()), ["a"]);
+    site.submit("job", vec![step(1, 4)]);
+    for _ in 0..10 {
+        site.advance(1000);
+        site.shard.list_hosts(site.now, vec![up("a", POOL, Some("a"))]);
+        site.look("a", &[], &[]);
+        assert!(starts(&site.decide()).is_empty(), "the order may be given at any moment");
+    }
+    site.shard.host_answered(site.now, &host("a"), HostAnswer::Busy);
+    site.advance(1000);
+    site.shard.list_hosts(site.now, vec![up("a", POOL, Some("a"))]);
+    site.look("a", &[], &[]);
+    let effects = site.decide();
+    assert!(!starts(&effects).is_empty() || !maintained(&effects).is_empty());
+}
