--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -11,7 +11,7 @@
     progress::{Note, Place, Progress},
     task::Run,
 };
-use skylarkwick_version::quantity::Quantity;
+use skylarkwick_version::{moment::millis, quantity::Quantity};
 
 use super::Key;
 
@@ -325,7 +325,3 @@
     /// When the order was written down, on the store's clock in milliseconds.
     pub ordered_ms: u64,
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -24,7 +24,10 @@
     effect::{Effect, Reason},
     fact::HostAnswer,
 };
-use skylarkwick_version::{holding, moment::Moment};
+use skylarkwick_version::{
+    holding,
+    moment::{Moment, millis},
+};
 use slog::{Logger, error, info, warn};
 
 use super::{
@@ -356,7 +359,3 @@
         std::thread::sleep(LOAD_PAUSE);
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/skylarkwick-planner/src/jobs/wall.rs
+++ b/crates/skylarkwick-planner/src/jobs/wall.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use skylarkwick_version::moment::Moment;
+use skylarkwick_version::moment::{Moment, millis};
 
 /// Difference below which the time of day has not jumped.
 const JUMP_MS: u64 = 200;
@@ -44,7 +44,3 @@
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     millis(unix).saturating_sub(millis(now.since_start()))
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -2,12 +2,14 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use skylarkwick_version::{moment::Moment, revision::Revision};
+use skylarkwick_version::{
+    moment::{Moment, millis},
+    revision::Revision,
+};
 
 use super::{
     fact::{Accepted, Queue, ServerId},
     learning::Learning,
-    server::millis,
 };
 use crate::job::{
     Id, Job, State,
--- a/crates/skylarkwick-request/src/shard/ends.rs
+++ b/crates/skylarkwick-request/src/shard/ends.rs
@@ -34,10 +34,17 @@
         };
         match ended.end {
             task::End::Done => server.succeed(),
-            task::End::Failed if !is_lasting && server.fail(now) => {
-                self.explain("server rests", &ended.task, id, "failures in a row");
+            task::End::Failed if is_lasting => {}
+            task::End::Failed if server.fail(now) => {
+                self.explain(
+                    "run failed",
+                    &ended.task,
+                    id,
+                    "the server rests after failures in a row",
+                );
             }
-            _ => {}
+            task::End::Failed => self.explain("run failed", &ended.task, id, "the server says so"),
+            task::End::Stopped => {}
         }
         self.end_task(now, id, &ended);
     }
--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -2,14 +2,17 @@
 
 use std::{sync::Arc, time::Duration};
 
-use skylarkwick_version::{moment::Moment, quantity::Quantity};
+use skylarkwick_version::{
+    moment::{Moment, millis},
+    quantity::Quantity,
+};
 
 use super::{
     Shard,
     active::Phase,
     effect::{Effect, Reason},
     fact::{Listing, Look, Reading, Running, ServerId},
-    server::{Server, Stage, Use, millis},
+    server::{Server, Stage, Use},
 };
 use crate::job::{progress::Place, task};
 
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use skylarkwick_version::{moment::Moment, quantity::Quantity};
+use skylarkwick_version::{
+    moment::{Moment, millis},
+    quantity::Quantity,
+};
 
 use super::{
     effect::Target,
@@ -224,8 +227,3 @@
         self.resting_until = self.resting_until.max(until);
     }
 }
-
-/// Returns a time in whole milliseconds.
-pub(super) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/skylarkwick-request/tests/job_life.rs
+++ b/crates/skylarkwick-request/tests/job_life.rs
@@ -169,3 +169,25 @@
     site.submit("cancelled", vec![step(1, 4)]);
     assert!(starts(&site.decide()).is_empty());
 }
+
+#[test]
+fn a_batch_fits_the_hundred_rows_of_a_transaction() {
+    const ROWS_PER_ENTRY: usize = 3;
+    const MAX_ROWS: usize = 100;
+    let mut site = Site::with_servers(&["a"]);
+    let jobs: Vec<String> = (0..60).map(|number| format!("job{number}")).collect();
+    for job in &jobs {
+        site.submit(job, vec![step(1, 1)]);
+    }
+    let effects = site.decide();
+    let started = site.confirm(&effects);
+    site.advance(50);
+    let ends: Vec<_> = (1..)
+        .zip(started)
+        .map(|(number, (_, start))| ended(number, start.task, start.run, End::Done))
+        .collect();
+    site.look("a", &[], &ends);
+    let batch = batches(&site.decide()).remove(0);
+    assert!(batch.entries.len() * ROWS_PER_ENTRY <= MAX_ROWS);
+    assert!(batch.cursors.is_empty(), "ends of the other jobs are not stored yet");
+}
--- a/crates/skylarkwick-version/src/moment.rs
+++ b/crates/skylarkwick-version/src/moment.rs
@@ -48,3 +48,8 @@
         Moment(self.0.saturating_sub(rest))
     }
 }
+
+/// Returns a time in whole milliseconds; rows and messages carry times so.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
