--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -20,7 +20,7 @@
     ring,
 };
 use skylarkwick_request::shard::{
-    Hold, Rules, Shard, Term,
+    Rules, Shard, Term,
     effect::{Effect, Reason},
     fact::HostAnswer,
 };
@@ -251,12 +251,11 @@
         let now = Boot.now();
         let silence = now.since(self.confirmed);
         let may_act = silence < holding::LIMIT;
-        let hold = if silence < holding::CERTAIN { Hold::Certain } else { Hold::Probable };
         if self.is_lost || !may_act || !self.has_configuration {
             return;
         }
         let unix_ms = self.wall.unix_ms(now);
-        for effect in self.shard.decide(now, unix_ms, hold) {
+        for effect in self.shard.decide(now, unix_ms, self.confirmed) {
             self.carry_out(effect);
         }
         self.wants_hosts.store(self.shard.wants_hosts(), Ordering::Release);
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -29,7 +29,7 @@
     time::Duration,
 };
 
-use skylarkwick_version::moment::Moment;
+use skylarkwick_version::{holding, moment::Moment};
 
 use self::{
     active::Active, effect::Effect, fact::Queue, fleet::Fleet, learning::Learning, server::Server,
@@ -68,15 +68,6 @@
     pub is_contested: bool,
 }
 
-/// How sure a holder is that nobody else holds the shard.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Hold {
-    /// The lease was confirmed so lately that nobody can have taken it.
-    Certain,
-    /// The store has not confirmed the lease for a while.
-    Probable,
-}
-
 /// Whether what the last holder stored has to be read once more.
 ///
 /// A holder that was still at work stores and acknowledges ends until the
@@ -103,6 +94,8 @@
     fleet: Fleet,
     learning: Learning,
     next_run: task::Run,
+    /// Jobs that became known later are not started yet.
+    known_until: Moment,
     /// Jobs that are over, and since when.
     over: BTreeMap<job::Id, Moment>,
     dirty: BTreeSet<job::Id>,
@@ -124,6 +117,7 @@
             fleet: Fleet::default(),
             learning: Learning::default(),
             next_run: task::Run::first_of(term.number),
+            known_until: term.since,
             over: BTreeMap::new(),
             dirty: BTreeSet::new(),
             is_saving: false,
@@ -167,11 +161,16 @@
 
     /// Decides what to do next; the caller carries every effect out.
     ///
-    /// What a silent server runs is given up, and hosts are ordered, only while the
-    /// lease was confirmed so lately that no other holder can have taken it over:
-    /// the next holder may reach a server that this one can't.
-    pub fn decide(&mut self, now: Moment, unix_ms: u64, hold: Hold) -> Vec<Effect> {
-        if hold == Hold::Certain {
+    /// `confirmed` is when the last renewal of the lease was sent that the store
+    /// has confirmed. What a silent server runs is given up, and hosts are ordered,
+    /// only while that is so lately that no other holder can have taken the shard:
+    /// the next holder may reach a server that this one can't. After that, only
+    /// jobs known since before are started, because the next holder takes newer
+    /// ones for its own.
+    pub fn decide(&mut self, now: Moment, unix_ms: u64, confirmed: Moment) -> Vec<Effect> {
+        let is_certain = now.since(confirmed) < holding::CERTAIN;
+        self.known_until = if is_certain { now } else { confirmed };
+        if is_certain {
             self.expire(now);
         }
         self.over.retain(|_, since| now.since(*since) < OVER_KEPT);
@@ -179,7 +178,7 @@
         self.ask_reread(now);
         self.place(now);
         self.evacuate(now);
-        if hold == Hold::Certain {
+        if is_certain {
             self.move_hosts(now);
         }
         self.adjust_pace(now);
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -78,6 +78,8 @@
     pub(super) revision: Revision,
     pub(super) progress_revision: Revision,
     pub(super) accepted: Moment,
+    /// When this holder was told of it.
+    pub(super) known: Moment,
     pub(super) is_inherited: bool,
     pub(super) outcome: Option<State>,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
@@ -92,6 +94,7 @@
             revision: accepted.revision,
             progress_revision: accepted.progress_revision,
             accepted: now - accepted.age,
+            known: now,
             is_inherited: accepted.is_inherited,
             outcome: None,
             occurrences: BTreeMap::new(),
--- a/crates/skylarkwick-request/src/shard/order.rs
+++ b/crates/skylarkwick-request/src/shard/order.rs
@@ -56,7 +56,9 @@
             let Some(queue) = self.queues.get(&active.queue) else {
                 continue;
             };
-            if active.outcome.is_some() || !self.is_free_of_doubt(now, active, queue) {
+            let is_known = active.known <= self.known_until;
+            let may_start = is_known && self.is_free_of_doubt(now, active, queue);
+            if active.outcome.is_some() || !may_start {
                 continue;
             }
             for (&occurrence, steps) in &active.occurrences {
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -213,3 +213,17 @@
     assert_eq!(stops(&effects).len(), 1);
     assert_eq!(starts(&effects).len(), 1, "only the other task is left");
 }
+
+#[test]
+fn a_holder_back_from_a_cut_starts_no_newer_job() {
+    let mut site = Site::with_servers(&["a"]);
+    site.submit("before", vec![step(1, 4)]);
+    site.advance(5000);
+    site.look("a", &[], &[]);
+    // The cut heals, and the feed tells of a job that the next holder may run.
+    site.submit("since", vec![step(1, 4)]);
+    let started = starts(&site.decide_in_doubt());
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1.task, task("before", 0, 0));
+    assert_eq!(starts(&site.decide()).len(), 1, "the lease is confirmed again");
+}
--- a/crates/skylarkwick-request/tests/shard/mod.rs
+++ b/crates/skylarkwick-request/tests/shard/mod.rs
@@ -12,7 +12,7 @@
 use skylarkwick_request::{
     job::{Id, Job, Step, progress::Progress, task},
     shard::{
-        Hold, Rules, Shard, Term,
+        Rules, Shard, Term,
         effect::{Batch, Effect, Start},
         fact::{
             Accepted, Answer, Ended, Host, HostId, Listing, Look, Queue, Reading, Running,
@@ -25,6 +25,8 @@
 pub(crate) const POOL: &str = "pool";
 pub(crate) const QUEUE: &str = "queue";
 const CORES: u64 = 64;
+/// Time without a confirmed renewal after which a holder is not certain.
+const UNCONFIRMED: Duration = Duration::from_millis(4000);
 const CLOCK_START_MS: u64 = 100_000;
 
 pub(crate) struct Site {
@@ -152,11 +154,11 @@
     }
 
     pub(crate) fn decide(&mut self) -> Vec<Effect> {
-        self.shard.decide(self.now, 0, Hold::Certain)
+        self.shard.decide(self.now, 0, self.now)
     }
 
     pub(crate) fn decide_in_doubt(&mut self) -> Vec<Effect> {
-        self.shard.decide(self.now, 0, Hold::Probable)
+        self.shard.decide(self.now, 0, self.now - UNCONFIRMED)
     }
 
     pub(crate) fn reading(&self) -> Reading {
