Stop no lasting tasks together that only seem to be away

Ruled out: the takeover (2.6 s before), the order for the host. Change: the other tasks of the step alone decide whether one may be stopped.

--- a/crates/skylarkwick-request/src/shard/evacuation.rs
+++ b/crates/skylarkwick-request/src/shard/evacuation.rs
@@ -40,8 +40,11 @@
                 }
                 let id = (task.job.clone(), task.occurrence, task.step);
                 let count = *away.entry(id.clone()).or_insert_with(|| self.away(task));
+                // A task that seems away may have come to work since the last look,
+                // so the others alone decide.
                 let is_away = taken.percent < 100;
-                let may_stop = is_away || count < step.may_miss.max(1);
+                let others = count.saturating_sub(u32::from(is_away));
+                let may_stop = others < step.may_miss.max(1);
                 let pool = &server.listing.pool;
                 let has_place = self.choose(now, pool, step, task, None, None).is_some();
                 if !may_stop || !has_place {
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -121,6 +121,19 @@
     assert!(shard::stops(&site.decide()).is_empty());
 }
 
+#[test]
+fn tasks_that_were_just_started_are_not_stopped_together() {
+    let (mut site, place, mut running) = lasting();
+    for run in &mut running {
+        run.2 = 0;
+    }
+    site.advance(3000);
+    site.look("a", &running_on("a", &place, &running), &[]);
+    site.look("b", &running_on("b", &place, &running), &[]);
+    // All of them may have come to work since.
+    assert!(shard::stops(&site.decide()).is_empty());
+}
+
 type Runs = Vec<(skylarkwick_request::job::task::Id, Run, u32)>;
 
 /// Three lasting tasks at work on one of two hosts, which is due.
