Give no host order long after its row was read; count all due hosts that are busy

Change: an order is given within 0.8 s of the reading of its row; every due host that is busy counts.

--- a/crates/skylarkwick-planner/src/jobs/fleet.rs
+++ b/crates/skylarkwick-planner/src/jobs/fleet.rs
@@ -14,7 +14,11 @@
         row::{self, HostRow},
     },
 };
-use skylarkwick_process::{duty::Duty, ring};
+use skylarkwick_process::{
+    clock::{Boot, Clock},
+    duty::Duty,
+    ring,
+};
 use skylarkwick_request::shard::fact::{HostAnswer, HostId};
 use slog::{Logger, info, warn};
 
@@ -23,6 +27,10 @@
 /// Orders that wait.
 const RING: usize = 256;
 
+/// Longest time from the reading of a host's row to the call; the next holder
+/// counts on it that older orders are not given any more.
+const MAX_SEAL_AGE: Duration = Duration::from_millis(800);
+
 /// An order for a host.
 #[derive(Debug)]
 pub(super) enum Order {
@@ -78,9 +86,10 @@
     Duty::spawn("fleet", move || {
         while let Some(order) = input.receive() {
             let host = order.host().clone();
+            let asked = Boot.now();
             let answer = match seal(&store, &host, &holder, &log) {
-                None => HostAnswer::Busy,
-                Some(seal) => give(&hosts, &seal, &order),
+                Some(seal) if Boot.now().since(asked) < MAX_SEAL_AGE => give(&hosts, &seal, &order),
+                _ => HostAnswer::Busy,
             };
             info!(log, "host ordered"; "order" => ?order, "answer" => ?answer);
             if events.send(Event::HostAnswered(host, answer)).is_err() {
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -256,7 +256,8 @@
         self.effects.push(Effect::Wave { wave: number, begun, is_completed });
     }
 
-    /// Counts the hosts that are down for a wave, or may be.
+    /// Counts the hosts that are down for a wave, or may be: an order of the last
+    /// holder may not have been stored.
     fn down_for(&self, number: u64) -> usize {
         let Some(round) = self.fleet.waves.get(&number) else {
             return 0;
@@ -270,13 +271,7 @@
         let is_busy = |id: &HostId| {
             self.fleet.hosts.get(id).is_some_and(|host| host.standing == Standing::Busy)
         };
-        let begun = &round.wave.begun;
-        round
-            .wave
-            .hosts
-            .iter()
-            .filter(|id| is_ordered(id) || (begun.contains(id) && is_busy(id)))
-            .count()
+        round.wave.hosts.iter().filter(|id| is_ordered(id) || is_busy(id)).count()
     }
 
     /// Keeps some of the due hosts free of new work; those with the least to
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -211,3 +211,14 @@
     let effects = site.decide();
     assert!(!starts(&effects).is_empty() || !maintained(&effects).is_empty());
 }
+
+#[test]
+fn hosts_that_the_last_holder_maintains_count() {
+    let mut site = settled(&["a", "b"]);
+    // The last holder has begun with host b and could not store it.
+    let mut busy = up("b", POOL, None);
+    busy.standing = Standing::Busy;
+    site.shard.list_hosts(site.now, vec![up("a", POOL, Some("a")), busy]);
+    site.shard.ask_maintenance(wave(&["a", "b"], 1));
+    assert!(maintained(&site.decide()).is_empty());
+}
