Share what both kinds of answers tell, and one write of the lease

Second reading: started and stopped repeated the look-up of the run and what voids an answer; renew and write repeated the lease's transaction; a conversion had a trait of its own; a flag stood beside the version it followed; one function had no caller. Behaviour is the same.

--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -11,7 +11,9 @@
     progress::{Note, Place, Progress},
     task::Run,
 };
-use skylarkwick_version::{moment::millis, quantity::Quantity};
+use skylarkwick_version::{
+    holding::Holder, lease::Incarnation, moment::millis, quantity::Quantity,
+};
 
 use super::Key;
 
@@ -298,6 +300,16 @@
     pub renewed_ms: u64,
 }
 
+impl From<&LeaseRow> for Holder {
+    fn from(row: &LeaseRow) -> Holder {
+        Holder {
+            entry: (!row.holder.is_empty()).then(|| row.holder.clone()),
+            incarnation: Incarnation(row.incarnation),
+            renewed_ms: row.renewed_ms,
+        }
+    }
+}
+
 /// The jobs that wait, by queue.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BacklogRow {
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -107,8 +107,8 @@
     log: Logger,
     confirmed: Moment,
     is_lost: bool,
-    has_configuration: bool,
-    version: u64,
+    /// Version of the configuration in force, once one is known.
+    version: Option<u64>,
     wall: Wall,
     backlog_due: Moment,
     load_due: Moment,
@@ -160,8 +160,7 @@
             log: log.clone(),
             confirmed: since,
             is_lost: false,
-            has_configuration: false,
-            version: 0,
+            version: None,
             wall: Wall::new(Boot.now()),
             backlog_due: Moment::ZERO,
             load_due: Moment::ZERO,
@@ -203,9 +202,8 @@
     fn apply(&mut self, event: Event) {
         let now = Boot.now();
         match event {
-            Event::Configured(next) if next.version > self.version => {
-                self.version = next.version;
-                self.has_configuration = true;
+            Event::Configured(next) if Some(next.version) > self.version => {
+                self.version = Some(next.version);
                 self.shard.set_spare_pools(next.spare_pools);
                 self.shard.configure(next.routes.into_iter().map(|route| route.queue).collect());
             }
@@ -251,7 +249,7 @@
         let now = Boot.now();
         let silence = now.since(self.confirmed);
         let may_act = silence < holding::LIMIT;
-        if self.is_lost || !may_act || !self.has_configuration {
+        if self.is_lost || !may_act || self.version.is_none() {
             return;
         }
         let unix_ms = self.wall.unix_ms(now);
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -82,7 +82,7 @@
             .ok()?;
         let known = self.decode(&seen);
         self.sight = self.sight.update(seen.revision, Boot.now());
-        let holder = known.as_ref().map(Holder::from_row);
+        let holder = known.as_ref().map(Holder::from);
         let step = holding::step(holder.as_ref(), self.sight, &self.entry, now_ms);
         if step == Step::Wait {
             return None;
@@ -113,9 +113,7 @@
     }
 
     fn write(&self, revision: Revision, next: &LeaseRow) -> Option<Revision> {
-        let key = row::lease_key(row::SHARD);
-        let change = Transaction::default().replace(key, revision, row::encode(next));
-        match store::settle(&self.store, &change) {
+        match self.settle(revision, next) {
             Settled::Applied(revision) => Some(revision),
             outcome => {
                 info!(self.log, "lease not written"; "outcome" => ?outcome);
@@ -124,15 +122,19 @@
         }
     }
 
+    fn settle(&self, revision: Revision, next: &LeaseRow) -> Settled {
+        let key = row::lease_key(row::SHARD);
+        let change = Transaction::default().replace(key, revision, row::encode(next));
+        store::settle(&self.store, &change)
+    }
+
     /// Renews the lease with one write.
     pub(super) fn renew(&mut self) -> Renewal {
         let Some((revision, held)) = self.held.clone() else {
             return Renewal::Lost;
         };
         let next = LeaseRow { renewed_ms: self.store.clock_ms(), ..held };
-        let key = row::lease_key(row::SHARD);
-        let change = Transaction::default().replace(key, revision, row::encode(&next));
-        match store::settle(&self.store, &change) {
+        match self.settle(revision, &next) {
             Settled::Applied(revision) => {
                 self.held = Some((revision, next));
                 Renewal::Confirmed
@@ -170,18 +172,3 @@
         }
     }
 }
-
-/// Reads the holder of a row.
-trait FromRow {
-    fn from_row(row: &LeaseRow) -> Self;
-}
-
-impl FromRow for Holder {
-    fn from_row(row: &LeaseRow) -> Holder {
-        Holder {
-            entry: (!row.holder.is_empty()).then(|| row.holder.clone()),
-            incarnation: Incarnation(row.incarnation),
-            renewed_ms: row.renewed_ms,
-        }
-    }
-}
--- a/crates/skylarkwick-request/src/shard/answers.rs
+++ b/crates/skylarkwick-request/src/shard/answers.rs
@@ -27,33 +27,27 @@
         run: task::Run,
         answer: Answer,
     ) {
+        if !self.applies(id, task, run, answer) {
+            return;
+        }
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        let Some(taken) = server.runs.get_mut(task).filter(|taken| taken.run == run) else {
+        let Some(taken) = server.runs.get_mut(task) else {
             return;
         };
         match answer {
-            Answer::Done(reading) => {
-                if taken.stage == Stage::Starting {
-                    taken.stage = Stage::Running;
-                    taken.since = now;
-                }
-                server.note(reading);
-            }
-            Answer::Refused(Refusal::Fenced, _) => self.effects.push(Effect::StepDown),
-            Answer::Refused(Refusal::OtherLife, _) => {
-                self.forget(id, "another life at the address");
+            Answer::Done(_) if taken.stage == Stage::Starting => {
+                taken.stage = Stage::Running;
+                taken.since = now;
             }
-            Answer::Refused(refusal, reading) => {
+            Answer::Done(_) => {}
+            Answer::Refused(refusal, _) => {
                 match refusal {
                     Refusal::NoRoom => server.pause(now + NO_ROOM_PAUSE),
                     Refusal::Unwell => server.rest(now),
                     _ => {}
                 }
-                if let Some(reading) = reading {
-                    server.note(reading);
-                }
                 self.release(id, task, run, false);
                 self.explain("start refused", task, id, refusal.as_str());
             }
@@ -73,30 +67,46 @@
         run: task::Run,
         answer: Answer,
     ) {
+        if !self.applies(id, task, run, answer) {
+            return;
+        }
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        let Some(taken) = server.runs.get_mut(task).filter(|taken| taken.run == run) else {
+        let Some(taken) = server.runs.get_mut(task) else {
             return;
         };
         match answer {
-            Answer::Refused(Refusal::Fenced, _) => self.effects.push(Effect::StepDown),
-            Answer::Refused(Refusal::OtherLife, _) => {
-                self.forget(id, "another life at the address");
-            }
             Answer::Unknown | Answer::Refused(Refusal::Unwell, _) => {
                 taken.stage = Stage::Stopping { noted: None, next_try: now + STOP_RETRY };
             }
-            Answer::Done(reading) => {
+            Answer::Done(_) | Answer::Refused(..) => {
                 taken.stage = Stage::Stopping { noted: Some(now), next_try: now + STOP_RETRY * 8 };
-                server.note(reading);
             }
-            Answer::Refused(_, reading) => {
-                taken.stage = Stage::Stopping { noted: Some(now), next_try: now + STOP_RETRY * 8 };
-                if let Some(reading) = reading {
-                    server.note(reading);
-                }
+        }
+    }
+
+    /// Takes in what any answer may tell; false when it says nothing more of the
+    /// run, because the run is not known or its server is another's or gone.
+    fn applies(&mut self, id: &ServerId, task: &task::Id, run: task::Run, answer: Answer) -> bool {
+        let known = self.servers.get(id).and_then(|server| server.runs.get(task));
+        if known.is_none_or(|taken| taken.run != run) {
+            return false;
+        }
+        match answer {
+            Answer::Refused(Refusal::Fenced, _) => {
+                self.effects.push(Effect::StepDown);
+                false
+            }
+            Answer::Refused(Refusal::OtherLife, _) => {
+                self.replaced(id);
+                false
+            }
+            Answer::Done(reading) | Answer::Refused(_, Some(reading)) => {
+                self.heard(id, reading);
+                true
             }
+            Answer::Refused(_, None) | Answer::Unknown => true,
         }
     }
 
--- a/crates/skylarkwick-request/src/shard/saving.rs
+++ b/crates/skylarkwick-request/src/shard/saving.rs
@@ -129,9 +129,4 @@
             })
             .collect()
     }
-
-    /// Tells when the next occurrence of any job is due, in Unix milliseconds.
-    pub fn next_due_ms(&self) -> Option<u64> {
-        self.jobs.values().filter_map(|active| active.job.due_ms(active.next_occurrence())).min()
-    }
 }
