--- a/crates/skylarkwick-connection/src/store.rs
+++ b/crates/skylarkwick-connection/src/store.rs
@@ -188,27 +188,21 @@
     Ok(whole)
 }
 
-/// Reads every row of a table.
+/// Reads every row of a table; the page's revision is from before the parts were
+/// listed, so that a feed from there on misses no row of a new part.
 ///
 /// # Errors
 ///
 /// Returns a fault when no answer came.
 pub fn read_table<S: Store>(store: &S, table: &str) -> Result<Page, Fault> {
-    let mut whole: Option<Page> = None;
+    let mut whole = store.read(table, "", Range::One(""))?;
+    whole.rows.clear();
     for part in store.parts(table)? {
         let page = read_part(store, table, &part)?;
-        match &mut whole {
-            None => whole = Some(page),
-            Some(whole) => {
-                whole.rows.extend(page.rows);
-                whole.now_ms = page.now_ms;
-            }
-        }
-    }
-    match whole {
-        Some(whole) => Ok(whole),
-        None => store.read(table, "", Range::After("")),
+        whole.rows.extend(page.rows);
+        whole.now_ms = page.now_ms;
     }
+    Ok(whole)
 }
 
 /// Attempts at one transaction before its outcome is left in doubt.
