Count a job as waiting until a server has certainly begun it

One way to that is a start that was sent and not answered: its job counted as begun, though the start may never arrive. Change: only an answered start, a listed run or an end tells that a job has begun. The test backlog_counts_jobs_that_have_not_begun now answers its starts first, as a server would; it asks for the same count.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -188,12 +188,15 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Counts the jobs of each queue of which no task has started.
+    /// Returns the jobs of each queue of which no server has begun a task.
+    ///
+    /// A start that was sent and is not answered may be refused or never arrive,
+    /// so its job still waits.
     pub fn backlog(&self) -> BTreeMap<Arc<str>, Vec<job::Id>> {
         let mut waiting: BTreeMap<Arc<str>, Vec<job::Id>> =
             self.queues.keys().map(|queue| (Arc::clone(queue), Vec::new())).collect();
         for (id, active) in &self.jobs {
-            if !active.has_begun() {
+            if !active.has_run {
                 waiting.entry(Arc::clone(&active.queue)).or_default().push(id.clone());
             }
         }
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -81,6 +81,8 @@
     /// When this holder was told of it.
     pub(super) known: Moment,
     pub(super) is_inherited: bool,
+    /// Whether a server has begun a task; one that was only told to may not have.
+    pub(super) has_run: bool,
     pub(super) outcome: Option<State>,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
 }
@@ -96,6 +98,7 @@
             accepted: now - accepted.age,
             known: now,
             is_inherited: accepted.is_inherited,
+            has_run: false,
             outcome: None,
             occurrences: BTreeMap::new(),
         };
@@ -113,6 +116,7 @@
     }
 
     fn restore(&mut self, progress: Progress) {
+        self.has_run |= !progress.notes.is_empty();
         for (place, note) in progress.notes {
             self.open(place.occurrence);
             let Some(task) = self.task_mut(place) else {
@@ -178,7 +182,7 @@
         runs
     }
 
-    /// Tells whether a task has started.
+    /// Tells whether a task was told to start, or has run.
     pub(super) fn has_begun(&self) -> bool {
         self.occurrences
             .values()
--- a/crates/skylarkwick-request/src/shard/answers.rs
+++ b/crates/skylarkwick-request/src/shard/answers.rs
@@ -40,6 +40,7 @@
             Answer::Done(_) if taken.stage == Stage::Starting => {
                 taken.stage = Stage::Running;
                 taken.since = now;
+                self.note_begun(task);
             }
             Answer::Done(_) => {}
             Answer::Refused(refusal, _) => {
@@ -110,6 +111,13 @@
         }
     }
 
+    /// Notes that a server has begun a task.
+    pub(super) fn note_begun(&mut self, task: &task::Id) {
+        if let Some(active) = self.jobs.get_mut(&task.job) {
+            active.has_run = true;
+        }
+    }
+
     /// Asks a server to end what it runs of a task.
     pub(super) fn stop(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
         let taken = self.servers.get_mut(id).and_then(|server| server.runs.get_mut(task));
--- a/crates/skylarkwick-request/src/shard/ends.rs
+++ b/crates/skylarkwick-request/src/shard/ends.rs
@@ -66,6 +66,7 @@
         let Some(active) = self.jobs.get_mut(&ended.task.job) else {
             return;
         };
+        active.has_run = true;
         let steps = &active.job.steps;
         let is_lasting = steps.get(ended.task.step).is_some_and(|step| step.is_lasting);
         let Some(task) = active.task_mut(Place::of(&ended.task)) else {
--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -162,6 +162,7 @@
 
     fn progress(&mut self, now: Moment, id: &ServerId, running: Running) {
         let size = self.size_of(&running.task);
+        self.note_begun(&running.task);
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
--- a/crates/skylarkwick-request/tests/job_life.rs
+++ b/crates/skylarkwick-request/tests/job_life.rs
@@ -133,7 +133,8 @@
     let mut site = Site::with_servers(&["a"]);
     site.submit("first", vec![step(1, 64)]);
     site.submit("second", vec![step(2, 64)]);
-    site.decide();
+    let effects = site.decide();
+    assert_eq!(site.confirm(&effects).len(), 1);
     let backlog = site.shard.backlog();
     assert_eq!(backlog[shard::QUEUE].len(), 1);
 }
