Fence what a holder writes, and reset calls that are given up

After a data centre's cut healed, the last holder wrote its list of waiting jobs over its successor's: 0 instead of 30. And an order for a host that was under way when the cut began timed out; its connection was closed, so its bytes could arrive after the cut, behind the next holder's orders. Ruled out: the age limit of an order's row (the order left 0.1 s after it was written). Change: a new holder writes a fence row in the transaction that takes the lease; its revision is the fencing number, and the backlog, the waves and the orders for hosts are written on condition of it. A conflict there ends the holder. Connections are reset when they are dropped, so that the system discards what has not been delivered.

--- a/crates/skylarkwick-connection/src/agent.rs
+++ b/crates/skylarkwick-connection/src/agent.rs
@@ -12,7 +12,9 @@
     time::Duration,
 };
 
-use ureq::{Agent, config::Config};
+use ureq::{Agent, config::Config, unversioned::resolver::DefaultResolver};
+
+use crate::transport::Opener;
 
 /// Longest time that an idle connection is kept.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
@@ -62,19 +64,18 @@
 
     /// Opens connections apart from the kept ones, for one inquiry.
     pub fn open(&self) -> Agent {
-        Config::builder()
+        let config = Config::builder()
             .http_status_as_error(false)
             .max_redirects(0)
             .proxy(None)
-            .no_delay(true)
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .max_idle_age(MAX_IDLE_AGE)
             .input_buffer_size(BUFFER_BYTES)
             .output_buffer_size(BUFFER_BYTES)
             .max_idle_connections(self.max_idle)
             .max_idle_connections_per_host(self.max_idle)
-            .build()
-            .new_agent()
+            .build();
+        Agent::with_parts(config, Opener::default(), DefaultResolver::default())
     }
 }
 
--- a/crates/skylarkwick-connection/src/lib.rs
+++ b/crates/skylarkwick-connection/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod peer;
 pub mod platform;
 pub mod store;
+mod transport;
--- a/crates/skylarkwick-connection/src/store.rs
+++ b/crates/skylarkwick-connection/src/store.rs
@@ -78,6 +78,12 @@
         self
     }
 
+    /// Adds a row that has to have this revision and is left as it is.
+    pub fn require(mut self, key: Key, revision: Revision) -> Transaction {
+        self.conditions.push((key, revision));
+        self
+    }
+
     /// Adds a row that is removed.
     pub fn remove(mut self, key: Key) -> Transaction {
         self.removals.push(key);
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -26,6 +26,10 @@
 pub const PROGRESS: &str = "progress";
 /// Table of the holders of shards.
 pub const LEASES: &str = "lease";
+/// Table of the rows that only a new holder of a shard writes. The revision of
+/// such a row is the fencing number of the holder, and what a holder writes for
+/// the shard depends on it, so that an earlier holder's late write is refused.
+pub const FENCES: &str = "fence";
 /// Table of the jobs of each queue that wait.
 pub const BACKLOG: &str = "backlog";
 /// Table of the progress of waves.
@@ -51,6 +55,11 @@
     Key::new(LEASES, "", shard)
 }
 
+/// Returns the key of the row that holds earlier holders of a shard off.
+pub fn fence_key(shard: &str) -> Key {
+    Key::new(FENCES, "", shard)
+}
+
 /// Returns the key of a shard's backlog.
 pub fn backlog_key(shard: &str) -> Key {
     Key::new(BACKLOG, "", shard)
--- a/crates/skylarkwick-planner/src/jobs/fleet.rs
+++ b/crates/skylarkwick-planner/src/jobs/fleet.rs
@@ -20,6 +20,7 @@
     ring,
 };
 use skylarkwick_request::shard::fact::{HostAnswer, HostId};
+use skylarkwick_version::revision::Revision;
 use slog::{Logger, info, warn};
 
 use super::event::Event;
@@ -120,7 +121,9 @@
     }
     let entry = &holder.entry;
     let next = HostRow { holder: entry.to_string(), fencing: holder.fencing, ordered_ms: now_ms };
-    let change = Transaction::default().replace(key, last.revision, row::encode(&next));
+    let change = Transaction::default()
+        .replace(key, last.revision, row::encode(&next))
+        .require(row::fence_key(row::SHARD), Revision(holder.fencing));
     match store::settle(store, &change) {
         Settled::Applied(revision) => Some(Seal { holder: Arc::clone(entry), fencing: revision.0 }),
         outcome => {
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -146,7 +146,7 @@
         let (ring, line, stop) = next();
         watch::jobs(store.clone(), revision, ring, line, stop)?;
         let (ring, line, stop) = next();
-        let (saving, saver) = saver::start(store.clone(), directory, ring, line, stop)?;
+        let (saving, saver) = saver::start(store.clone(), directory, fencing, ring, line, stop)?;
         let (entry, handover) = (Arc::clone(&terms.entry), terms.handover);
         let giver = fleet::Holder { entry, fencing, handover };
         let fleet = fleet::start(store, hosts, giver, events.clone(), log.clone())?;
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -95,7 +95,10 @@
             fencing: 0,
             renewed_ms: now_ms,
         };
-        let revision = self.write(seen.revision, &next)?;
+        let change = self.change(seen.revision, &next);
+        let fence = row::encode(&self.entry.to_string());
+        let change = change.put(row::fence_key(row::SHARD), fence);
+        let revision = self.commit(&change)?;
         let number = next.number;
         info!(self.log, "shard taken"; "shard" => row::SHARD, "fencing" => revision.0,
             "number" => number, "step" => ?step,
@@ -112,8 +115,8 @@
             .ok()
     }
 
-    fn write(&self, revision: Revision, next: &LeaseRow) -> Option<Revision> {
-        match self.settle(revision, next) {
+    fn commit(&self, change: &Transaction) -> Option<Revision> {
+        match store::settle(&self.store, change) {
             Settled::Applied(revision) => Some(revision),
             outcome => {
                 info!(self.log, "lease not written"; "outcome" => ?outcome);
@@ -122,10 +125,9 @@
         }
     }
 
-    fn settle(&self, revision: Revision, next: &LeaseRow) -> Settled {
+    fn change(&self, revision: Revision, next: &LeaseRow) -> Transaction {
         let key = row::lease_key(row::SHARD);
-        let change = Transaction::default().replace(key, revision, row::encode(next));
-        store::settle(&self.store, &change)
+        Transaction::default().replace(key, revision, row::encode(next))
     }
 
     /// Renews the lease with one write.
@@ -134,7 +136,7 @@
             return Renewal::Lost;
         };
         let next = LeaseRow { renewed_ms: self.store.clock_ms(), ..held };
-        match self.settle(revision, &next) {
+        match store::settle(&self.store, &self.change(revision, &next)) {
             Settled::Applied(revision) => {
                 self.held = Some((revision, next));
                 Renewal::Confirmed
@@ -167,7 +169,7 @@
             return;
         };
         let next = LeaseRow { holder: String::new(), ..held };
-        if self.write(revision, &next).is_some() {
+        if self.commit(&self.change(revision, &next)).is_some() {
             info!(self.log, "shard released"; "shard" => row::SHARD);
         }
     }
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -5,11 +5,12 @@
 use skylarkwick_connection::{
     order::Directory,
     store::{
-        Commit, Fault, Row, Store, Transaction,
+        Commit, Fault, Key, Row, Store, Transaction,
         row::{self, BacklogRow, JobRow, Over, ProgressRow, WaveRow},
     },
 };
 use skylarkwick_process::{
+    clock::{Boot, Clock},
     duty::{Duty, Stop},
     ring,
 };
@@ -20,7 +21,7 @@
 use skylarkwick_version::revision::Revision;
 use slog::{Logger, info, warn};
 
-use super::{event::Event, load};
+use super::{event::Event, lease::Renewal, load};
 
 /// Batches that wait to be written.
 const RING: usize = 64;
@@ -59,12 +60,14 @@
 pub(super) fn start<S: Store, D: Directory>(
     store: S,
     directory: D,
+    fencing: u64,
     events: ring::Sender<Event>,
     log: Logger,
     stop: Stop,
 ) -> io::Result<(Duty, ring::Sender<Work>)> {
     let (work, input) = ring::bounded(RING);
-    let saver = Saver { store, directory, events, log, stop };
+    let fence = Revision(fencing);
+    let saver = Saver { store, directory, fence, events, log, stop };
     let duty = Duty::spawn("saver", move || saver.run(&input))?;
     Ok((duty, work))
 }
@@ -72,6 +75,8 @@
 struct Saver<S, D> {
     store: S,
     directory: D,
+    /// Revision of the row that a later holder replaces.
+    fence: Revision,
     events: ring::Sender<Event>,
     log: Logger,
     stop: Stop,
@@ -231,17 +236,30 @@
     fn backlog(&self, mut backlog: BacklogRow) {
         backlog.written_ms = self.store.clock_ms();
         let key = row::backlog_key(row::SHARD);
-        let change = Transaction::default().put(key, row::encode(&backlog));
-        if let Err(error) = self.store.commit(&change) {
+        if let Err(error) = self.put(key, row::encode(&backlog)) {
             warn!(self.log, "backlog not saved"; "error" => %error);
         }
     }
 
+    /// Writes a row of the shard, unless a later holder has taken the shard; the
+    /// holder's duty is then told that it is lost.
+    fn put(&self, key: Key, value: Vec<u8>) -> Result<(), Fault> {
+        let fence = row::fence_key(row::SHARD);
+        let change = Transaction::default().put(key, value).require(fence, self.fence);
+        match self.store.commit(&change)? {
+            Commit::Applied(_) => Ok(()),
+            Commit::Conflict(_) => {
+                self.note(Event::Renewed(Renewal::Lost, Boot.now()));
+                Err(Fault::NotDone("a later holder has the shard".to_owned()))
+            }
+        }
+    }
+
     fn wave(&self, wave: u64, begun: Vec<String>, is_completed: bool) -> bool {
         let row = row::encode(&WaveRow { begun });
-        let change = Transaction::default().put(row::wave_key(wave), row);
-        let stored =
-            self.store.commit(&change).and_then(|_| self.directory.report_wave(wave, is_completed));
+        let stored = self
+            .put(row::wave_key(wave), row)
+            .and_then(|()| self.directory.report_wave(wave, is_completed));
         if let Err(error) = &stored {
             warn!(self.log, "wave not saved"; "wave" => wave, "error" => %error);
             self.stop.sleep(FAULT_PAUSE);
