--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -34,6 +34,8 @@
 pub const BACKLOG: &str = "backlog";
 /// Table of the progress of waves.
 pub const WAVES: &str = "round";
+/// Table of the sizes of pools before any host was moved.
+pub const HOMES: &str = "home";
 /// Table of the last order for each host.
 pub const HOSTS: &str = "order";
 
@@ -70,6 +72,11 @@
     Key::new(WAVES, "", &number.to_string())
 }
 
+/// Returns the key of the sizes of a shard's pools.
+pub fn homes_key(shard: &str) -> Key {
+    Key::new(HOMES, "", shard)
+}
+
 /// Returns the key of the last order for a host.
 pub fn host_key(host: &str) -> Key {
     Key::new(HOSTS, "", host)
@@ -328,16 +335,25 @@
     pub waiting: BTreeMap<String, Vec<String>>,
 }
 
+/// Hosts of each pool before any host was moved.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomesRow {
+    /// Number of hosts, by pool.
+    pub hosts: BTreeMap<String, usize>,
+}
+
 /// Progress of a wave.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveRow {
     /// Hosts whose maintenance has begun.
     pub begun: Vec<String>,
+    /// When all of them are due, on the store's clock in milliseconds.
+    pub due_ms: u64,
 }
 
 /// The last order for a host; the revision of the row is the order's fencing
 /// number.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostRow {
     /// The entry host of the process that gives the order.
     pub holder: String,
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -58,6 +58,8 @@
     pub handover: Duration,
     /// Time after which a lasting task that is not at work counts as away.
     pub notice: Duration,
+    /// Time that the maintenance of a host takes.
+    pub maintenance: Duration,
 }
 
 /// Holds the shard whenever it can, until the stop.
@@ -92,5 +94,6 @@
         start_window: START_WINDOW,
         doubt: overhang + lease.mul_f64(1.03) + DOUBT_MARGIN,
         notice: terms.notice,
+        maintenance: terms.maintenance,
     }
 }
--- a/crates/skylarkwick-planner/src/jobs/fleet.rs
+++ b/crates/skylarkwick-planner/src/jobs/fleet.rs
@@ -1,16 +1,18 @@
 //! Orders for hosts.
 //!
-//! Each order is written down before it is given, on condition that the last
-//! order for the host is the one that was read. The revision of that row is the
-//! order's fencing number, so that numbers only grow for each host, whoever
-//! gives the order. See `docs/DESIGN.md`, section "Hosts and waves".
+//! Orders are written down before they are given, all that wait in one
+//! transaction, on condition that the last order for each host is the one that
+//! is known and that no later holder has taken the shard. The revision of that
+//! transaction is the orders' fencing number, so that numbers only grow for each
+//! host, whoever gives the order. See `docs/DESIGN.md`, section "Hosts and
+//! waves".
 
-use std::{io, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
 
 use skylarkwick_connection::{
     order::{Hosts, Seal},
     store::{
-        self, Settled, Store, Transaction,
+        self, Fault, Row, Settled, Store, Transaction,
         row::{self, HostRow},
     },
 };
@@ -20,15 +22,19 @@
     ring,
 };
 use skylarkwick_request::shard::fact::{HostAnswer, HostId};
-use skylarkwick_version::revision::Revision;
+use skylarkwick_version::{moment::Moment, revision::Revision};
 use slog::{Logger, info, warn};
 
 use super::event::Event;
 
 /// Orders that wait.
-const RING: usize = 256;
-
-/// Longest time from the reading of a host's row to the call; the next holder
+const RING: usize = 512;
+/// Orders written down at once; the platform takes a hundred conditions and
+/// writes together, and an order needs two.
+const MAX_BATCH: usize = 40;
+/// Orders that are given at once.
+const GIVERS: usize = 6;
+/// Longest time from the writing down of an order to the call; the next holder
 /// counts on it that older orders are not given any more.
 const MAX_SEAL_AGE: Duration = Duration::from_millis(800);
 
@@ -75,32 +81,74 @@
     }
 }
 
-/// Starts the duty; returns its ring.
+/// An order that is written down.
+#[derive(Debug)]
+struct Sealed {
+    order: Order,
+    seal: Seal,
+    since: Moment,
+}
+
+/// Starts the duties; returns their ring.
 pub(super) fn start<S: Store, H: Hosts>(
     store: S,
-    hosts: H,
+    hosts: &H,
     holder: Holder,
     events: ring::Sender<Event>,
     log: Logger,
 ) -> io::Result<ring::Sender<Order>> {
     let (orders, input) = ring::bounded::<Order>(RING);
+    let mut givers = Vec::with_capacity(GIVERS);
+    for _ in 0..GIVERS {
+        let (sealed, next) = ring::bounded::<Sealed>(MAX_BATCH);
+        let (hosts, events, log) = (hosts.clone(), events.clone(), log.clone());
+        Duty::spawn("host order", move || give_all(&hosts, &next, &events, &log))?;
+        givers.push(sealed);
+    }
     Duty::spawn("fleet", move || {
-        while let Some(order) = input.receive() {
-            let host = order.host().clone();
-            let asked = Boot.now();
-            let answer = match seal(&store, &host, &holder, &log) {
-                Some(seal) if Boot.now().since(asked) < MAX_SEAL_AGE => give(&hosts, &seal, &order),
-                _ => HostAnswer::Busy,
-            };
-            info!(log, "host ordered"; "order" => ?order, "answer" => ?answer);
-            if events.send(Event::HostAnswered(host, answer)).is_err() {
-                return;
+        let mut ledger = Ledger { store, holder, log, last: None };
+        let mut turn = 0;
+        while let Some(first) = input.receive() {
+            let rest = std::iter::from_fn(|| input.take()).take(MAX_BATCH - 1);
+            let batch: Vec<Order> = std::iter::once(first).chain(rest).collect();
+            let (sealed, withheld) = ledger.seal(batch);
+            for order in withheld {
+                let answer = Event::HostAnswered(order.host().clone(), HostAnswer::Busy);
+                if events.send(answer).is_err() {
+                    return;
+                }
+            }
+            for order in sealed {
+                turn = (turn + 1) % GIVERS;
+                if givers[turn].send(order).is_err() {
+                    return;
+                }
             }
         }
     })?;
     Ok(orders)
 }
 
+/// Gives the orders that are written down, unless that was too long ago.
+fn give_all<H: Hosts>(
+    hosts: &H,
+    input: &ring::Receiver<Sealed>,
+    events: &ring::Sender<Event>,
+    log: &Logger,
+) {
+    while let Some(Sealed { order, seal, since }) = input.receive() {
+        let answer = match Boot.now().since(since) < MAX_SEAL_AGE {
+            true => give(hosts, &seal, &order),
+            false => HostAnswer::Busy,
+        };
+        info!(log, "host ordered"; "order" => ?order, "number" => seal.fencing,
+            "answer" => ?answer);
+        if events.send(Event::HostAnswered(order.host().clone(), answer)).is_err() {
+            return;
+        }
+    }
+}
+
 fn give<H: Hosts>(hosts: &H, seal: &Seal, order: &Order) -> HostAnswer {
     match order {
         Order::Move(host, pool) => hosts.move_host(seal, host, pool),
@@ -108,27 +156,95 @@
     }
 }
 
-/// Writes an order down; nothing when a later holder may give orders.
-fn seal<S: Store>(store: &S, host: &HostId, holder: &Holder, log: &Logger) -> Option<Seal> {
-    let key = row::host_key(&host.0);
-    let (last, now_ms) = store::read_one(store, &key)
-        .inspect_err(|error| warn!(log, "order unread"; "host" => %host, "error" => %error))
-        .ok()?;
-    let known = last.value.as_deref().and_then(|value| row::decode::<HostRow>(value).ok());
-    if let Some(because) = known.and_then(|known| holder.obstacle(&known, now_ms)) {
-        warn!(log, "order withheld"; "host" => %host, "because" => because);
-        return None;
-    }
-    let entry = &holder.entry;
-    let next = HostRow { holder: entry.to_string(), fencing: holder.fencing, ordered_ms: now_ms };
-    let change = Transaction::default()
-        .replace(key, last.revision, row::encode(&next))
-        .require(row::fence_key(row::SHARD), Revision(holder.fencing));
-    match store::settle(store, &change) {
-        Settled::Applied(revision) => Some(Seal { holder: Arc::clone(entry), fencing: revision.0 }),
-        outcome => {
-            warn!(log, "order withheld"; "host" => %host, "outcome" => ?outcome);
-            None
+/// The last order for each host, as far as this holder knows.
+type Known = BTreeMap<HostId, (Revision, HostRow)>;
+
+/// Writes orders down.
+struct Ledger<S> {
+    store: S,
+    holder: Holder,
+    log: Logger,
+    /// None until the rows were read.
+    last: Option<Known>,
+}
+
+impl<S: Store> Ledger<S> {
+    /// Writes orders down; returns them, and those that must not be given now.
+    fn seal(&mut self, batch: Vec<Order>) -> (Vec<Sealed>, Vec<Order>) {
+        let since = Boot.now();
+        if self.last.is_none() {
+            self.last = self.read().ok();
+        }
+        let Some(known) = &mut self.last else {
+            return (Vec::new(), batch);
+        };
+        let now_ms = self.store.clock_ms();
+        let holder = &self.holder;
+        let obstacle = |order: &Order| {
+            let (_, last) = known.get(order.host())?;
+            holder.obstacle(last, now_ms)
+        };
+        let (mut free, mut withheld) = (Vec::new(), Vec::new());
+        for order in batch {
+            match obstacle(&order) {
+                None => free.push(order),
+                Some(because) => {
+                    warn!(self.log, "order withheld"; "order" => ?order, "because" => because);
+                    withheld.push(order);
+                }
+            }
+        }
+        let next = HostRow {
+            holder: holder.entry.to_string(),
+            fencing: holder.fencing,
+            ordered_ms: now_ms,
+        };
+        if free.is_empty() {
+            return (Vec::new(), withheld);
+        }
+        let change = transaction(&free, &next, known, holder.fencing);
+        match store::settle(&self.store, &change) {
+            Settled::Applied(revision) => {
+                let seal = Seal { holder: Arc::clone(&holder.entry), fencing: revision.0 };
+                let row = |order: &Order| (order.host().clone(), (revision, next.clone()));
+                known.extend(free.iter().map(row));
+                let sealed = |order| Sealed { order, seal: seal.clone(), since };
+                (free.into_iter().map(sealed).collect(), withheld)
+            }
+            outcome => {
+                warn!(self.log, "orders withheld"; "orders" => free.len(),
+                    "outcome" => ?outcome);
+                // The rows may have changed, or may change later.
+                self.last = None;
+                withheld.extend(free);
+                (Vec::new(), withheld)
+            }
         }
     }
+
+    fn read(&self) -> Result<Known, Fault> {
+        let page = store::read_part(&self.store, row::HOSTS, "")
+            .inspect_err(|error| warn!(self.log, "orders unread"; "error" => %error))?;
+        Ok(page.rows.iter().filter_map(|row| self.decode(row)).collect())
+    }
+
+    /// Reads the row of a host's last order; one that another writer has spoilt
+    /// is written over.
+    fn decode(&self, row: &Row) -> Option<(HostId, (Revision, HostRow))> {
+        let known = row::decode::<HostRow>(row.value.as_deref()?)
+            .inspect_err(|error| {
+                warn!(self.log, "order unreadable"; "host" => &*row.key.name, "error" => %error);
+            })
+            .unwrap_or_default();
+        Some((HostId(Arc::clone(&row.key.name)), (row.revision, known)))
+    }
+}
+
+fn transaction(orders: &[Order], next: &HostRow, known: &Known, fencing: u64) -> Transaction {
+    let start = Transaction::default().require(row::fence_key(row::SHARD), Revision(fencing));
+    orders.iter().fold(start, |change, order| {
+        let host = order.host();
+        let revision = known.get(host).map_or(Revision::ABSENT, |(revision, _)| *revision);
+        change.replace(row::host_key(&host.0), revision, row::encode(next))
+    })
 }
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -1,18 +1,10 @@
 //! The duty of a shard's holder: owns the shard and carries its effects out.
 
-use std::{
-    collections::VecDeque,
-    io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{collections::VecDeque, io, sync::Arc, time::Duration};
 
 use skylarkwick_connection::{
     order::{Blind, Directory, Hosts, Orders},
-    store::{Fault, Store},
+    store::{Fault, Store, row::HomesRow},
 };
 use skylarkwick_process::{
     clock::{Boot, Clock},
@@ -77,7 +69,7 @@
     let log = log.new(slog::o!("fencing" => taken.fencing));
     let renewals = watch::renewals(lease.clone(), events.clone(), log.clone(), done.clone());
     let holder = renewals.and_then(|(_, given_back)| {
-        let holder = Holder::start(neighbours, terms, rules, taken, &events, &log, &done)?;
+        let holder = Holder::start(neighbours, terms, rules, taken, &events, &log, (&done, stop))?;
         Ok((holder, given_back))
     });
     drop(events);
@@ -103,7 +95,6 @@
     saver: ring::Sender<Work>,
     saving: Duty,
     fleet: ring::Sender<fleet::Order>,
-    wants_hosts: Arc<AtomicBool>,
     log: Logger,
     confirmed: Moment,
     is_lost: bool,
@@ -123,40 +114,40 @@
         taken: Taken,
         events: &ring::Sender<Event>,
         log: &Logger,
-        done: &Stop,
+        (done, stop): (&Stop, &Stop),
     ) -> io::Result<Holder<O>> {
         let Neighbours { store, orders, hosts, directory } = neighbours.clone();
         let Taken { fencing, number, since, may_be_contested } = taken;
         let mut shard =
             Shard::new(rules, Term { fencing, number, since, is_contested: may_be_contested });
-        let wants_hosts = Arc::new(AtomicBool::new(true));
         let next = || (events.clone(), log.clone(), done.clone());
-        let (ring, line, stop) = next();
-        watch::servers(directory.clone(), ring, line, stop)?;
-        let (ring, line, stop) = next();
-        watch::notices(store.clone(), directory.clone(), ring, line, stop)?;
-        let (ring, line, stop) = next();
-        watch::hosts(hosts.clone(), Arc::clone(&wants_hosts), ring, line, stop)?;
-        let Loaded { jobs, revision } = load_all(&store, log, since);
+        let (ring, line, end) = next();
+        watch::servers(directory.clone(), ring, line, end)?;
+        let (ring, line, end) = next();
+        watch::notices(store.clone(), directory.clone(), ring, line, end)?;
+        let (ring, line, end) = next();
+        watch::hosts(hosts.clone(), ring, line, end)?;
+        let loaded = load_all(&store, log, since, stop).ok_or_else(unloaded)?;
+        let Loaded { jobs, revision, homes } = loaded;
         info!(log, "jobs loaded"; "jobs" => jobs.len(), "revision" => revision.0,
             "ms" => millis(Boot.now().since(since)));
+        shard.set_homes(homes);
         for accepted in jobs {
             shard.submit(Boot.now(), accepted);
         }
-        let (ring, line, stop) = next();
-        watch::jobs(store.clone(), revision, ring, line, stop)?;
-        let (ring, line, stop) = next();
-        let (saving, saver) = saver::start(store.clone(), directory, fencing, ring, line, stop)?;
+        let (ring, line, end) = next();
+        watch::jobs(store.clone(), revision, ring, line, end)?;
+        let (ring, line, end) = next();
+        let (saving, saver) = saver::start(store.clone(), directory, fencing, ring, line, end)?;
         let (entry, handover) = (Arc::clone(&terms.entry), terms.handover);
         let giver = fleet::Holder { entry, fencing, handover };
-        let fleet = fleet::start(store, hosts, giver, events.clone(), log.clone())?;
+        let fleet = fleet::start(store, &hosts, giver, events.clone(), log.clone())?;
         Ok(Holder {
             shard,
             contacts: Contacts::new(orders, events.clone(), log.clone()),
             saver,
             saving,
             fleet,
-            wants_hosts,
             log: log.clone(),
             confirmed: since,
             is_lost: false,
@@ -208,7 +199,7 @@
                 self.shard.configure(next.routes.into_iter().map(|route| route.queue).collect());
             }
             Event::Configured(_) => {}
-            Event::WaveAsked(wave) => self.shard.ask_maintenance(wave),
+            Event::WaveAsked(wave) => self.shard.ask_maintenance(now, wave),
             Event::Submitted(accepted) => self.shard.submit(now, *accepted),
             Event::Withdrawn(id) => self.shard.withdraw(now, &id),
             Event::Servers(servers) => self.shard.list(now, servers),
@@ -256,7 +247,6 @@
         for effect in self.shard.decide(now, unix_ms, self.confirmed) {
             self.carry_out(effect);
         }
-        self.wants_hosts.store(self.shard.wants_hosts(), Ordering::Release);
         self.publish_backlog(now);
         self.log_load(now);
     }
@@ -288,12 +278,19 @@
             },
             Effect::Move { host, pool } => self.order_host(fleet::Order::Move(host, pool)),
             Effect::Maintain { host, wave } => self.order_host(fleet::Order::Maintain(host, wave)),
-            Effect::Wave { wave, begun, is_completed } => {
+            Effect::Wave { wave, begun, left, is_completed } => {
                 let begun = begun.iter().map(ToString::to_string).collect();
-                let offered = self.saver.offer(Work::Wave { wave, begun, is_completed });
+                let offered = self.saver.offer(Work::Wave { wave, begun, left, is_completed });
                 let refused = Event::WaveStored { wave, is_stored: false, is_completed };
                 offered.is_err().then_some(refused)
             }
+            Effect::Homes(homes) => {
+                let hosts = homes.iter().map(|(pool, hosts)| (pool.to_string(), *hosts)).collect();
+                if self.saver.offer(Work::Homes(HomesRow { hosts })).is_err() {
+                    warn!(self.log, "sizes of pools not saved"; "because" => "too much waits");
+                }
+                None
+            }
             Effect::Explain(Reason { what, subject, place, because }) => {
                 info!(self.log, "{}", what; "task" => subject, "at" => &*place,
                     "because" => because);
@@ -328,7 +325,8 @@
         for (pool, load) in self.shard.summary(now) {
             info!(self.log, "load"; "pool" => &*pool, "jobs" => load.jobs,
                 "servers" => load.servers, "usable" => load.usable, "idle" => load.idle,
-                "runs" => load.runs, "unmet_millicores" => load.unmet_millicores);
+                "runs" => load.runs, "unmet_millicores" => load.unmet_millicores, "hosts" => load.hosts,
+                "hosts_needed" => load.hosts_needed, "hosts_wanted" => load.hosts_wanted);
         }
     }
 
@@ -344,15 +342,23 @@
     }
 }
 
-/// Reads the rows of jobs until it succeeds, or the lease can't be valid.
-fn load_all<S: Store>(store: &S, log: &Logger, since: Moment) -> Loaded {
-    loop {
+/// Reads the rows of jobs until it succeeds; gives up on the stop, and when the
+/// lease can't be valid any more.
+fn load_all<S: Store>(store: &S, log: &Logger, since: Moment, stop: &Stop) -> Option<Loaded> {
+    while Boot.now().since(since) < holding::LIMIT {
         match load::load(store, log) {
-            Ok(loaded) => return loaded,
+            Ok(loaded) => return Some(loaded),
             Err(fault) => warn!(log, "jobs not loaded"; "error" => %fault,
                 "lost_answer" => matches!(fault, Fault::Unknown(_)),
                 "ms" => millis(Boot.now().since(since))),
         }
-        std::thread::sleep(LOAD_PAUSE);
+        if stop.sleep(LOAD_PAUSE) {
+            break;
+        }
     }
+    None
+}
+
+fn unloaded() -> io::Error {
+    io::Error::other("the jobs could not be read while the shard was held")
 }
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -4,7 +4,7 @@
 
 use skylarkwick_connection::store::{
     self, Fault, Page, Row, Store,
-    row::{self, JobRow, ProgressRow},
+    row::{self, HomesRow, JobRow, ProgressRow},
 };
 use skylarkwick_request::{
     job::{self, Job, progress::Progress},
@@ -18,6 +18,8 @@
 pub(super) struct Loaded {
     pub(super) jobs: Vec<Accepted>,
     pub(super) revision: Revision,
+    /// Sizes of the pools; none before the first holder has stored them.
+    pub(super) homes: BTreeMap<Arc<str>, usize>,
 }
 
 /// Reads the jobs that are not over and what is known of their tasks.
@@ -29,7 +31,8 @@
     let jobs = store::read_table(store, row::JOBS)?;
     let progress = store::read_table(store, row::PROGRESS)?;
     let known = progress_by_job(&progress, log);
-    let mut loaded = Loaded { jobs: Vec::new(), revision: jobs.revision };
+    let homes = homes(store, log)?;
+    let mut loaded = Loaded { jobs: Vec::new(), revision: jobs.revision, homes };
     for row in &jobs.rows {
         if let Some(Change::Live(mut accepted)) = read(row, jobs.now_ms, true, log) {
             if let Some((revision, progress)) = known.get(&accepted.id) {
@@ -42,6 +45,17 @@
     Ok(loaded)
 }
 
+fn homes<S: Store>(store: &S, log: &Logger) -> Result<BTreeMap<Arc<str>, usize>, Fault> {
+    let (row, _) = store::read_one(store, &row::homes_key(row::SHARD))?;
+    let Some(value) = row.value else {
+        return Ok(BTreeMap::new());
+    };
+    let homes = row::decode::<HomesRow>(&value)
+        .inspect_err(|error| warn!(log, "sizes of pools unreadable"; "error" => %error))
+        .unwrap_or_default();
+    Ok(homes.hosts.into_iter().map(|(pool, hosts)| (Arc::from(pool), hosts)).collect())
+}
+
 fn progress_by_job(page: &Page, log: &Logger) -> BTreeMap<job::Id, (Revision, Progress)> {
     let mut known = BTreeMap::new();
     for row in &page.rows {
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -5,8 +5,8 @@
 use skylarkwick_connection::{
     order::Directory,
     store::{
-        Commit, Fault, Key, Row, Store, Transaction,
-        row::{self, BacklogRow, JobRow, Over, ProgressRow, WaveRow},
+        self, Commit, Fault, Key, Row, Settled, Store, Transaction,
+        row::{self, BacklogRow, HomesRow, JobRow, Over, ProgressRow, WaveRow},
     },
 };
 use skylarkwick_process::{
@@ -18,7 +18,7 @@
     job::{self, State, progress::Progress},
     shard::effect::{Batch, Change, Entry},
 };
-use skylarkwick_version::revision::Revision;
+use skylarkwick_version::{moment::millis, revision::Revision};
 use slog::{Logger, info, warn};
 
 use super::{event::Event, lease::Renewal, load};
@@ -37,12 +37,16 @@
     Reread,
     /// The jobs that wait.
     Backlog(BacklogRow),
+    /// The sizes of the pools.
+    Homes(HomesRow),
     /// The progress of a wave.
     Wave {
         /// Number of the wave.
         wave: u64,
         /// Hosts whose maintenance has begun.
         begun: Vec<String>,
+        /// Time that is left for the others.
+        left: Duration,
         /// Whether every host is done.
         is_completed: bool,
     },
@@ -92,8 +96,12 @@
                     self.backlog(backlog);
                     continue;
                 }
-                Work::Wave { wave, begun, is_completed } => {
-                    let is_stored = self.wave(wave, begun, is_completed);
+                Work::Homes(homes) => {
+                    self.homes(&homes);
+                    continue;
+                }
+                Work::Wave { wave, begun, left, is_completed } => {
+                    let is_stored = self.wave(wave, begun, left, is_completed);
                     Event::WaveStored { wave, is_stored, is_completed }
                 }
             };
@@ -255,8 +263,20 @@
         }
     }
 
-    fn wave(&self, wave: u64, begun: Vec<String>, is_completed: bool) -> bool {
-        let row = row::encode(&WaveRow { begun });
+    /// Writes the sizes of the pools, unless an earlier holder has.
+    fn homes(&self, homes: &HomesRow) {
+        let change = Transaction::default()
+            .replace(row::homes_key(row::SHARD), Revision::ABSENT, row::encode(homes))
+            .require(row::fence_key(row::SHARD), self.fence);
+        match store::settle(&self.store, &change) {
+            Settled::Applied(_) => {}
+            outcome => warn!(self.log, "sizes of pools not saved"; "outcome" => ?outcome),
+        }
+    }
+
+    fn wave(&self, wave: u64, begun: Vec<String>, left: Duration, is_completed: bool) -> bool {
+        let due_ms = self.store.clock_ms() + millis(left);
+        let row = row::encode(&WaveRow { begun, due_ms });
         let stored = self
             .put(row::wave_key(wave), row)
             .and_then(|()| self.directory.report_wave(wave, is_completed));
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -1,13 +1,6 @@
 //! Duties that watch the store and the platform's lists.
 
-use std::{
-    io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{io, sync::Arc, time::Duration};
 
 use skylarkwick_connection::{
     order::{Directory, Hosts},
@@ -39,7 +32,7 @@
 const GATHER: Duration = Duration::from_millis(40);
 /// How often the backend servers are listed.
 const SERVER_PERIOD: Duration = Duration::from_millis(400);
-/// How often the hosts are listed while some are needed or due.
+/// How often the hosts are listed.
 const HOST_PERIOD: Duration = Duration::from_millis(500);
 /// How often the lease is renewed.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(800);
@@ -138,7 +131,11 @@
         .ok()?;
     if let Some(value) = row.value {
         match row::decode::<WaveRow>(&value) {
-            Ok(row) => wave.begun = row.begun.iter().map(|id| HostId(Arc::from(&**id))).collect(),
+            Ok(row) => {
+                wave.begun = row.begun.iter().map(|id| HostId(Arc::from(&**id))).collect();
+                let left = row.due_ms.saturating_sub(store.clock_ms());
+                wave.within = Duration::from_millis(left);
+            }
             Err(error) => warn!(log, "wave unreadable"; "error" => %error),
         }
     }
@@ -176,21 +173,18 @@
     })
 }
 
-/// Lists the hosts while `is_wanted`.
+/// Lists the hosts again and again.
 pub(super) fn hosts<H: Hosts>(
     hosts: H,
-    is_wanted: Arc<AtomicBool>,
     events: ring::Sender<Event>,
     log: Logger,
     stop: Stop,
 ) -> io::Result<Duty> {
     Duty::spawn("hosts", move || {
         while !stop.is_requested() {
-            let list = is_wanted.load(Ordering::Acquire).then(|| hosts.hosts());
-            let is_over = match list {
-                None => false,
-                Some(Ok(list)) => !tell(&events, Event::Hosts(list)),
-                Some(Err(error)) => {
+            let is_over = match hosts.hosts() {
+                Ok(list) => !tell(&events, Event::Hosts(list)),
+                Err(error) => {
                     warn!(log, "hosts not listed"; "error" => %error);
                     false
                 }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -7,6 +7,7 @@
 //! tests. See `docs/DESIGN.md`, section "Shards".
 
 mod active;
+mod allotment;
 mod answers;
 mod demand;
 mod ends;
@@ -19,6 +20,7 @@
 mod placement;
 mod saving;
 mod server;
+mod wave;
 
 pub mod effect;
 pub mod fact;
@@ -52,6 +54,8 @@
     pub doubt: Duration,
     /// Time after which a lasting task that is not at work counts as away.
     pub notice: Duration,
+    /// Time that the maintenance of a host takes.
+    pub maintenance: Duration,
 }
 
 /// The holding of a shard by one process.
@@ -179,7 +183,7 @@
         self.place(now);
         self.evacuate(now);
         if is_certain {
-            self.move_hosts(now);
+            self.order_hosts(now);
         }
         self.adjust_pace(now);
         self.retry_stops(now);
@@ -216,6 +220,12 @@
         for (name, unmet) in &self.fleet.unmet {
             pools.entry(Arc::clone(name)).or_default().unmet_millicores = *unmet;
         }
+        for (name, allotted) in &self.fleet.allotted {
+            let pool = pools.entry(Arc::clone(name)).or_default();
+            pool.hosts = allotted.hosts;
+            pool.hosts_needed = allotted.needed;
+            pool.hosts_wanted = allotted.wanted;
+        }
         for active in self.jobs.values() {
             if let Some(queue) = self.queues.get(&active.queue) {
                 pools.entry(Arc::clone(&queue.pool)).or_default().jobs += 1;
@@ -260,4 +270,10 @@
     pub runs: usize,
     /// Processor time that ready tasks lack, in thousandths of a core.
     pub unmet_millicores: u64,
+    /// Hosts that it has, or gets by orders that were given.
+    pub hosts: usize,
+    /// Hosts that the work at hand needs.
+    pub hosts_needed: usize,
+    /// Hosts that it should have.
+    pub hosts_wanted: usize,
 }
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -236,12 +236,26 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Returns the processor time that the job uses while nothing of it waits.
-    pub(super) fn millicores_at_full_speed(&self, learning: &Learning) -> u64 {
+    /// Returns the processor time that ends the job in time, if it can be.
+    ///
+    /// A job that is late or of no more use is given longer, because hosts that
+    /// come for it are missing where work can still be in time.
+    pub(super) fn millicores_in_time(
+        &self,
+        now: Moment,
+        queue: &Queue,
+        learning: &Learning,
+    ) -> u64 {
+        let (objective, useless) = self.objective(queue, learning);
         let mut millicores = 0;
         for occurrence in self.occurrences.values() {
-            let chain = millis(self.remaining(occurrence, learning)).max(SHORTEST_CHAIN_MS);
-            millicores += self.work_left(occurrence, learning) / chain;
+            let chain = self.remaining(occurrence, learning).max(SHORTEST_CHAIN);
+            let span = match now + chain {
+                end if end <= objective => objective.since(now).mul_f64(USED_SLACK),
+                end if end <= useless => useless.since(now).mul_f64(USED_SLACK_LATE),
+                _ => USELESS_SPAN,
+            };
+            millicores += self.work_left(occurrence, learning) / millis(span.max(chain));
         }
         millicores
     }
@@ -261,7 +275,14 @@
 }
 
 /// Shortest chain by which work is spread over time.
-const SHORTEST_CHAIN_MS: u64 = 300;
+const SHORTEST_CHAIN: Duration = Duration::from_millis(300);
+/// Part of the time to its objective in which a job should be done.
+const USED_SLACK: f64 = 0.7;
+/// Part of the time in which it is still of use in which a late job should be
+/// done.
+const USED_SLACK_LATE: f64 = 0.5;
+/// Time in which a job that is of no more use should be done.
+const USELESS_SPAN: Duration = Duration::from_secs(10);
 /// Objectives after which a job is of no more use to its caller.
 const USELESS_AFTER: u32 = 3;
 
--- a/crates/skylarkwick-request/src/shard/effect.rs
+++ b/crates/skylarkwick-request/src/shard/effect.rs
@@ -1,6 +1,11 @@
 //! What a shard asks its holder to do.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use skylarkwick_version::revision::Revision;
 
@@ -83,9 +88,13 @@
         wave: u64,
         /// Hosts whose maintenance has begun.
         begun: BTreeSet<HostId>,
+        /// Time that is left for the others.
+        left: Duration,
         /// Whether every host is done.
         is_completed: bool,
     },
+    /// Store the sizes of the pools, unless they are stored.
+    Homes(BTreeMap<Arc<str>, usize>),
     /// Tell why something was decided.
     Explain(Reason),
     /// Read the progress of inherited jobs once more.
--- a/crates/skylarkwick-request/src/shard/fact.rs
+++ b/crates/skylarkwick-request/src/shard/fact.rs
@@ -124,6 +124,8 @@
     pub number: u64,
     /// Hosts that are due.
     pub hosts: BTreeSet<HostId>,
+    /// Time that is left for all of them.
+    pub within: Duration,
     /// Most hosts that may be down for it at once.
     pub most_down: usize,
     /// Hosts whose maintenance has begun, as stored.
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -1,4 +1,4 @@
-//! The hosts of a shard, and which of them are maintained next.
+//! The hosts of a shard, and the orders for them.
 //!
 //! A host is moved or maintained only while nothing runs on it.
 //! See `docs/DESIGN.md`, section "Hosts and waves".
@@ -13,10 +13,11 @@
 
 use super::{
     Shard,
-    demand::Demand,
+    allotment::Allotments,
     effect::Effect,
-    fact::{Host, HostAnswer, HostId, ServerId, Standing, Wave},
+    fact::{Host, HostAnswer, HostId, ServerId, Standing},
     server::Server,
+    wave::Round,
 };
 
 /// Time after which an order is taken from the platform's list instead of from
@@ -26,8 +27,6 @@
 const DOUBT_SETTLES: Duration = Duration::from_millis(4000);
 /// Pause before a refused order for a host is sent again.
 const ORDER_RETRY: Duration = Duration::from_millis(700);
-/// Hosts that are emptied ahead of the ones that are down.
-const EMPTIED_AHEAD: usize = 2;
 
 /// What a host is ordered to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,7 +37,7 @@
 
 /// An order for a host.
 #[derive(Clone, Debug)]
-struct Order {
+pub(super) struct Order {
     purpose: Purpose,
     /// The platform's answer, and when it came.
     answer: Option<(HostAnswer, Moment)>,
@@ -57,29 +56,24 @@
     }
 }
 
-/// Progress of a wave.
-#[derive(Clone, Debug)]
-struct Round {
-    wave: Wave,
-    is_stored: bool,
-    is_completed: bool,
-}
-
 /// The hosts of the shard's pools.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Fleet {
     /// Processor time that ready tasks lack in each pool.
     pub(super) unmet: BTreeMap<Arc<str>, u64>,
-    pub(super) lacking_since: BTreeMap<Arc<str>, Moment>,
     /// Whether the platform's list of hosts was read since the takeover.
     has_list: bool,
     pub(super) hosts: BTreeMap<HostId, Host>,
     pub(super) spare_pools: BTreeSet<Arc<str>>,
-    pub(super) demand: BTreeMap<Arc<str>, Demand>,
+    /// Hosts of each pool as operators sized them, once these are known.
+    pub(super) homes: BTreeMap<Arc<str>, usize>,
+    /// Hosts of each pool when they were last shared out.
+    pub(super) allotted: Allotments,
+    /// When hosts were last moved to where they may be needed next.
     pub(super) rebalanced: Moment,
-    waves: BTreeMap<u64, Round>,
-    orders: BTreeMap<HostId, Order>,
-    emptying: BTreeSet<HostId>,
+    pub(super) waves: BTreeMap<u64, Round>,
+    pub(super) orders: BTreeMap<HostId, Order>,
+    pub(super) emptying: BTreeSet<HostId>,
 }
 
 impl Fleet {
@@ -101,10 +95,14 @@
         self.orders.contains_key(host) || self.emptying.contains(host)
     }
 
-    /// Tells whether a host is ordered to move to a pool.
-    pub(super) fn is_incoming(&self, host: &HostId, pool: &Arc<str>) -> bool {
-        let order = self.orders.get(host);
-        order.is_some_and(|order| order.purpose == Purpose::Move(Arc::clone(pool)))
+    /// Tells whether a host has this order.
+    pub(super) fn is_ordered_to(&self, host: &HostId, purpose: &Purpose) -> bool {
+        self.orders.get(host).is_some_and(|order| order.purpose == *purpose)
+    }
+
+    /// Tells whether a host's pool is one whose hosts are off.
+    pub(super) fn is_off(&self, host: &HostId) -> bool {
+        self.hosts.get(host).is_some_and(|host| self.spare_pools.contains(&host.pool))
     }
 
     /// Returns the pool that a host belongs to once its order is carried out.
@@ -120,12 +118,36 @@
         server.host().is_some_and(|host| self.is_ordered(host))
     }
 
+    /// Tells whether a server's host will have to be emptied for maintenance.
+    pub(super) fn is_due(&self, server: &Server) -> bool {
+        server.host().is_some_and(|host| self.waves.values().any(|round| round.is_due(host)))
+    }
+
     /// Tells whether a server's host is being emptied.
     pub(super) fn is_emptying(&self, server: &Server) -> bool {
         server.host().is_some_and(|host| self.emptying.contains(host))
     }
 }
 
+/// What runs on the hosts.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Occupancy {
+    idle: BTreeSet<HostId>,
+    runs: BTreeMap<HostId, usize>,
+}
+
+impl Occupancy {
+    /// Tells whether a host is up and certainly runs nothing.
+    pub(super) fn is_idle(&self, host: &HostId) -> bool {
+        self.idle.contains(host)
+    }
+
+    /// Counts the runs on a host, if the platform lists a server there.
+    pub(super) fn runs(&self, host: &HostId) -> Option<usize> {
+        self.runs.get(host).copied()
+    }
+}
+
 impl Shard {
     /// Puts the platform's list of hosts in force.
     pub fn list_hosts(&mut self, now: Moment, hosts: Vec<Host>) {
@@ -143,18 +165,6 @@
         self.fleet.spare_pools = pools;
     }
 
-    /// Puts a wave in force.
-    pub fn ask_maintenance(&mut self, wave: Wave) {
-        let round = Round { wave, is_stored: false, is_completed: false };
-        self.fleet.waves.entry(round.wave.number).or_insert(round);
-    }
-
-    /// Tells whether hosts have to be listed, because some are needed or due.
-    pub fn wants_hosts(&self) -> bool {
-        let is_due = self.fleet.waves.values().any(|round| !round.is_completed);
-        is_due || !self.fleet.orders.is_empty() || !self.fleet.unmet.is_empty()
-    }
-
     /// Notes the platform's answer to an order for a host.
     pub fn host_answered(&mut self, now: Moment, id: &HostId, answer: HostAnswer) {
         let Some(order) = self.fleet.orders.get_mut(id) else {
@@ -179,140 +189,75 @@
         }
     }
 
-    /// Notes that the progress of a wave is stored.
-    pub fn wave_stored(&mut self, number: u64, is_completed: bool) {
-        if let Some(round) = self.fleet.waves.get_mut(&number) {
-            round.is_stored = true;
-            round.is_completed = is_completed;
-        }
-    }
-
-    /// Notes that the progress of a wave may not be stored.
-    pub fn wave_not_stored(&mut self, number: u64) {
-        if let Some(round) = self.fleet.waves.get_mut(&number) {
-            round.is_stored = false;
-        }
-    }
-
-    fn begin_maintenance(&mut self, number: u64, id: &HostId) {
-        self.fleet.emptying.remove(id);
-        if let Some(round) = self.fleet.waves.get_mut(&number) {
-            round.is_stored &= !round.wave.begun.insert(id.clone());
-        }
-    }
-
     /// Moves and maintains hosts.
-    pub(super) fn move_hosts(&mut self, now: Moment) {
+    pub(super) fn order_hosts(&mut self, now: Moment) {
         if self.fleet.hosts.is_empty() {
             return;
         }
-        self.note_lack(now);
-        let numbers: Vec<u64> = self.fleet.waves.keys().copied().collect();
-        for number in numbers {
-            self.maintain(number);
-        }
-        self.meet_lack(now);
-        self.rebalance(now);
+        self.settle_homes();
+        let occupancy = self.occupancy();
+        self.maintain(now, &occupancy);
+        self.allot(now, &occupancy);
     }
 
-    fn maintain(&mut self, number: u64) {
-        let Some(round) = self.fleet.waves.get(&number) else {
-            return;
-        };
-        if round.is_completed {
-            return;
-        }
-        let due: Vec<HostId> = round
-            .wave
-            .hosts
-            .iter()
-            .filter(|host| !round.wave.begun.contains(host))
-            .filter(|host| self.fleet.hosts.contains_key(host))
-            .cloned()
-            .collect();
-        let most_down = round.wave.most_down.max(1);
-        let is_stored = round.is_stored;
-        if due.is_empty() || !is_stored {
-            self.store_wave(number, due.is_empty());
-        }
-        let mut free = most_down.saturating_sub(self.down_for(number));
-        for host in &due {
-            if free > 0 && self.is_empty_and_up(host) && !self.fleet.orders.contains_key(host) {
-                self.order(host.clone(), Purpose::Maintain(number));
-                self.effects.push(Effect::Maintain { host: host.clone(), wave: number });
-                free -= 1;
-            }
-        }
-        self.empty_next(&due, free + EMPTIED_AHEAD);
+    /// Takes over the sizes of the pools that an earlier holder has stored.
+    pub fn set_homes(&mut self, homes: BTreeMap<Arc<str>, usize>) {
+        self.fleet.homes = homes;
     }
 
-    fn store_wave(&mut self, number: u64, is_completed: bool) {
-        let Some(round) = self.fleet.waves.get_mut(&number) else {
+    /// Takes the sizes of the pools from the first list of hosts, unless they are
+    /// known: no host has been moved before.
+    fn settle_homes(&mut self) {
+        if !self.fleet.homes.is_empty() {
             return;
-        };
-        round.is_stored = true;
-        round.is_completed = is_completed;
-        let begun = round.wave.begun.clone();
-        self.effects.push(Effect::Wave { wave: number, begun, is_completed });
-    }
-
-    /// Counts the hosts that are down for a wave, or may be: an order of the last
-    /// holder may not have been stored.
-    fn down_for(&self, number: u64) -> usize {
-        let Some(round) = self.fleet.waves.get(&number) else {
-            return 0;
-        };
-        let is_ordered = |id: &HostId| {
-            self.fleet
-                .orders
-                .get(id)
-                .is_some_and(|order| order.purpose == Purpose::Maintain(number))
-        };
-        let is_busy = |id: &HostId| {
-            self.fleet.hosts.get(id).is_some_and(|host| host.standing == Standing::Busy)
-        };
-        round.wave.hosts.iter().filter(|id| is_ordered(id) || is_busy(id)).count()
-    }
-
-    /// Keeps some of the due hosts free of new work; those with the least to
-    /// move come first.
-    fn empty_next(&mut self, due: &[HostId], wanted: usize) {
-        let emptying = due.iter().filter(|id| self.fleet.emptying.contains(id)).count();
-        let mut candidates: Vec<(usize, HostId)> = due
-            .iter()
-            .filter(|id| !self.fleet.emptying.contains(id) && !self.fleet.orders.contains_key(id))
-            .filter_map(|id| Some((self.server_of(id)?.runs.len(), id.clone())))
-            .collect();
-        candidates.sort();
-        for (_, id) in candidates.into_iter().take(wanted.saturating_sub(emptying)) {
-            self.fleet.emptying.insert(id);
         }
+        for host in self.fleet.hosts.values() {
+            *self.fleet.homes.entry(Arc::clone(&host.pool)).or_default() += 1;
+        }
+        self.effects.push(Effect::Homes(self.fleet.homes.clone()));
     }
 
-    fn server_of(&self, id: &HostId) -> Option<&Server> {
-        self.servers.values().find(|server| server.host() == Some(id) && !server.is_unlisted)
-    }
-
-    /// Tells whether a host is up and certainly runs nothing.
+    /// Finds out which hosts run nothing.
     ///
     /// For a while after a move or maintenance the platform may list the host's
     /// last server beside its new one, so every server of the host counts.
-    pub(super) fn is_empty_and_up(&self, id: &HostId) -> bool {
-        let is_up = |host: &Host| host.standing == Standing::Up;
-        let Some(host) = self.fleet.hosts.get(id).filter(|host| is_up(host)) else {
-            return false;
-        };
-        let mut servers = self.servers.values().filter(|server| server.host() == Some(id));
-        let is_busy =
-            servers.clone().any(|server| !server.runs.is_empty() || server.listing.is_leaving);
-        let is_known = match &host.server {
-            Some(current) => servers.any(|server| server.id() == current && server.is_fenced),
-            None => self.fleet.spare_pools.contains(&host.pool) || servers.any(|s| s.is_fenced),
+    fn occupancy(&self) -> Occupancy {
+        let mut occupancy = Occupancy::default();
+        let mut leaving: BTreeSet<&HostId> = BTreeSet::new();
+        let mut fenced: BTreeSet<&HostId> = BTreeSet::new();
+        for server in self.servers.values() {
+            let Some(host) = server.host() else {
+                continue;
+            };
+            *occupancy.runs.entry(host.clone()).or_default() += server.runs.len();
+            if server.listing.is_leaving {
+                leaving.insert(host);
+            }
+            if server.is_fenced {
+                fenced.insert(host);
+            }
+        }
+        let is_known = |host: &Host| match &host.server {
+            Some(current) => self.servers.get(current).is_some_and(|server| server.is_fenced),
+            None => self.fleet.spare_pools.contains(&host.pool) || fenced.contains(&host.id),
         };
-        !is_busy && is_known
+        let hosts = self.fleet.hosts.values().filter(|host| host.standing == Standing::Up);
+        let idle = hosts
+            .filter(|host| occupancy.runs(&host.id).unwrap_or_default() == 0)
+            .filter(|host| !leaving.contains(&host.id) && is_known(host))
+            .map(|host| host.id.clone())
+            .collect();
+        occupancy.idle = idle;
+        occupancy
     }
 
     pub(super) fn order(&mut self, host: HostId, purpose: Purpose) {
         self.fleet.orders.insert(host, Order { purpose, answer: None });
     }
+
+    /// Orders a host to move.
+    pub(super) fn move_host(&mut self, host: HostId, pool: &Arc<str>) {
+        self.order(host.clone(), Purpose::Move(Arc::clone(pool)));
+        self.effects.push(Effect::Move { host, pool: Arc::clone(pool) });
+    }
 }
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -24,6 +24,8 @@
     is_avoided: bool,
     shares_with_serving: bool,
     is_far: bool,
+    /// A lasting task would have to leave again.
+    is_due: bool,
     is_suspect: bool,
     is_idle: bool,
     room_left: u64,
@@ -195,6 +197,7 @@
             is_avoided: avoid == Some(server.id()),
             shares_with_serving: self.would_disturb(server, step),
             is_far: step.rack.is_some() && !server.has_label(step.rack.as_ref()),
+            is_due: step.is_lasting && self.fleet.is_due(server),
             is_suspect: server.is_suspect(),
             is_idle: server.runs.is_empty(),
             room_left: left.millicores,
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -25,7 +25,7 @@
 
 fn wave(hosts: &[&str], most_down: usize) -> Wave {
     let hosts = hosts.iter().map(|name| host(name)).collect();
-    Wave { number: 1, hosts, most_down, begun: BTreeSet::new() }
+    Wave { number: 1, hosts, within: shard::ms(0), most_down, begun: BTreeSet::new() }
 }
 
 /// A site whose holder may give orders for hosts.
@@ -42,7 +42,7 @@
 #[test]
 fn an_uncertain_holder_orders_no_host() {
     let mut site = settled(&["a"]);
-    site.shard.ask_maintenance(wave(&["a"], 1));
+    site.shard.ask_maintenance(site.now, wave(&["a"], 1));
     let effects = site.decide_in_doubt();
     assert!(maintained(&effects).is_empty(), "another holder may order the host");
     assert_eq!(maintained(&site.decide()), ["a"]);
@@ -51,7 +51,7 @@
 #[test]
 fn no_more_than_the_most_at_once() {
     let mut site = settled(&["a", "b", "c"]);
-    site.shard.ask_maintenance(wave(&["a", "b", "c"], 2));
+    site.shard.ask_maintenance(site.now, wave(&["a", "b", "c"], 2));
     let first = maintained(&site.decide());
     assert_eq!(first.len(), 2);
     site.shard.host_answered(site.now, &host(&first[0]), HostAnswer::Done);
@@ -65,7 +65,7 @@
     site.submit("job", vec![step(1, 4)]);
     let effects = site.decide();
     let (_, start) = site.confirm(&effects).remove(0);
-    site.shard.ask_maintenance(wave(&["a"], 1));
+    site.shard.ask_maintenance(site.now, wave(&["a"], 1));
     assert!(maintained(&site.decide()).is_empty());
     site.submit("next", vec![step(1, 4)]);
     assert!(starts(&site.decide()).is_empty(), "the host is being emptied");
@@ -84,14 +84,14 @@
     site.submit("job", vec![step(1, 4)]);
     site.look("a2", &[(task("job", 0, 0), Run(3), 10)], &[]);
     site.shard.list_hosts(site.now, vec![up("a", POOL, Some("a"))]);
-    site.shard.ask_maintenance(wave(&["a"], 1));
+    site.shard.ask_maintenance(site.now, wave(&["a"], 1));
     assert!(maintained(&site.decide()).is_empty());
 }
 
 #[test]
 fn a_wave_is_completed_when_each_host_has_begun() {
     let mut site = settled(&["a"]);
-    site.shard.ask_maintenance(wave(&["a"], 1));
+    site.shard.ask_maintenance(site.now, wave(&["a"], 1));
     let is_completed = |effects: &[Effect]| {
         effects.iter().any(|effect| matches!(effect, Effect::Wave { is_completed: true, .. }))
     };
@@ -148,7 +148,7 @@
         started.iter().map(|(_, start)| (start.task.clone(), start.run, 100)).collect();
     site.advance(50);
     site.look(&place, &running, &[]);
-    site.shard.ask_maintenance(wave(&[&place], 1));
+    site.shard.ask_maintenance(site.now, wave(&[&place], 1));
     site.decide();
     (site, place, running)
 }
@@ -157,45 +157,20 @@
     if name == place { running.clone() } else { Runs::new() }
 }
 
-#[test]
-fn waiting_work_brings_idle_hosts() {
-    let names = ["a", "b", "c", "d", "e"];
-    let mut site = settled(&names);
-    let mut listings = site.listings.clone();
-    for listing in &mut listings[1..] {
-        listing.pool = "other".into();
-    }
-    site.shard.list(site.now, listings);
-    let mut hosts = vec![up("a", POOL, Some("a"))];
-    hosts.extend(names[1..].iter().map(|name| up(name, "other", Some(name))));
-    site.shard.list_hosts(site.now, hosts);
-    site.submit("job", vec![step(30, 16)]);
-    site.decide();
-    site.advance(300);
-    for name in names {
-        site.shard.heard(&shard::server(name), site.reading());
-    }
-    let moved = site.decide();
-    let moved: Vec<_> =
-        moved.iter().filter(|effect| matches!(effect, Effect::Move { .. })).collect();
-    assert!(!moved.is_empty());
-    assert!(moved.len() <= 2, "the giving pool keeps some idle hosts");
-}
-
 #[test]
 fn a_host_that_is_not_up_gets_no_order() {
     let mut site = settled(&["a"]);
     let mut busy = up("a", POOL, Some("a"));
     busy.standing = Standing::Busy;
     site.shard.list_hosts(site.now, vec![busy]);
-    site.shard.ask_maintenance(wave(&["a"], 1));
+    site.shard.ask_maintenance(site.now, wave(&["a"], 1));
     assert!(maintained(&site.decide()).is_empty());
 }
 
 #[test]
 fn a_host_whose_order_waits_gets_no_work() {
     let mut site = settled(&["a"]);
-    site.shard.ask_maintenance(wave(&["a"], 1));
+    site.shard.ask_maintenance(site.now, wave(&["a"], 1));
     assert_eq!(maintained(&site.decide()), ["a"]);
     site.submit("job", vec![step(1, 4)]);
     for _ in 0..10 {
@@ -219,6 +194,6 @@
     let mut busy = up("b", POOL, None);
     busy.standing = Standing::Busy;
     site.shard.list_hosts(site.now, vec![up("a", POOL, Some("a")), busy]);
-    site.shard.ask_maintenance(wave(&["a", "b"], 1));
+    site.shard.ask_maintenance(site.now, wave(&["a", "b"], 1));
     assert!(maintained(&site.decide()).is_empty());
 }
--- /dev/null
+++ b/crates/skylarkwick-request/tests/host_shares.rs
@@ -0,0 +1,147 @@
+//! Hosts go where the work at hand needs them, and home when it is done.
+
+mod shard;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use shard::{POOL, Site, host, ms, step, up};
+use skylarkwick_request::shard::{effect::Effect, fact::Wave};
+use skylarkwick_version::moment::Moment;
+
+const OTHER: &str = "other";
+const SPARE: &str = "spare";
+
+/// The hosts that are ordered to move, with their new pool.
+fn moves(effects: &[Effect]) -> BTreeMap<String, String> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Move { host, pool } => Some((host.to_string(), pool.to_string())),
+            _ => None,
+        })
+        .collect()
+}
+
+fn maintained(effects: &[Effect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, Effect::Maintain { .. })).count()
+}
+
+/// A site with hosts in some pools; their servers have the names of the hosts.
+fn site(pools: &[(&'static str, &[&'static str])]) -> Site {
+    let names: Vec<&str> = pools.iter().flat_map(|(_, names)| names.iter().copied()).collect();
+    let mut site = Site::with_servers(&names);
+    place(&mut site, pools);
+    for name in names {
+        site.look(name, &[], &[]);
+    }
+    site
+}
+
+/// Lists hosts and their servers in some pools.
+fn place(site: &mut Site, pools: &[(&'static str, &[&'static str])]) {
+    let mut hosts = Vec::new();
+    for (pool, names) in pools {
+        for name in *names {
+            hosts.push(up(name, pool, Some(name)));
+            for listing in site.listings.iter_mut().filter(|listing| &*listing.id.0 == *name) {
+                listing.pool = Arc::from(*pool);
+            }
+        }
+    }
+    site.shard.list(site.now, site.listings.clone());
+    site.shard.list_hosts(site.now, hosts);
+    site.shard.set_spare_pools([Arc::from(SPARE)].into());
+}
+
+#[test]
+fn a_burst_brings_idle_hosts_at_once() {
+    let mut site = site(&[(POOL, &["a"]), (OTHER, &["b", "c", "d", "e"])]);
+    site.submit("job", vec![step(30, 16)]);
+    let moved = moves(&site.decide());
+    assert!(!moved.is_empty() && moved.len() <= 2, "the giving pool keeps two hosts: {moved:?}");
+    assert!(moved.values().all(|pool| pool == POOL));
+}
+
+#[test]
+fn hosts_that_are_off_come_last() {
+    let mut site = site(&[(POOL, &["a"]), (OTHER, &["b", "c", "d"]), (SPARE, &["s"])]);
+    site.submit("job", vec![step(6, 16)]);
+    let moved = moves(&site.decide());
+    assert_eq!(moved.keys().collect::<Vec<_>>(), ["d"], "one more host is enough");
+}
+
+#[test]
+fn a_large_burst_takes_hosts_that_are_off() {
+    let mut site = site(&[(POOL, &["a"]), (OTHER, &["b", "c"]), (SPARE, &["s"])]);
+    site.submit("job", vec![step(30, 16)]);
+    assert_eq!(moves(&site.decide()).keys().collect::<Vec<_>>(), ["s"]);
+}
+
+#[test]
+fn idle_hosts_go_home() {
+    let mut site = site(&[(POOL, &["a", "b", "c"]), (OTHER, &["d", "e", "f"])]);
+    assert!(moves(&site.decide()).is_empty());
+    // A burst of the one pool has brought two hosts of the other, and is over.
+    place(&mut site, &[(POOL, &["a", "b", "c", "d", "e"]), (OTHER, &["f"])]);
+    site.advance(400);
+    let moved = moves(&site.decide());
+    assert_eq!(moved.len(), 2);
+    assert!(moved.values().all(|pool| pool == OTHER));
+}
+
+#[test]
+fn sizes_of_an_earlier_holder_hold() {
+    let mut site = site(&[(POOL, &["a", "b", "c", "d"]), (OTHER, &["e"])]);
+    let homes = [(Arc::from(POOL), 2), (Arc::from(OTHER), 3)];
+    site.shard.set_homes(homes.into());
+    site.advance(400);
+    let effects = site.decide();
+    assert_eq!(moves(&effects).len(), 2);
+    assert!(!effects.iter().any(|effect| matches!(effect, Effect::Homes(_))));
+}
+
+fn ask(site: &mut Site, names: &[&str], within: u64, now: Moment) {
+    let hosts = names.iter().map(|name| host(name)).collect();
+    let wave =
+        Wave { number: 1, hosts, within: ms(within), most_down: 10, begun: Default::default() };
+    site.shard.ask_maintenance(now, wave);
+}
+
+const MANY: [&str; 10] = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j"];
+
+#[test]
+fn a_wave_with_time_takes_idle_hosts_one_after_another() {
+    let mut site = site(&[(POOL, &MANY)]);
+    let now = site.now;
+    ask(&mut site, &MANY, 50_000, now);
+    assert_eq!(maintained(&site.decide()), 1, "each takes 2 s, and 20 s are enough");
+}
+
+#[test]
+fn a_wave_without_time_takes_all_at_once() {
+    let mut site = site(&[(POOL, &MANY)]);
+    let now = site.now;
+    ask(&mut site, &MANY, 2_000, now);
+    assert_eq!(maintained(&site.decide()), 10);
+}
+
+#[test]
+fn a_late_wave_empties_busy_hosts() {
+    let mut site = site(&[(POOL, &["a", "b", "c", "d", "e", "f"])]);
+    site.submit("job", vec![step(6, 64)]);
+    let effects = site.decide();
+    assert_eq!(site.confirm(&effects).len(), 6);
+    let now = site.now;
+    ask(&mut site, &["a", "b", "c", "d", "e", "f"], 20_000, now);
+    site.decide();
+    let emptied = |site: &Site| 6 - site.shard.summary(site.now)[POOL].usable;
+    assert_eq!(emptied(&site), 4);
+    site.advance(1500);
+    site.decide();
+    site.advance(13_000);
+    for name in ["a", "b", "c", "d", "e", "f"] {
+        site.shard.heard(&shard::server(name), site.reading());
+    }
+    site.decide();
+    assert_eq!(emptied(&site), 6);
+}
--- a/crates/skylarkwick-request/tests/shard/mod.rs
+++ b/crates/skylarkwick-request/tests/shard/mod.rs
@@ -40,7 +40,13 @@
 }
 
 pub(crate) fn rules() -> Rules {
-    Rules { lease: ms(4600), start_window: ms(1300), doubt: ms(11_000), notice: ms(4500) }
+    Rules {
+        lease: ms(4600),
+        start_window: ms(1300),
+        doubt: ms(11_000),
+        notice: ms(4500),
+        maintenance: ms(2000),
+    }
 }
 
 pub(crate) fn server(name: &str) -> ServerId {
