Use a host as soon as its server has joined its new pool

Ruled out: the orders, which are given within 30 ms since they go in batches. Change: the server that a move has brought is not reserved; servers are listed each 0.25 s.

--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -31,7 +31,7 @@
 /// Pause after changes of jobs, in which further ones gather for one read.
 const GATHER: Duration = Duration::from_millis(40);
 /// How often the backend servers are listed.
-const SERVER_PERIOD: Duration = Duration::from_millis(400);
+const SERVER_PERIOD: Duration = Duration::from_millis(250);
 /// How often the hosts are listed.
 const HOST_PERIOD: Duration = Duration::from_millis(500);
 /// How often the lease is renewed.
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -44,6 +44,13 @@
 }
 
 impl Order {
+    /// Tells whether a server is the one that a move has brought to its new pool;
+    /// it can be used before the platform's list of hosts tells so.
+    fn has_brought(&self, server: &Server) -> bool {
+        let is_done = matches!(self.answer, Some((HostAnswer::Done, _)));
+        is_done && self.purpose == Purpose::Move(Arc::clone(&server.listing.pool))
+    }
+
     /// Tells whether the platform's list may be trusted again; an order that is
     /// not answered yet may still be carried out.
     fn is_settled(&self, now: Moment) -> bool {
@@ -115,7 +122,10 @@
 
     /// Tells whether a server's host is to get no new work.
     pub(super) fn is_reserved(&self, server: &Server) -> bool {
-        server.host().is_some_and(|host| self.is_ordered(host))
+        server.host().is_some_and(|host| match self.orders.get(host) {
+            Some(order) => !order.has_brought(server),
+            None => self.emptying.contains(host),
+        })
     }
 
     /// Tells whether a server's host will have to be emptied for maintenance.
--- a/crates/skylarkwick-request/tests/host_shares.rs
+++ b/crates/skylarkwick-request/tests/host_shares.rs
@@ -5,7 +5,10 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use shard::{POOL, Site, host, ms, step, up};
-use skylarkwick_request::shard::{effect::Effect, fact::Wave};
+use skylarkwick_request::shard::{
+    effect::Effect,
+    fact::{HostAnswer, Wave},
+};
 use skylarkwick_version::moment::Moment;
 
 const OTHER: &str = "other";
