Empty hosts with lasting tasks alone first; count tasks on silent servers as away; shorter leases of the shard

Late waves: idle hosts filled the number of those that are emptied, and hosts with a straggler were chosen before others. Change: a task counts as at work only if its server answers; busy hosts alone are emptied, those with only lasting tasks first; a shard lapses after 2.3 s and its holder goes on for 7 s instead of 3.0 and 9.0. Test: host_orders::tasks_on_a_silent_server_are_away fails before and passes after.

--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -19,7 +19,7 @@
 use slog::{Logger, info, warn};
 
 /// How often a process looks at a shard that another holds.
-const LOOK_PERIOD: Duration = Duration::from_millis(500);
+const LOOK_PERIOD: Duration = Duration::from_millis(400);
 
 /// A shard that was just taken.
 #[derive(Clone, Copy, Debug)]
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -35,7 +35,7 @@
 /// How often the hosts are listed.
 const HOST_PERIOD: Duration = Duration::from_millis(500);
 /// How often the lease is renewed.
-const RENEWAL_PERIOD: Duration = Duration::from_millis(800);
+const RENEWAL_PERIOD: Duration = Duration::from_millis(500);
 
 /// Sends an event to the holder; false once it has ended.
 fn tell(events: &ring::Sender<Event>, event: Event) -> bool {
--- a/crates/skylarkwick-request/src/shard/evacuation.rs
+++ b/crates/skylarkwick-request/src/shard/evacuation.rs
@@ -82,16 +82,16 @@
         u32::try_from(away.count()).unwrap_or(u32::MAX)
     }
 
+    /// Tells whether a task is at work, as far as its server said lately.
     fn is_at_work(&self, task: &task::Id) -> bool {
-        let place = Place { occurrence: task.occurrence, step: task.step, index: task.index };
-        let known = self.jobs.get(&task.job).and_then(|active| active.task(place));
-        match known.map(|known| &known.phase) {
-            Some(Phase::On(server)) => self
-                .servers
-                .get(server)
-                .and_then(|server| server.runs.get(task))
-                .is_some_and(|taken| taken.stage == Stage::Running && taken.percent >= 100),
-            _ => false,
-        }
+        let known = self.jobs.get(&task.job).and_then(|active| active.task(Place::of(task)));
+        let Some(Phase::On(server)) = known.map(|known| &known.phase) else {
+            return false;
+        };
+        self.servers
+            .get(server)
+            .filter(|server| !server.is_silent)
+            .and_then(|server| server.runs.get(task))
+            .is_some_and(|taken| taken.stage == Stage::Running && taken.percent >= 100)
     }
 }
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -143,7 +143,15 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Occupancy {
     idle: BTreeSet<HostId>,
-    runs: BTreeMap<HostId, usize>,
+    runs: BTreeMap<HostId, Runs>,
+}
+
+/// How many runs there are on a host; those that end come first, as they can't be
+/// hurried.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Runs {
+    ending: usize,
+    lasting: usize,
 }
 
 impl Occupancy {
@@ -153,7 +161,7 @@
     }
 
     /// Counts the runs on a host, if the platform lists a server there.
-    pub(super) fn runs(&self, host: &HostId) -> Option<usize> {
+    pub(super) fn runs(&self, host: &HostId) -> Option<Runs> {
         self.runs.get(host).copied()
     }
 }
@@ -239,7 +247,10 @@
             let Some(host) = server.host() else {
                 continue;
             };
-            *occupancy.runs.entry(host.clone()).or_default() += server.runs.len();
+            let runs = occupancy.runs.entry(host.clone()).or_default();
+            let lasting = server.runs.keys().filter(|task| self.is_lasting(task)).count();
+            runs.lasting += lasting;
+            runs.ending += server.runs.len() - lasting;
             if server.listing.is_leaving {
                 leaving.insert(host);
             }
@@ -253,7 +264,7 @@
         };
         let hosts = self.fleet.hosts.values().filter(|host| host.standing == Standing::Up);
         let idle = hosts
-            .filter(|host| occupancy.runs(&host.id).unwrap_or_default() == 0)
+            .filter(|host| occupancy.runs(&host.id).unwrap_or_default() == Runs::default())
             .filter(|host| !leaving.contains(&host.id) && is_known(host))
             .map(|host| host.id.clone())
             .collect();
--- a/crates/skylarkwick-request/src/shard/wave.rs
+++ b/crates/skylarkwick-request/src/shard/wave.rs
@@ -12,17 +12,17 @@
     Shard,
     effect::Effect,
     fact::{HostId, Standing, Wave},
-    fleet::{Occupancy, Purpose},
+    fleet::{Occupancy, Purpose, Runs},
 };
 
 /// Part of a wave's time in which all its hosts should have begun; the rest is
 /// for hosts that are hard to empty.
-const BEGUN_WITHIN: f64 = 0.5;
+const BEGUN_WITHIN: f64 = 0.45;
 /// Part of a wave's time in which idle hosts alone would be maintained one after
 /// another; it bounds how many idle hosts are down at once.
 const IDLE_WITHIN: f64 = 0.4;
 /// Hosts that are emptied at any time, as lasting tasks leave one after another.
-const MIN_EMPTYING: usize = 4;
+const MIN_EMPTYING: usize = 2;
 
 /// Progress of a wave.
 #[derive(Clone, Debug)]
@@ -168,13 +168,16 @@
         round.wave.hosts.iter().filter(|id| is_ordered(id) || is_busy(id)).count()
     }
 
-    /// Keeps some of the due hosts free of new work; those with the least to
-    /// move come first.
+    /// Keeps some of the due hosts that are busy free of new work; those with the
+    /// fewest runs that have to end by themselves come first.
     fn empty_next(&mut self, due: &[HostId], wanted: usize, occupancy: &Occupancy) {
-        let emptying = due.iter().filter(|id| self.fleet.emptying.contains(id)).count();
-        let mut candidates: Vec<(usize, HostId)> = due
+        let is_busy = |id: &&HostId| !occupancy.is_idle(id);
+        let emptying = due.iter().filter(|id| self.fleet.emptying.contains(id)).filter(is_busy);
+        let emptying = emptying.count();
+        let mut candidates: Vec<(Runs, HostId)> = due
             .iter()
             .filter(|id| !self.fleet.is_ordered(id))
+            .filter(is_busy)
             .filter_map(|id| Some((occupancy.runs(id)?, id.clone())))
             .collect();
         candidates.sort();
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -134,6 +134,30 @@
     assert!(shard::stops(&site.decide()).is_empty());
 }
 
+#[test]
+fn tasks_on_a_silent_server_are_away() {
+    let mut site = settled(&["a", "b"]);
+    let spread = skylarkwick_request::job::Step {
+        is_lasting: true,
+        may_miss: 1,
+        most_per_host: 1,
+        ..step(2, 4)
+    };
+    site.submit("job", vec![spread]);
+    let effects = site.decide();
+    let started = site.confirm(&effects);
+    site.advance(3000);
+    for (server, start) in &started {
+        site.look(&server.0, &[(start.task.clone(), start.run, 100)], &[]);
+    }
+    site.list(&["a", "b", "c"]);
+    site.look("c", &[], &[]);
+    site.shard.silent(site.now, &started[0].0);
+    site.shard.ask_maintenance(site.now, wave(&[&started[1].0.0], 1));
+    site.decide();
+    assert!(shard::stops(&site.decide()).is_empty(), "the other task may be gone");
+}
+
 type Runs = Vec<(skylarkwick_request::job::task::Id, Run, u32)>;
 
 /// Three lasting tasks at work on one of two hosts, which is due.
--- a/crates/skylarkwick-version/src/holding.rs
+++ b/crates/skylarkwick-version/src/holding.rs
@@ -11,10 +11,10 @@
 
 /// Time without a renewal, on the store's clock, after which others may take a
 /// shard.
-pub const LAPSE: Duration = Duration::from_millis(3000);
+pub const LAPSE: Duration = Duration::from_millis(2300);
 /// Time since a confirmed renewal was sent in which nobody can have taken the
 /// shard; shorter than the lapse by what two clocks may differ.
-pub const CERTAIN: Duration = Duration::from_millis(2500);
+pub const CERTAIN: Duration = Duration::from_millis(1900);
 /// Time for which an observer must have seen the same row, so that a holder can
 /// renew first when the store comes back after an outage.
 pub const OBSERVATION: Duration = Duration::from_millis(1000);
@@ -22,7 +22,7 @@
 const READ_GAP: Duration = Duration::from_millis(1600);
 /// Time since its last confirmed renewal for which a holder goes on; meanwhile
 /// the store may be out for all, and then nobody can have taken over.
-pub const LIMIT: Duration = Duration::from_millis(9000);
+pub const LIMIT: Duration = Duration::from_millis(7000);
 
 /// The holder that a row names.
 #[derive(Clone, Debug, PartialEq, Eq)]
