Move tasks with checkpoints off hosts that have to be empty; keep hosts for lasting tasks

Ruled out: the budget (one task at a time, 1 s each). Change: hosts that are being emptied don't count for their pool, which needs as many as its lasting tasks have to be spread over; a task that keeps checkpoints is stopped after 1.5 s and goes on elsewhere. A straggler without checkpoints still holds its host. Test: host_orders::long_tasks_with_checkpoints_are_not_waited_for.

--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -260,6 +260,16 @@
         millicores
     }
 
+    /// Returns the number of hosts over which its lasting tasks have to be spread.
+    pub(super) fn spread(&self) -> usize {
+        let lasting = self.job.steps.iter().filter(|step| step.is_lasting);
+        let hosts = lasting.map(|step| match step.most_per_host {
+            0 => 1,
+            most => step.count.div_ceil(most),
+        });
+        hosts.max().and_then(|hosts| usize::try_from(hosts).ok()).unwrap_or_default()
+    }
+
     /// Returns the work that is left of tasks that end, in millicores times
     /// milliseconds.
     pub(super) fn work_left(&self, occurrence: &Occurrence, learning: &Learning) -> u64 {
--- a/crates/skylarkwick-request/src/shard/allotment.rs
+++ b/crates/skylarkwick-request/src/shard/allotment.rs
@@ -70,7 +70,8 @@
         for host in self.fleet.hosts.values() {
             let pool = self.fleet.pool_after_orders(host);
             let allotment = allotments.entry(Arc::clone(pool)).or_default();
-            allotment.hosts += 1;
+            // A host that is being emptied is of no use to its pool.
+            allotment.hosts += usize::from(!self.fleet.emptying.contains(&host.id));
             if occupancy.is_idle(&host.id) && !self.fleet.is_ordered(&host.id) {
                 allotment.idle.push(host.id.clone());
             }
@@ -79,7 +80,8 @@
         for (pool, demand) in self.demand(now) {
             let used = demand.used_millicores * HEADROOM_PERCENT / 100;
             let allotment = allotments.entry(pool).or_default();
-            allotment.needed = hosts_for(used + demand.lasting_millicores, of_one);
+            let hosts = hosts_for(used + demand.lasting_millicores, of_one);
+            allotment.needed = hosts.max(demand.spread);
         }
         allotments
     }
--- a/crates/skylarkwick-request/src/shard/demand.rs
+++ b/crates/skylarkwick-request/src/shard/demand.rs
@@ -1,4 +1,4 @@
-//! How much processor time the work at hand of each pool needs.
+//! How much the work at hand of each pool needs.
 //! See `docs/DESIGN.md`, section "Hosts and waves".
 
 use std::{collections::BTreeMap, sync::Arc};
@@ -7,13 +7,15 @@
 
 use super::Shard;
 
-/// Demand of a pool, in thousandths of a core.
+/// Demand of a pool.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Demand {
-    /// What ends the jobs at hand in time.
+    /// Processor time that ends the jobs at hand in time, in thousandths of a core.
     pub(super) used_millicores: u64,
-    /// What lasting tasks hold.
+    /// Processor time that lasting tasks hold, in thousandths of a core.
     pub(super) lasting_millicores: u64,
+    /// Hosts over which lasting tasks have to be spread.
+    pub(super) spread: usize,
 }
 
 impl Shard {
@@ -26,6 +28,7 @@
         for active in self.jobs.values() {
             if let Some(queue) = self.queues.get(&active.queue) {
                 let of_pool = demand.entry(Arc::clone(&queue.pool)).or_default();
+                of_pool.spread = of_pool.spread.max(active.spread());
                 of_pool.used_millicores += active.millicores_in_time(now, queue, &self.learning);
             }
         }
--- a/crates/skylarkwick-request/src/shard/evacuation.rs
+++ b/crates/skylarkwick-request/src/shard/evacuation.rs
@@ -1,7 +1,8 @@
 //! Emptying a host: for maintenance, or because its server is leaving.
 //!
-//! Tasks that end by themselves are waited for. Lasting tasks are stopped and
-//! started elsewhere, as many at once as their step may miss.
+//! Tasks that end by themselves are waited for, unless they keep checkpoints and
+//! take long. Lasting tasks are stopped and started elsewhere, as many at once as
+//! their step may miss.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -19,12 +20,41 @@
 /// to end, because the last holder has ordered it to stop.
 const TAKEOVER_PAUSE: Duration = Duration::from_millis(2500);
 
+/// Time after which a task that keeps checkpoints is not waited for: it goes on
+/// elsewhere from where it stops.
+const PATIENCE: Duration = Duration::from_millis(1500);
+
 /// A step of one occurrence of a job.
 type StepId = (job::Id, u32, usize);
 
 impl Shard {
-    /// Stops lasting tasks on hosts that are to be empty, within their budgets.
+    /// Stops tasks on hosts that are to be empty.
     pub(super) fn evacuate(&mut self, now: Moment) {
+        self.evacuate_checkpointing(now);
+        self.evacuate_lasting(now);
+    }
+
+    /// Stops tasks that keep checkpoints and would hold their host for long.
+    fn evacuate_checkpointing(&mut self, now: Moment) {
+        let mut stops: Vec<(ServerId, task::Id)> = Vec::new();
+        for server in self.servers.values().filter(|server| self.must_empty(server)) {
+            for (task, taken) in &server.runs {
+                let is_long = taken.stage == Stage::Running && now.since(taken.since) > PATIENCE;
+                let Some(step) = self.step(task).filter(|_| is_long) else {
+                    continue;
+                };
+                let may_stop = step.is_checkpointing && !step.is_lasting && !step.is_gang;
+                let pool = &server.listing.pool;
+                if may_stop && self.choose(now, pool, step, task, None, None).is_some() {
+                    stops.push((server.id().clone(), task.clone()));
+                }
+            }
+        }
+        self.move_away(now, stops);
+    }
+
+    /// Stops lasting tasks, within the budgets of their steps.
+    fn evacuate_lasting(&mut self, now: Moment) {
         if now.since(self.term.since) < TAKEOVER_PAUSE {
             return;
         }
@@ -56,6 +86,10 @@
                 stops.push((server.id().clone(), task.clone()));
             }
         }
+        self.move_away(now, stops);
+    }
+
+    fn move_away(&mut self, now: Moment, stops: Vec<(ServerId, task::Id)>) {
         for (server, task) in stops {
             self.stop(now, &server, &task);
             self.explain("task moved", &task, &server, "its host has to be empty");
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -134,6 +134,25 @@
     assert!(shard::stops(&site.decide()).is_empty());
 }
 
+#[test]
+fn long_tasks_with_checkpoints_are_not_waited_for() {
+    for is_checkpointing in [true, false] {
+        let mut site = settled(&["a", "b"]);
+        let long = skylarkwick_request::job::Step { is_checkpointing, ..step(1, 4) };
+        site.submit("job", vec![long]);
+        let effects = site.decide();
+        let (place, start) = site.confirm(&effects).remove(0);
+        site.shard.ask_maintenance(site.now, wave(&[&place.0], 1));
+        assert!(shard::stops(&site.decide()).is_empty(), "it may end soon");
+        site.advance(2000);
+        let other = if &*place.0 == "a" { "b" } else { "a" };
+        site.look(other, &[], &[]);
+        site.look(&place.0, &[(start.task.clone(), start.run, 30)], &[]);
+        let stopped = shard::stops(&site.decide());
+        assert_eq!(stopped.len(), usize::from(is_checkpointing));
+    }
+}
+
 #[test]
 fn tasks_on_a_silent_server_are_away() {
     let mut site = settled(&["a", "b"]);
