Store the servers of a job before its first start there, in place of waiting for all

Change: the row of a job's progress names the servers on which tasks may have been started; a server is added before the first start there by each holder. The next holder waits for those servers only, and its own write of the row conflicts with a late one of the last holder, whose ends it then takes in. A holder that is not certain of its lease uses stored servers alone. Rereading of progress, the rule on jobs known since, and the flags for inherited jobs and contested terms are gone.

--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -259,7 +259,11 @@
 
 /// What is known of the tasks of a job.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct ProgressRow(Vec<NoteRow>);
+pub struct ProgressRow {
+    notes: Vec<NoteRow>,
+    /// Backend servers on which tasks may have been started.
+    servers: Vec<String>,
+}
 
 /// What is known of one task.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -280,7 +284,10 @@
             last_end: note.last_end.0,
             checkpoint: note.checkpoint.to_string(),
         };
-        ProgressRow(progress.notes.iter().map(row).collect())
+        ProgressRow {
+            notes: progress.notes.iter().map(row).collect(),
+            servers: progress.servers.iter().map(ToString::to_string).collect(),
+        }
     }
 }
 
@@ -296,7 +303,10 @@
             };
             (Place { occurrence, step, index }, note)
         };
-        Progress { notes: row.0.into_iter().map(note).collect() }
+        Progress {
+            notes: row.notes.into_iter().map(note).collect(),
+            servers: row.servers.into_iter().map(Arc::from).collect(),
+        }
     }
 }
 
--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -43,8 +43,6 @@
     NotSaved(Box<Batch>),
     /// The row of a job's progress has this revision, and held this besides.
     Noted(job::Id, Revision, Option<Progress>),
-    /// Progress of jobs that was read once more, unless the store failed.
-    Reread(Option<Vec<(job::Id, Revision, Progress)>>),
     /// Answer to an order for a host.
     HostAnswered(HostId, HostAnswer),
     /// The progress of a wave is stored, or may not be.
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -117,9 +117,8 @@
         (done, stop): (&Stop, &Stop),
     ) -> io::Result<Holder<O>> {
         let Neighbours { store, orders, hosts, directory } = neighbours.clone();
-        let Taken { fencing, number, since, may_be_contested } = taken;
-        let mut shard =
-            Shard::new(rules, Term { fencing, number, since, is_contested: may_be_contested });
+        let Taken { fencing, number, since, .. } = taken;
+        let mut shard = Shard::new(rules, Term { fencing, number, since });
         let next = || (events.clone(), log.clone(), done.clone());
         let (ring, line, end) = next();
         watch::servers(directory.clone(), ring, line, end)?;
@@ -218,8 +217,6 @@
             Event::Saved(batch) => self.shard.saved(now, &batch),
             Event::NotSaved(batch) => self.shard.not_saved(&batch),
             Event::Noted(id, revision, other) => self.shard.noted(&id, revision, other.as_ref()),
-            Event::Reread(Some(rows)) => self.shard.reread(rows),
-            Event::Reread(None) => self.shard.not_reread(),
             Event::HostAnswered(host, answer) => self.shard.host_answered(now, &host, answer),
             Event::WaveStored { wave, is_stored: true, is_completed } => {
                 self.shard.wave_stored(wave, is_completed);
@@ -296,10 +293,6 @@
                     "because" => because);
                 None
             }
-            Effect::Reread => {
-                let offered = self.saver.offer(Work::Reread);
-                offered.is_err().then_some(Event::Reread(None))
-            }
             Effect::StepDown => {
                 warn!(self.log, "shard lost"; "because" => "a backend server was fenced");
                 self.is_lost = true;
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -34,7 +34,7 @@
     let homes = homes(store, log)?;
     let mut loaded = Loaded { jobs: Vec::new(), revision: jobs.revision, homes };
     for row in &jobs.rows {
-        if let Some(Change::Live(mut accepted)) = read(row, jobs.now_ms, true, log) {
+        if let Some(Change::Live(mut accepted)) = read(row, jobs.now_ms, log) {
             if let Some((revision, progress)) = known.get(&accepted.id) {
                 accepted.progress = progress.clone();
                 accepted.progress_revision = *revision;
@@ -66,19 +66,6 @@
     known
 }
 
-/// Reads what is known of the tasks of all jobs.
-///
-/// # Errors
-///
-/// Returns a fault when the store does not answer.
-pub(super) fn progress<S: Store>(
-    store: &S,
-    log: &Logger,
-) -> Result<Vec<(job::Id, Revision, Progress)>, Fault> {
-    let known = progress_by_job(&store::read_table(store, row::PROGRESS)?, log);
-    Ok(known.into_iter().map(|(id, (revision, progress))| (id, revision, progress)).collect())
-}
-
 /// Reads the row of a job's progress.
 pub(super) fn progress_of(row: &Row, log: &Logger) -> Option<Progress> {
     let value = row.value.as_deref()?;
@@ -101,7 +88,7 @@
 }
 
 /// Reads a job's row; nothing when another writer has spoilt it.
-pub(super) fn read(row: &Row, now_ms: u64, is_inherited: bool, log: &Logger) -> Option<Change> {
+pub(super) fn read(row: &Row, now_ms: u64, log: &Logger) -> Option<Change> {
     let id = job::Id::new(&row.key.name);
     let Some(value) = row.value.as_deref() else {
         return Some(Change::Over(id));
@@ -116,7 +103,6 @@
             age: Duration::from_millis(now_ms.saturating_sub(accepted_ms)),
             progress: Progress::default(),
             progress_revision: Revision::ABSENT,
-            is_inherited,
         }))),
         Err(error) => {
             warn!(log, "job unreadable"; "job" => &*row.key.name, "error" => %error);
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -15,7 +15,7 @@
     ring,
 };
 use skylarkwick_request::{
-    job::{self, State, progress::Progress},
+    job::{self, State},
     shard::effect::{Batch, Change, Entry},
 };
 use skylarkwick_version::{moment::millis, revision::Revision};
@@ -33,8 +33,6 @@
 pub(super) enum Work {
     /// What became known of jobs.
     Batch(Batch),
-    /// Nothing: read the progress of all jobs after what was written before.
-    Reread,
     /// The jobs that wait.
     Backlog(BacklogRow),
     /// The sizes of the pools.
@@ -91,7 +89,6 @@
         while let Some(work) = input.receive() {
             let event = match work {
                 Work::Batch(batch) => self.batch(batch),
-                Work::Reread => Event::Reread(self.reread()),
                 Work::Backlog(backlog) => {
                     self.backlog(backlog);
                     continue;
@@ -111,15 +108,6 @@
         }
     }
 
-    fn reread(&self) -> Option<Vec<(job::Id, Revision, Progress)>> {
-        load::progress(&self.store, &self.log)
-            .inspect_err(|error| {
-                warn!(self.log, "progress unread"; "error" => %error);
-                self.stop.sleep(FAULT_PAUSE);
-            })
-            .ok()
-    }
-
     fn batch(&self, batch: Batch) -> Event {
         let mut by_queue: BTreeMap<Arc<str>, Vec<Entry>> = BTreeMap::new();
         for entry in &batch.entries {
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -71,7 +71,7 @@
             revision = page.revision;
             let is_quiet = page.rows.is_empty();
             for row in &page.rows {
-                let event = match load::read(row, page.now_ms, false, &log) {
+                let event = match load::read(row, page.now_ms, &log) {
                     Some(Change::Live(accepted)) => Event::Submitted(accepted),
                     Some(Change::Over(id)) => Event::Withdrawn(id),
                     None => continue,
--- a/crates/skylarkwick-request/src/job/progress.rs
+++ b/crates/skylarkwick-request/src/job/progress.rs
@@ -40,11 +40,16 @@
 pub struct Progress {
     /// The notes.
     pub notes: BTreeMap<Place, Note>,
+    /// Backend servers on which tasks may have been started and not known to have
+    /// ended. A server is added before the first start there, so that the next
+    /// holder knows which servers it has to ask.
+    pub servers: BTreeSet<Arc<str>>,
 }
 
 impl Progress {
     /// Adds what another holder has stored; nothing that is known is lost.
     pub fn merge(&mut self, other: &Progress) {
+        self.servers.extend(other.servers.iter().cloned());
         for (&place, note) in &other.notes {
             let known = self.notes.entry(place).or_default();
             if known.last_end < note.last_end && !known.is_done {
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -68,19 +68,6 @@
     pub number: u64,
     /// When the shard was taken.
     pub since: Moment,
-    /// Whether the last holder may still be at work.
-    pub is_contested: bool,
-}
-
-/// Whether what the last holder stored has to be read once more.
-///
-/// A holder that was still at work stores and acknowledges ends until the
-/// servers are fenced, so what was read before may lack some.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Reread {
-    Due,
-    Asked,
-    Done,
 }
 
 /// The jobs of some pools and the hosts that run them.
@@ -91,15 +78,9 @@
     queues: BTreeMap<Arc<str>, Queue>,
     jobs: BTreeMap<job::Id, Active>,
     servers: BTreeMap<fact::ServerId, Server>,
-    /// Whether the platform's list of servers was read since the takeover.
-    has_list: bool,
-    /// Whether the progress of inherited jobs is whole.
-    reread: Reread,
     fleet: Fleet,
     learning: Learning,
     next_run: task::Run,
-    /// Jobs that became known later are not started yet.
-    known_until: Moment,
     /// Jobs that are over, and since when.
     over: BTreeMap<job::Id, Moment>,
     dirty: BTreeSet<job::Id>,
@@ -116,12 +97,9 @@
             queues: BTreeMap::new(),
             jobs: BTreeMap::new(),
             servers: BTreeMap::new(),
-            has_list: false,
-            reread: if term.is_contested { Reread::Due } else { Reread::Done },
             fleet: Fleet::default(),
             learning: Learning::default(),
             next_run: task::Run::first_of(term.number),
-            known_until: term.since,
             over: BTreeMap::new(),
             dirty: BTreeSet::new(),
             is_saving: false,
@@ -168,19 +146,18 @@
     /// `confirmed` is when the last renewal of the lease was sent that the store
     /// has confirmed. What a silent server runs is given up, and hosts are ordered,
     /// only while that is so lately that no other holder can have taken the shard:
-    /// the next holder may reach a server that this one can't. After that, only
-    /// jobs known since before are started, because the next holder takes newer
-    /// ones for its own.
+    /// the next holder may reach a server that this one can't. After that, tasks
+    /// are started only on the servers that are stored with their job, because the
+    /// next holder asks those.
     pub fn decide(&mut self, now: Moment, unix_ms: u64, confirmed: Moment) -> Vec<Effect> {
         let is_certain = now.since(confirmed) < holding::CERTAIN;
-        self.known_until = if is_certain { now } else { confirmed };
-        if is_certain {
-            self.expire(now);
+        match is_certain {
+            true => self.expire(now),
+            false => self.unplan(|_| true),
         }
         self.over.retain(|_, since| now.since(*since) < OVER_KEPT);
         self.open_occurrences(unix_ms);
-        self.ask_reread(now);
-        self.place(now);
+        self.place(now, is_certain);
         self.evacuate(now);
         if is_certain {
             self.order_hosts(now);
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -1,6 +1,10 @@
 //! Jobs that are not over, as their shard's holder knows them.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use skylarkwick_version::{
     moment::{Moment, millis},
@@ -78,9 +82,10 @@
     pub(super) revision: Revision,
     pub(super) progress_revision: Revision,
     pub(super) accepted: Moment,
-    /// When this holder was told of it.
-    pub(super) known: Moment,
-    pub(super) is_inherited: bool,
+    /// Servers on which an earlier holder may have started tasks.
+    pub(super) doubtful: BTreeSet<ServerId>,
+    /// Servers on which this holder may start tasks, as it has stored them.
+    pub(super) noted: BTreeSet<ServerId>,
     /// Whether a server has begun a task; one that was only told to may not have.
     pub(super) has_run: bool,
     pub(super) outcome: Option<State>,
@@ -96,8 +101,8 @@
             revision: accepted.revision,
             progress_revision: accepted.progress_revision,
             accepted: now - accepted.age,
-            known: now,
-            is_inherited: accepted.is_inherited,
+            doubtful: BTreeSet::new(),
+            noted: BTreeSet::new(),
             has_run: false,
             outcome: None,
             occurrences: BTreeMap::new(),
@@ -117,6 +122,7 @@
 
     fn restore(&mut self, progress: Progress) {
         self.has_run |= !progress.notes.is_empty();
+        self.doubtful.extend(progress.servers.into_iter().map(ServerId));
         for (place, note) in progress.notes {
             self.open(place.occurrence);
             let Some(task) = self.task_mut(place) else {
@@ -136,8 +142,9 @@
 
     /// Adds what another holder has stored of the tasks.
     pub(super) fn absorb(&mut self, other: &Progress) {
-        let mut progress = self.progress();
+        let mut progress = Progress { servers: BTreeSet::new(), ..self.progress() };
         progress.merge(other);
+        self.noted.clear();
         self.restore(progress);
     }
 
@@ -154,9 +161,13 @@
     /// Returns what has to last of the tasks.
     pub(super) fn progress(&self) -> Progress {
         let mut progress = Progress::default();
+        progress.servers.extend(self.doubtful.iter().map(|server| Arc::clone(&server.0)));
         for (&occurrence, steps) in &self.occurrences {
             for (step, tasks) in steps.steps.iter().enumerate() {
                 for (index, task) in tasks.iter().enumerate() {
+                    if let Phase::On(server) = &task.phase {
+                        progress.servers.insert(Arc::clone(&server.0));
+                    }
                     if task.note != Note::default() {
                         progress.notes.insert(Place { occurrence, step, index }, task.note.clone());
                     }
--- a/crates/skylarkwick-request/src/shard/answers.rs
+++ b/crates/skylarkwick-request/src/shard/answers.rs
@@ -118,11 +118,22 @@
         }
     }
 
-    /// Asks a server to end what it runs of a task.
+    /// Asks a server to end what it runs of a task; what it was not told to start
+    /// is only forgotten.
     pub(super) fn stop(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
-        let taken = self.servers.get_mut(id).and_then(|server| server.runs.get_mut(task));
-        if let Some(taken) = taken.filter(|taken| !taken.is_stopping()) {
-            taken.stage = Stage::Stopping { noted: None, next_try: now };
+        let Some(taken) = self.servers.get_mut(id).and_then(|server| server.runs.get_mut(task))
+        else {
+            return;
+        };
+        match taken.stage {
+            Stage::Planned => {
+                let run = taken.run;
+                self.release(id, task, run, false);
+            }
+            Stage::Stopping { .. } => {}
+            Stage::Starting | Stage::Running => {
+                taken.stage = Stage::Stopping { noted: None, next_try: now };
+            }
         }
     }
 
--- a/crates/skylarkwick-request/src/shard/effect.rs
+++ b/crates/skylarkwick-request/src/shard/effect.rs
@@ -97,8 +97,6 @@
     Homes(BTreeMap<Arc<str>, usize>),
     /// Tell why something was decided.
     Explain(Reason),
-    /// Read the progress of inherited jobs once more.
-    Reread,
     /// Another holder has taken over: stop.
     StepDown,
 }
--- a/crates/skylarkwick-request/src/shard/evacuation.rs
+++ b/crates/skylarkwick-request/src/shard/evacuation.rs
@@ -12,9 +12,10 @@
     Shard,
     active::Phase,
     fact::ServerId,
+    placement::Search,
     server::{Server, Stage},
 };
-use crate::job::{self, progress::Place, task};
+use crate::job::{self, Step, progress::Place, task};
 
 /// Time after a takeover in which a task that seems to be at work may be about
 /// to end, because the last holder has ordered it to stop.
@@ -44,8 +45,7 @@
                     continue;
                 };
                 let may_stop = step.is_checkpointing && !step.is_lasting && !step.is_gang;
-                let pool = &server.listing.pool;
-                if may_stop && self.choose(now, pool, step, task, None, None).is_some() {
+                if may_stop && self.has_other_place(now, server, step, task) {
                     stops.push((server.id().clone(), task.clone()));
                 }
             }
@@ -75,8 +75,7 @@
                 let is_away = taken.percent < 100;
                 let others = count.saturating_sub(u32::from(is_away));
                 let may_stop = others < step.may_miss.max(1);
-                let pool = &server.listing.pool;
-                let has_place = self.choose(now, pool, step, task, None, None).is_some();
+                let has_place = self.has_other_place(now, server, step, task);
                 if !may_stop || !has_place {
                     continue;
                 }
@@ -96,6 +95,13 @@
         }
     }
 
+    /// Tells whether a task could run on another server of the pool.
+    fn has_other_place(&self, now: Moment, server: &Server, step: &Step, task: &task::Id) -> bool {
+        let pool = &*server.listing.pool;
+        let search = Search { now, pool, step, among: None, rack: None };
+        self.choose(search, task, None).is_some()
+    }
+
     fn must_empty(&self, server: &Server) -> bool {
         server.listing.is_leaving || self.fleet.is_emptying(server)
     }
--- a/crates/skylarkwick-request/src/shard/fact.rs
+++ b/crates/skylarkwick-request/src/shard/fact.rs
@@ -60,8 +60,6 @@
     pub progress: Progress,
     /// Revision of the row of its progress.
     pub progress_revision: Revision,
-    /// Whether an earlier holder may have started tasks of it.
-    pub is_inherited: bool,
 }
 
 /// A backend server as the platform lists it.
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -15,7 +15,7 @@
     Shard,
     allotment::Allotments,
     effect::Effect,
-    fact::{Host, HostAnswer, HostId, ServerId, Standing},
+    fact::{Host, HostAnswer, HostId, Standing},
     server::Server,
     wave::Round,
 };
@@ -68,8 +68,6 @@
 pub(super) struct Fleet {
     /// Processor time that ready tasks lack in each pool.
     pub(super) unmet: BTreeMap<Arc<str>, u64>,
-    /// Whether the platform's list of hosts was read since the takeover.
-    has_list: bool,
     pub(super) hosts: BTreeMap<HostId, Host>,
     pub(super) spare_pools: BTreeSet<Arc<str>>,
     /// Hosts of each pool as operators sized them, once these are known.
@@ -84,19 +82,6 @@
 }
 
 impl Fleet {
-    /// Tells whether the platform's list of hosts is known.
-    pub(super) fn is_listed(&self) -> bool {
-        self.has_list
-    }
-
-    /// Returns the servers on the hosts of a pool that are up.
-    pub(super) fn servers_of(&self, pool: &str) -> impl Iterator<Item = &ServerId> {
-        let hosts = self.hosts.values();
-        hosts
-            .filter(move |host| &*host.pool == pool && host.standing == Standing::Up)
-            .filter_map(|host| host.server.as_ref())
-    }
-
     /// Tells whether a host is being emptied, moved or maintained.
     pub(super) fn is_ordered(&self, host: &HostId) -> bool {
         self.orders.contains_key(host) || self.emptying.contains(host)
@@ -169,7 +154,6 @@
 impl Shard {
     /// Puts the platform's list of hosts in force.
     pub fn list_hosts(&mut self, now: Moment, hosts: Vec<Host>) {
-        self.fleet.has_list = true;
         self.fleet.hosts = hosts.into_iter().map(|host| (host.id.clone(), host)).collect();
         let hosts = &self.fleet.hosts;
         self.fleet.orders.retain(|id, order| {
--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -37,7 +37,6 @@
     pub fn list(&mut self, now: Moment, listings: Vec<Listing>) {
         let listed: std::collections::BTreeSet<ServerId> =
             listings.iter().map(|listing| listing.id.clone()).collect();
-        self.has_list = true;
         for server in self.servers.values_mut() {
             server.is_unlisted = !listed.contains(server.id());
         }
@@ -182,7 +181,7 @@
             self.keep_checkpoint(&running);
             return;
         }
-        let stage = match self.may_adopt(&running.task) {
+        let stage = match self.may_adopt(&running) {
             true => Stage::Running,
             false => Stage::Stopping { noted: None, next_try: now },
         };
@@ -214,10 +213,11 @@
 
     /// Tells whether a run that this holder did not start is wanted: only one
     /// that an earlier holder may have started, of a task that runs nowhere else.
-    fn may_adopt(&self, task: &task::Id) -> bool {
+    fn may_adopt(&self, running: &Running) -> bool {
+        let task = &running.task;
         self.jobs.get(&task.job).is_some_and(|active| {
             active.outcome.is_none()
-                && active.is_inherited
+                && running.run < task::Run::first_of(self.term.number)
                 && active.task(Place::of(task)).is_some_and(|task| task.phase == Phase::Waiting)
         })
     }
@@ -232,7 +232,7 @@
             .iter()
             .filter(|(task, _)| !running.contains(task))
             .filter(|(_, taken)| match taken.stage {
-                Stage::Starting => false,
+                Stage::Planned | Stage::Starting => false,
                 Stage::Running => sent > taken.since,
                 Stage::Stopping { noted: Some(noted), .. } => sent > noted,
                 Stage::Stopping { noted: None, .. } => {
--- a/crates/skylarkwick-request/src/shard/order.rs
+++ b/crates/skylarkwick-request/src/shard/order.rs
@@ -1,19 +1,15 @@
 //! The order in which waiting work gets room.
 
-use std::{cmp::Reverse, sync::Arc, time::Duration};
+use std::cmp::Reverse;
 
-use skylarkwick_version::{moment::Moment, revision::Revision};
+use skylarkwick_version::moment::Moment;
 
 use super::{
-    Reread, Shard,
+    Shard,
     active::{Active, Occurrence, Phase},
-    effect::Effect,
     fact::Queue,
 };
-use crate::job::{self, progress::Progress};
-
-/// Longest wait for servers that do not answer before progress is read again.
-const REREAD_WAIT: Duration = Duration::from_millis(1500);
+use crate::job;
 
 /// Use that a start now would still be of, most useful first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -56,9 +52,7 @@
             let Some(queue) = self.queues.get(&active.queue) else {
                 continue;
             };
-            let is_known = active.known <= self.known_until;
-            let may_start = is_known && self.is_free_of_doubt(now, active, queue);
-            if active.outcome.is_some() || !may_start {
+            if active.outcome.is_some() || !self.is_free_of_doubt(now, active) {
                 continue;
             }
             for (&occurrence, steps) in &active.occurrences {
@@ -79,57 +73,12 @@
         ready
     }
 
-    /// Tells whether no run of an earlier holder can be unknown: a job is in
-    /// doubt until every server of its pool has answered, or what an earlier
-    /// holder could have started has lapsed.
-    fn is_free_of_doubt(&self, now: Moment, active: &Active, queue: &Queue) -> bool {
-        !active.is_inherited
-            || now.since(self.term.since) > self.rules.doubt
-            || (self.reread == Reread::Done && self.is_pool_fenced(&queue.pool))
-    }
-
-    fn is_pool_fenced(&self, pool: &str) -> bool {
-        self.has_list
-            && self.fleet.is_listed()
-            && self.is_listed_pool_fenced(pool)
-            && self.is_hosted_pool_fenced(pool)
-    }
-
-    /// Asks for the progress of inherited jobs once every server that answers is
-    /// fenced, so that the last holder can acknowledge nothing more.
-    pub(super) fn ask_reread(&mut self, now: Moment) {
-        let has_waited = now.since(self.term.since) > REREAD_WAIT;
-        let pools: Vec<&Arc<str>> = self.queues.values().map(|queue| &queue.pool).collect();
-        let is_fenced = pools.into_iter().all(|pool| self.is_pool_fenced(pool));
-        if self.reread == Reread::Due && (is_fenced || has_waited) {
-            self.reread = Reread::Asked;
-            self.effects.push(Effect::Reread);
-        }
-    }
-
-    /// Adds the progress that was read once more.
-    pub fn reread(&mut self, rows: Vec<(job::Id, Revision, Progress)>) {
-        for (id, revision, progress) in rows {
-            self.noted(&id, revision, Some(&progress));
-        }
-        self.reread = Reread::Done;
-    }
-
-    /// Notes that the progress could not be read.
-    pub fn not_reread(&mut self) {
-        self.reread = Reread::Due;
-    }
-
-    fn is_listed_pool_fenced(&self, pool: &str) -> bool {
-        let mut servers = self.servers.values().filter(|server| &*server.listing.pool == pool);
-        servers.all(|server| server.is_fenced)
-    }
-
-    /// Tells the same of the servers on the pool's hosts: one that is cut off
-    /// from the platform drops out of the list of servers and works on.
-    fn is_hosted_pool_fenced(&self, pool: &str) -> bool {
-        let mut servers = self.fleet.servers_of(pool);
-        servers.all(|id| self.servers.get(id).is_some_and(|server| server.is_fenced))
+    /// Tells whether no run of an earlier holder can be unknown: every server on
+    /// which it may have started tasks has answered, or what it could have started
+    /// has lapsed.
+    pub(super) fn is_free_of_doubt(&self, now: Moment, active: &Active) -> bool {
+        let has_answered = |id| self.servers.get(id).is_some_and(|server| server.is_fenced);
+        active.doubtful.iter().all(has_answered) || now.since(self.term.since) > self.rules.doubt
     }
 
     /// Ranks a step. A job that can't meet its objective any more waits behind
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -1,6 +1,9 @@
 //! The choice of servers for waiting tasks.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use skylarkwick_version::{moment::Moment, quantity::Quantity};
 
@@ -31,9 +34,24 @@
     room_left: u64,
 }
 
+/// A search for the server of a task.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Search<'a> {
+    pub(super) now: Moment,
+    pub(super) pool: &'a str,
+    pub(super) step: &'a Step,
+    /// The only servers that may be chosen, where not all may.
+    pub(super) among: Option<&'a BTreeSet<ServerId>>,
+    /// The only rack that may be chosen, where not all may.
+    pub(super) rack: Option<&'a Arc<str>>,
+}
+
 impl Shard {
     /// Gives waiting tasks to servers with room, and counts what found none.
-    pub(super) fn place(&mut self, now: Moment) {
+    ///
+    /// A holder that is not `is_certain` to hold the shard uses only servers that
+    /// are stored with the job.
+    pub(super) fn place(&mut self, now: Moment, is_certain: bool) {
         self.fleet.unmet.clear();
         let mut full: BTreeMap<Arc<str>, Vec<Quantity>> = BTreeMap::new();
         for ready in self.ready(now) {
@@ -44,10 +62,15 @@
             let size = step.taken();
             let known_full = full.entry(Arc::clone(&pool)).or_default();
             let is_plain = step.label.is_none() && step.most_per_host == 0;
+            let noted = match is_certain {
+                true => None,
+                false => self.jobs.get(&ready.job).map(|active| active.noted.clone()),
+            };
+            let search = Search { now, pool: &pool, step, among: noted.as_ref(), rack: None };
             let placed = match () {
                 () if is_plain && known_full.iter().any(|full| full.fits(&size)) => 0,
-                () if step.is_gang => self.place_gang(now, &pool, &job, step, &ready),
-                () => self.place_each(now, &pool, &job, step, &ready),
+                () if step.is_gang => self.place_gang(search, &job, &ready),
+                () => self.place_each(search, &job, &ready),
             };
             let left = ready.tasks.len() - placed;
             if left > 0 {
@@ -72,50 +95,37 @@
         *unmet = (*unmet + lacking).min(MOST_UNMET_MILLICORES);
     }
 
-    fn place_each(
-        &mut self,
-        now: Moment,
-        pool: &str,
-        job: &Arc<job::Job>,
-        step: &Step,
-        ready: &Ready,
-    ) -> usize {
+    fn place_each(&mut self, search: Search<'_>, job: &Arc<job::Job>, ready: &Ready) -> usize {
         let mut placed = 0;
         for &index in &ready.tasks {
             let task = ready.task(index);
             let avoid = self.avoided(&task);
-            let Some(server) = self.choose(now, pool, step, &task, avoid.as_ref(), None) else {
+            let Some(server) = self.choose(search, &task, avoid.as_ref()) else {
                 break;
             };
             let run = self.take_run();
-            self.start(now, &server, task, run, job, step);
+            self.start(search.now, &server, task, run, job);
             placed += 1;
         }
         placed
     }
 
     /// Starts all members of a gang, or none.
-    fn place_gang(
-        &mut self,
-        now: Moment,
-        pool: &str,
-        job: &Arc<job::Job>,
-        step: &Step,
-        ready: &Ready,
-    ) -> usize {
+    fn place_gang(&mut self, search: Search<'_>, job: &Arc<job::Job>, ready: &Ready) -> usize {
+        let step = search.step;
         if ready.tasks.len() < usize::try_from(step.count).unwrap_or_default() {
             return 0;
         }
         let racks = match step.wants_one_rack {
-            true => self.racks(pool),
+            true => self.racks(search.pool),
             false => Vec::new(),
         };
         let tries = racks.iter().map(Some).chain([None]);
         for rack in tries {
-            if let Some(chosen) = self.choose_gang(now, pool, step, ready, rack) {
+            if let Some(chosen) = self.choose_gang(Search { rack, ..search }, ready) {
                 let run = self.take_run();
                 for (&index, server) in ready.tasks.iter().zip(chosen) {
-                    self.start(now, &server, ready.task(index), run, job, step);
+                    self.start(search.now, &server, ready.task(index), run, job);
                 }
                 return ready.tasks.len();
             }
@@ -125,21 +135,15 @@
 
     /// Chooses servers for all members of a gang by taking their room for a
     /// moment; the room is given back before this returns.
-    fn choose_gang(
-        &mut self,
-        now: Moment,
-        pool: &str,
-        step: &Step,
-        ready: &Ready,
-        rack: Option<&Arc<str>>,
-    ) -> Option<Vec<ServerId>> {
+    fn choose_gang(&mut self, search: Search<'_>, ready: &Ready) -> Option<Vec<ServerId>> {
         let mut chosen = Vec::with_capacity(ready.tasks.len());
         for &index in &ready.tasks {
             let task = ready.task(index);
-            let Some(server) = self.choose(now, pool, step, &task, None, rack) else {
+            let Some(server) = self.choose(search, &task, None) else {
                 break;
             };
-            let taken = Use::new(task::Run::default(), Stage::Starting, step.taken(), now);
+            let size = search.step.taken();
+            let taken = Use::new(task::Run::default(), Stage::Planned, size, search.now);
             if let Some(server) = self.servers.get_mut(&server) {
                 server.runs.insert(task, taken);
             }
@@ -169,17 +173,16 @@
     /// hosts stay empty for large tasks, moves and maintenance.
     pub(super) fn choose(
         &self,
-        now: Moment,
-        pool: &str,
-        step: &Step,
+        search: Search<'_>,
         task: &task::Id,
         avoid: Option<&ServerId>,
-        rack: Option<&Arc<str>>,
     ) -> Option<ServerId> {
+        let Search { now, pool, step, among, rack } = search;
         let size = step.taken();
         self.servers
             .values()
             .filter(|server| &*server.listing.pool == pool && server.takes_work(now))
+            .filter(|server| among.is_none_or(|among| among.contains(server.id())))
             .filter(|server| !self.fleet.is_reserved(server))
             .filter(|server| server.has_label(step.label.as_ref()) && server.has_label(rack))
             .filter(|server| !server.runs.contains_key(task))
@@ -205,8 +208,7 @@
     }
 
     fn avoided(&self, task: &task::Id) -> Option<ServerId> {
-        let place = Place { occurrence: task.occurrence, step: task.step, index: task.index };
-        self.jobs.get(&task.job)?.task(place)?.avoid.clone()
+        self.jobs.get(&task.job)?.task(Place::of(task))?.avoid.clone()
     }
 
     fn take_run(&mut self) -> task::Run {
@@ -215,6 +217,8 @@
         run
     }
 
+    /// Takes the room for a run; it is told to start once its server is stored
+    /// with the job.
     fn start(
         &mut self,
         now: Moment,
@@ -222,35 +226,87 @@
         task: task::Id,
         run: task::Run,
         job: &Arc<job::Job>,
-        step: &Step,
     ) {
-        let window = self.rules.start_window;
+        let size = job.steps[task.step].taken();
+        let Some(active) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let is_noted = active.noted.contains(id);
+        if let Some(known) = active.task_mut(Place::of(&task)) {
+            known.phase = Phase::On(id.clone());
+        }
+        if let Some(server) = self.servers.get_mut(id) {
+            server.runs.insert(task.clone(), Use::new(run, Stage::Planned, size, now));
+        }
+        match is_noted {
+            true => self.send_start(now, id, &task),
+            false => {
+                self.dirty.insert(task.job);
+            }
+        }
+    }
+
+    /// Tells the servers that are stored with a job to start what is planned,
+    /// unless it has become known that an earlier holder may have started it.
+    pub(super) fn send_planned(&mut self, now: Moment, id: &job::Id) {
+        let Some(active) = self.jobs.get(id) else {
+            return;
+        };
+        if !self.is_free_of_doubt(now, active) {
+            self.unplan(|task| task.job == *id);
+            return;
+        }
+        let runs = active.runs().into_iter();
+        let noted: Vec<_> = runs.filter(|(server, _)| active.noted.contains(server)).collect();
+        for (server, task) in noted {
+            self.send_start(now, &server, &task);
+        }
+    }
+
+    /// Tells a server to start a run that is planned, if it still takes work.
+    fn send_start(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        let Some(until_ms) = server.until_ms(now, window) else {
+        let takes_work = server.takes_work(now) && !self.fleet.is_reserved(server);
+        let until_ms = server.until_ms(now, self.rules.start_window).filter(|_| takes_work);
+        let target = server.target(self.term.fencing);
+        let Some(taken) = server.runs.get_mut(task).filter(|taken| taken.stage == Stage::Planned)
+        else {
             return;
         };
-        let place = Place { occurrence: task.occurrence, step: task.step, index: task.index };
-        let active = self.jobs.get_mut(&task.job);
-        let Some(known) = active.and_then(|active| active.task_mut(place)) else {
+        let run = taken.run;
+        let Some(until_ms) = until_ms else {
+            self.release(id, task, run, false);
             return;
         };
-        let mut taken = Use::new(run, Stage::Starting, step.taken(), now);
+        taken.stage = Stage::Starting;
+        taken.since = now;
         taken.until_ms = until_ms;
         server.lease_until_ms = server.lease_until_ms.max(until_ms);
-        server.runs.insert(task.clone(), taken);
-        known.phase = Phase::On(id.clone());
-        let start = Start {
-            task,
-            run,
-            spec: Arc::clone(&job.spec),
-            until_ms,
-            checkpoint: Arc::clone(&known.note.checkpoint),
+        let Some(active) = self.jobs.get(&task.job) else {
+            return;
         };
-        let target = server.target(self.term.fencing);
+        let note = active.task(Place::of(task)).map(|known| &known.note);
+        let checkpoint = note.map(|note| Arc::clone(&note.checkpoint)).unwrap_or_default();
+        let spec = Arc::clone(&active.job.spec);
+        let start = Start { task: task.clone(), run, spec, until_ms, checkpoint };
         self.effects.push(Effect::Start { target, start: Box::new(start) });
     }
+
+    /// Gives up what is planned and was not told to start.
+    pub(super) fn unplan(&mut self, is_meant: impl Fn(&task::Id) -> bool) {
+        let mut planned: Vec<(ServerId, task::Id, task::Run)> = Vec::new();
+        for server in self.servers.values() {
+            let runs = server.runs.iter().filter(|(_, taken)| taken.stage == Stage::Planned);
+            let runs = runs.filter(|(task, _)| is_meant(task));
+            planned
+                .extend(runs.map(|(task, taken)| (server.id().clone(), task.clone(), taken.run)));
+        }
+        for (server, task, run) in planned {
+            self.release(&server, &task, run, false);
+        }
+    }
 }
 
 impl Ready {
--- a/crates/skylarkwick-request/src/shard/saving.rs
+++ b/crates/skylarkwick-request/src/shard/saving.rs
@@ -1,10 +1,13 @@
 //! What has to last, written before ends are acknowledged.
 
+use std::sync::Arc;
+
 use skylarkwick_version::{moment::Moment, revision::Revision};
 
 use super::{
     Shard,
     effect::{Batch, Change, Cursor, Effect, Entry},
+    fact::ServerId,
 };
 use crate::job::{self, State, progress::Progress};
 
@@ -23,6 +26,9 @@
             return;
         }
         let ids: Vec<job::Id> = self.dirty.iter().take(MAX_ENTRIES).cloned().collect();
+        for id in &ids {
+            self.settle_doubt(id);
+        }
         let entries: Vec<Entry> = ids.iter().filter_map(|id| self.entry(id)).collect();
         for id in &ids {
             self.dirty.remove(id);
@@ -32,6 +38,9 @@
             false => Vec::new(),
         };
         self.is_saving = true;
+        for entry in &entries {
+            self.note_sent(entry);
+        }
         self.effects.push(Effect::Save(Batch { entries, cursors }));
     }
 
@@ -54,13 +63,43 @@
             }
         }
         for entry in &batch.entries {
-            if matches!(entry.change, Change::Over(_)) {
-                self.jobs.remove(&entry.id);
-                self.over.insert(entry.id.clone(), now);
+            match &entry.change {
+                Change::Over(_) => {
+                    self.jobs.remove(&entry.id);
+                    self.over.insert(entry.id.clone(), now);
+                }
+                Change::Progress(progress) => self.note_stored(now, &entry.id, progress),
             }
         }
     }
 
+    /// Forgets the doubt about servers that have answered: what they run is known.
+    fn settle_doubt(&mut self, id: &job::Id) {
+        if let Some(active) = self.jobs.get_mut(id) {
+            let servers = &self.servers;
+            let is_in_doubt = |id: &ServerId| !servers.get(id).is_some_and(|known| known.is_fenced);
+            active.doubtful.retain(is_in_doubt);
+        }
+    }
+
+    /// Notes what is about to be stored of a job. Until its outcome is known, only
+    /// the servers that are stored in any case count.
+    fn note_sent(&mut self, entry: &Entry) {
+        if let (Some(active), Change::Progress(progress)) =
+            (self.jobs.get_mut(&entry.id), &entry.change)
+        {
+            active.noted.retain(|server| progress.servers.contains(&server.0));
+        }
+    }
+
+    /// Notes what is stored of a job, and starts what waited for it.
+    fn note_stored(&mut self, now: Moment, id: &job::Id, progress: &Progress) {
+        if let Some(active) = self.jobs.get_mut(id) {
+            active.noted = progress.servers.iter().map(|id| ServerId(Arc::clone(id))).collect();
+            self.send_planned(now, id);
+        }
+    }
+
     /// Notes the revision of a job's stored progress, and what else was there.
     pub fn noted(&mut self, id: &job::Id, revision: Revision, other: Option<&Progress>) {
         let Some(active) = self.jobs.get_mut(id) else {
@@ -69,6 +108,7 @@
         active.progress_revision = revision;
         if let Some(other) = other {
             active.absorb(other);
+            self.unplan(|task| task.job == *id);
             self.dirty.insert(id.clone());
             self.settle_job(id);
         }
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -29,6 +29,8 @@
 /// Stage of a run on a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
+    /// The start is sent once the server is stored with the job.
+    Planned,
     /// The start was sent and is not answered.
     Starting,
     /// The server has begun it.
@@ -73,10 +75,6 @@
             pace: 100,
         }
     }
-
-    pub(super) fn is_stopping(&self) -> bool {
-        matches!(self.stage, Stage::Stopping { .. })
-    }
 }
 
 /// A backend server.
