Leave the shard to strong hosts; make decisions cheaper; more senders, smaller buffers

Ruled out: the store (its calls are far below the rates). Change: hosts write down how strong they are, and a weak one leaves a vacant shard to stronger ones for 1.5 s; hosts, evacuation and pace are looked over each 50 ms; room and kind of a run are kept with it; looks keep 0.4 ms for each server apart; events gather for as long as the last decision took; 128 senders; connection buffers of 8 KiB.

--- a/crates/skylarkwick-connection/src/agent.rs
+++ b/crates/skylarkwick-connection/src/agent.rs
@@ -23,7 +23,7 @@
 
 /// Size of each of a connection's two buffers, in bytes; messages are small, and
 /// an entry host keeps hundreds of connections.
-const BUFFER_BYTES: usize = 16 << 10;
+const BUFFER_BYTES: usize = 8 << 10;
 
 /// Number of times that the connections to a place were dropped.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -26,6 +26,8 @@
 pub const PROGRESS: &str = "progress";
 /// Table of the holders of shards.
 pub const LEASES: &str = "lease";
+/// Table of the strength of the strongest host that may hold a shard.
+pub const STRENGTHS: &str = "strength";
 /// Table of the rows that only a new holder of a shard writes. The revision of
 /// such a row is the fencing number of the holder, and what a holder writes for
 /// the shard depends on it, so that an earlier holder's late write is refused.
@@ -57,6 +59,11 @@
     Key::new(LEASES, "", shard)
 }
 
+/// Returns the key of the strength of the strongest host.
+pub fn strength_key(shard: &str) -> Key {
+    Key::new(STRENGTHS, "", shard)
+}
+
 /// Returns the key of the row that holds earlier holders of a shard off.
 pub fn fence_key(shard: &str) -> Key {
     Key::new(FENCES, "", shard)
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -52,6 +52,8 @@
 pub struct Terms {
     /// The entry host of this process.
     pub entry: Arc<str>,
+    /// Its processor time, in cores.
+    pub strength: f64,
     /// Longest lease of a run.
     pub longest_lease: Duration,
     /// Time between orders of two holders for one host.
@@ -75,7 +77,12 @@
     D: Directory,
 {
     let incarnation = Incarnation(rand::random());
-    let mut lease = lease::Lease::new(neighbours.store.clone(), &terms.entry, incarnation, log);
+    let mut lease = lease::Lease::new(
+        neighbours.store.clone(),
+        (&terms.entry, terms.strength),
+        incarnation,
+        log,
+    );
     while let Some(taken) = lease.acquire(stop) {
         let rules = rules(terms, taken.may_be_contested);
         holder::hold(neighbours, terms, rules, &mut lease, taken, log, stop);
--- a/crates/skylarkwick-planner/src/jobs/contact.rs
+++ b/crates/skylarkwick-planner/src/jobs/contact.rs
@@ -24,7 +24,7 @@
 use super::event::Event;
 
 /// Orders that are given at once.
-const SENDERS: usize = 40;
+const SENDERS: usize = 128;
 /// Orders that are given at once to one server.
 const SENDERS_PER_SERVER: usize = 6;
 /// Orders that wait for one server before further ones are refused as not sent.
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -38,8 +38,10 @@
 const RING: usize = 4096;
 /// Longest time between two decisions.
 const PERIOD: Duration = Duration::from_millis(100);
-/// Time in which events gather for one decision.
+/// Shortest time in which events gather for one decision.
 const GATHER: Duration = Duration::from_millis(4);
+/// Longest time in which events gather for one decision.
+const LONGEST_GATHER: Duration = Duration::from_millis(60);
 /// How often the backlog is written; its age tells entry hosts what it lacks.
 const BACKLOG_PERIOD: Duration = Duration::from_millis(700);
 /// How often the load of each pool is logged.
@@ -104,6 +106,8 @@
     backlog_due: Moment,
     load_due: Moment,
     follow_ups: VecDeque<Event>,
+    /// Time in which events gather for the next decision.
+    gather: Duration,
 }
 
 impl<O: Orders> Holder<O> {
@@ -155,6 +159,7 @@
             backlog_due: Moment::ZERO,
             load_due: Moment::ZERO,
             follow_ups: VecDeque::new(),
+            gather: GATHER,
         })
     }
 
@@ -162,7 +167,7 @@
         while !stop.is_requested() && !self.is_lost {
             match input.receive_within(PERIOD) {
                 Ok(event) => {
-                    std::thread::sleep(GATHER);
+                    std::thread::sleep(self.gather);
                     self.apply(event);
                 }
                 Err(ring::Empty::TimedOut) => {}
@@ -174,7 +179,11 @@
             while let Some(event) = self.follow_ups.pop_front() {
                 self.apply(event);
             }
+            let start = Boot.now();
             self.decide();
+            // A decision that takes long is made more rarely, so that the duties that
+            // talk to servers get their part of the processor.
+            self.gather = Boot.now().since(start).clamp(GATHER, LONGEST_GATHER);
         }
         info!(self.log, "shard given up"; "lost" => self.is_lost);
     }
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -21,6 +21,13 @@
 /// How often a process looks at a shard that another holds.
 const LOOK_PERIOD: Duration = Duration::from_millis(400);
 
+/// How much stronger another host has to be for this one to hesitate.
+const STRONGER: f64 = 1.3;
+/// Time that a weak host leaves a vacant shard to stronger ones.
+const WEAK_HESITATION: Duration = Duration::from_millis(1500);
+/// Time that every host leaves a shard that nobody has held yet.
+const FIRST_HESITATION: Duration = Duration::from_millis(700);
+
 /// A shard that was just taken.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Taken {
@@ -47,25 +54,34 @@
 pub(super) struct Lease<S> {
     store: S,
     entry: Arc<str>,
+    /// Processor time of this host, in cores.
+    strength: f64,
     incarnation: Incarnation,
     log: Logger,
     held: Option<(Revision, LeaseRow)>,
+    /// Since when this process could take the shard.
+    vacant: Option<Moment>,
     sight: Sight,
 }
 
 impl<S: Store> Lease<S> {
     pub(super) fn new(
         store: S,
-        entry: &Arc<str>,
+        (entry, strength): (&Arc<str>, f64),
         incarnation: Incarnation,
         log: &Logger,
     ) -> Lease<S> {
         let (entry, log) = (Arc::clone(entry), log.clone());
-        Lease { store, entry, incarnation, log, held: None, sight: Sight::default() }
+        let sight = Sight::default();
+        Lease { store, entry, strength, incarnation, log, held: None, vacant: None, sight }
     }
 
     /// Waits until the shard can be taken, and takes it; nothing on the stop.
+    ///
+    /// A host that is weaker than others leaves the shard to them for a while:
+    /// holding it takes more of a processor than anything else.
     pub(super) fn acquire(&mut self, stop: &Stop) -> Option<Taken> {
+        self.register();
         while !stop.is_requested() {
             self.held = None;
             if let Some(taken) = self.try_acquire() {
@@ -85,9 +101,14 @@
         let holder = known.as_ref().map(Holder::from);
         let step = holding::step(holder.as_ref(), self.sight, &self.entry, now_ms);
         if step == Step::Wait {
+            self.vacant = None;
             return None;
         }
         let since = Boot.now();
+        let vacant = *self.vacant.get_or_insert(since);
+        if since.since(vacant) < self.hesitation(known.is_none()) {
+            return None;
+        }
         let next = LeaseRow {
             holder: self.entry.to_string(),
             incarnation: self.incarnation.0,
@@ -108,6 +129,45 @@
         Some(Taken { fencing: revision.0, number, since, may_be_contested })
     }
 
+    /// Returns how long this host leaves a vacant shard to others. Before the first
+    /// holder, the strengths of the others may not be known yet.
+    fn hesitation(&self, is_first: bool) -> Duration {
+        let strongest = self.strongest().unwrap_or_default();
+        match () {
+            () if strongest > self.strength * STRONGER => WEAK_HESITATION,
+            () if is_first => FIRST_HESITATION,
+            () => Duration::ZERO,
+        }
+    }
+
+    /// Lets weaker hosts know how strong this one is.
+    fn register(&self) {
+        let Some(strongest) = self.strongest() else {
+            return;
+        };
+        if self.strength > strongest {
+            let key = row::strength_key(row::SHARD);
+            let change = Transaction::default().put(key, row::encode(&self.strength));
+            if let Err(error) = self.store.commit(&change) {
+                warn!(self.log, "strength not stored"; "error" => %error);
+            }
+        }
+    }
+
+    /// Returns the strength of the strongest host; zero before one has told, and
+    /// nothing when the store does not answer.
+    fn strongest(&self) -> Option<f64> {
+        let (row, _) = store::read_one(&self.store, &row::strength_key(row::SHARD))
+            .inspect_err(|error| warn!(self.log, "strength unread"; "error" => %error))
+            .ok()?;
+        let strongest = row.value.as_deref().map(row::decode::<f64>);
+        strongest.map_or(Some(0.0), |strongest| {
+            strongest
+                .inspect_err(|error| warn!(self.log, "strength unreadable"; "error" => %error))
+                .ok()
+        })
+    }
+
     fn decode(&self, seen: &Row) -> Option<LeaseRow> {
         let value = seen.value.as_deref()?;
         row::decode(value)
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -42,6 +42,9 @@
 /// under way any more.
 const OVER_KEPT: Duration = Duration::from_secs(60);
 
+/// Time between two looks over all hosts.
+const REVIEW_PERIOD: Duration = Duration::from_millis(50);
+
 /// What bounds a shard; the platform states most of these.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
@@ -79,6 +82,8 @@
     jobs: BTreeMap<job::Id, Active>,
     servers: BTreeMap<fact::ServerId, Server>,
     fleet: Fleet,
+    /// When all hosts were last looked over.
+    reviewed: Moment,
     learning: Learning,
     next_run: task::Run,
     /// Jobs that are over, and since when.
@@ -98,6 +103,7 @@
             jobs: BTreeMap::new(),
             servers: BTreeMap::new(),
             fleet: Fleet::default(),
+            reviewed: Moment::ZERO,
             learning: Learning::default(),
             next_run: task::Run::first_of(term.number),
             over: BTreeMap::new(),
@@ -158,17 +164,25 @@
         self.over.retain(|_, since| now.since(*since) < OVER_KEPT);
         self.open_occurrences(unix_ms);
         self.place(now, is_certain);
-        self.evacuate(now);
-        if is_certain {
-            self.order_hosts(now);
+        if now.since(self.reviewed) >= REVIEW_PERIOD {
+            self.reviewed = now;
+            self.review(now, is_certain);
         }
-        self.adjust_pace(now);
         self.retry_stops(now);
         self.save();
         self.ask(now);
         std::mem::take(&mut self.effects)
     }
 
+    /// Looks over all hosts, which need not follow each event.
+    fn review(&mut self, now: Moment, is_certain: bool) {
+        self.evacuate(now);
+        if is_certain {
+            self.order_hosts(now);
+        }
+        self.adjust_pace(now);
+    }
+
     /// Returns the jobs of each queue of which no server has begun a task.
     ///
     /// A start that was sent and is not answered may be refused or never arrive,
--- a/crates/skylarkwick-request/src/shard/demand.rs
+++ b/crates/skylarkwick-request/src/shard/demand.rs
@@ -33,8 +33,8 @@
             }
         }
         for server in self.servers.values() {
-            let lasting = server.runs.iter().filter(|(task, _)| self.is_lasting(task));
-            let millicores: u64 = lasting.map(|(_, taken)| taken.size.millicores).sum();
+            let lasting = server.runs.values().filter(|taken| taken.is_lasting);
+            let millicores: u64 = lasting.map(|taken| taken.size.millicores).sum();
             if let Some(of_pool) = demand.get_mut(&server.listing.pool) {
                 of_pool.lasting_millicores += millicores;
             }
--- a/crates/skylarkwick-request/src/shard/ends.rs
+++ b/crates/skylarkwick-request/src/shard/ends.rs
@@ -23,7 +23,7 @@
         let known = server.runs.get(&ended.task).filter(|taken| taken.run <= ended.run);
         let run_time = known.map(|taken| now.since(taken.since));
         if known.is_some() {
-            server.runs.remove(&ended.task);
+            server.remove(&ended.task);
         }
         if let (Some(run_time), task::End::Done) = (run_time, ended.end) {
             self.learn(&ended.task, run_time);
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -232,7 +232,7 @@
                 continue;
             };
             let runs = occupancy.runs.entry(host.clone()).or_default();
-            let lasting = server.runs.keys().filter(|task| self.is_lasting(task)).count();
+            let lasting = server.runs.values().filter(|taken| taken.is_lasting).count();
             runs.lasting += lasting;
             runs.ending += server.runs.len() - lasting;
             if server.listing.is_leaving {
--- a/crates/skylarkwick-request/src/shard/looks.rs
+++ b/crates/skylarkwick-request/src/shard/looks.rs
@@ -2,10 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use skylarkwick_version::{
-    moment::{Moment, millis},
-    quantity::Quantity,
-};
+use skylarkwick_version::moment::{Moment, millis};
 
 use super::{
     Shard,
@@ -18,6 +15,8 @@
 
 /// How long a server waits for an end before it answers a look.
 const LOOK_WAIT: Duration = Duration::from_millis(900);
+/// Shortest time between two looks at a server, for each server.
+const LOOK_SPACING: Duration = Duration::from_micros(400);
 /// Pause before a silent server is looked at again.
 const SILENT_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time that ends wait to be stored before the next look goes out.
@@ -94,9 +93,12 @@
         if !look.is_partial {
             self.reconcile(&id, &running, sent);
         }
+        let spacing = self.look_spacing();
         if let Some(server) = self.servers.get_mut(&id) {
             server.awaits_save = server.seen != server.saved;
-            server.next_look = Some(if server.awaits_save { now + SAVE_WAIT } else { now });
+            let pause = if server.awaits_save { SAVE_WAIT } else { spacing };
+            server.next_look = Some(now + pause);
+            server.looked = now;
         }
     }
 
@@ -137,10 +139,20 @@
         }
     }
 
+    /// Returns the shortest time between two looks at a server; ends gather
+    /// meanwhile, so that the looks of a second cost the same for any number of
+    /// servers.
+    fn look_spacing(&self) -> Duration {
+        LOOK_SPACING * u32::try_from(self.servers.len()).unwrap_or(u32::MAX)
+    }
+
     /// Asks for the looks that are due.
     pub(super) fn ask(&mut self, now: Moment) {
+        let spacing = self.look_spacing();
         for server in self.servers.values_mut() {
-            let is_stored = server.awaits_save && server.seen == server.saved;
+            let is_stored = server.awaits_save
+                && server.seen == server.saved
+                && now.since(server.looked) >= spacing;
             if !server.next_look.is_some_and(|due| due <= now || is_stored) {
                 continue;
             }
@@ -160,7 +172,6 @@
     }
 
     fn progress(&mut self, now: Moment, id: &ServerId, running: Running) {
-        let size = self.size_of(&running.task);
         self.note_begun(&running.task);
         let Some(server) = self.servers.get_mut(id) else {
             return;
@@ -185,10 +196,10 @@
             true => Stage::Running,
             false => Stage::Stopping { noted: None, next_try: now },
         };
-        let mut taken = Use::new(running.run, stage, size, now);
+        let mut taken = Use::new(running.run, stage, self.step(&running.task), now);
         taken.percent = running.percent;
         if let Some(server) = self.servers.get_mut(id) {
-            server.runs.insert(running.task.clone(), taken);
+            server.add(running.task.clone(), taken);
         }
         if stage == Stage::Running {
             self.keep_checkpoint(&running);
@@ -252,7 +263,7 @@
             return;
         };
         if server.runs.get(task).is_some_and(|taken| taken.run == run) {
-            server.runs.remove(task);
+            server.remove(task);
         }
         let Some(active) = self.jobs.get_mut(&task.job) else {
             return;
@@ -296,12 +307,6 @@
             .is_some_and(|step| step.is_lasting)
     }
 
-    /// Returns what a task takes of its host; a filler takes no processor time.
-    pub(super) fn size_of(&self, task: &task::Id) -> Quantity {
-        let step = self.jobs.get(&task.job).and_then(|active| active.job.steps.get(task.step));
-        step.map(|step| step.taken()).unwrap_or_default()
-    }
-
     /// Adds a line for the log.
     pub(super) fn explain(
         &mut self,
--- a/crates/skylarkwick-request/src/shard/pace.rs
+++ b/crates/skylarkwick-request/src/shard/pace.rs
@@ -30,13 +30,13 @@
     pub(super) fn adjust_pace(&mut self, now: Moment) {
         let mut changes = Vec::new();
         for server in self.servers.values() {
-            let Some(load) = self.worst_load(server) else {
+            let has_filler = server.runs.values().any(|taken| taken.is_filler);
+            let Some(load) = worst_load(server).filter(|_| has_filler) else {
                 continue;
             };
             for (task, taken) in &server.runs {
-                let is_filler = self.step(task).is_some_and(|step| step.is_filler);
                 let is_due = now.since(taken.percent_since) >= PERIOD;
-                if !is_filler || taken.stage != Stage::Running || !is_due {
+                if !taken.is_filler || taken.stage != Stage::Running || !is_due {
                     continue;
                 }
                 let pace = match () {
@@ -66,30 +66,26 @@
 
     /// Tells whether a task of a step would share a host with tasks that it
     /// disturbs, or that would disturb it.
-    pub(super) fn would_disturb(&self, server: &Server, step: &Step) -> bool {
-        let steps = || server.runs.keys().filter_map(|task| self.step(task));
+    pub(super) fn would_disturb(server: &Server, step: &Step) -> bool {
+        let mut runs = server.runs.values();
         match (step.is_filler, step.target) {
-            (true, _) => steps().any(|other| other.target.is_some()),
-            (false, Some(_)) => steps().any(|other| other.is_filler),
+            (true, _) => runs.any(|other| other.target.is_some()),
+            (false, Some(_)) => runs.any(|other| other.is_filler),
             (false, None) => false,
         }
     }
 
-    /// Returns the highest share of its target that a serving task is at.
-    fn worst_load(&self, server: &Server) -> Option<f64> {
-        server
-            .runs
-            .iter()
-            .filter_map(|(task, taken)| {
-                let target = self.step(task)?.target?;
-                let tail = Duration::from_millis(taken.tail_ms?);
-                Some(tail.as_secs_f64() / target.as_secs_f64().max(f64::EPSILON))
-            })
-            .max_by(f64::total_cmp)
-    }
-
     /// Returns the step of a task.
     pub(super) fn step(&self, task: &task::Id) -> Option<&Step> {
         self.jobs.get(&task.job)?.job.steps.get(task.step)
     }
 }
+
+/// Returns the highest share of its target that a serving task is at.
+fn worst_load(server: &Server) -> Option<f64> {
+    let shares = server.runs.values().filter_map(|taken| {
+        let tail = Duration::from_millis(taken.tail_ms?);
+        Some(tail.as_secs_f64() / taken.target?.as_secs_f64().max(f64::EPSILON))
+    });
+    shares.max_by(f64::total_cmp)
+}
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -142,16 +142,16 @@
             let Some(server) = self.choose(search, &task, None) else {
                 break;
             };
-            let size = search.step.taken();
-            let taken = Use::new(task::Run::default(), Stage::Planned, size, search.now);
+            let (run, step) = (task::Run::default(), Some(search.step));
+            let taken = Use::new(run, Stage::Planned, step, search.now);
             if let Some(server) = self.servers.get_mut(&server) {
-                server.runs.insert(task, taken);
+                server.add(task, taken);
             }
             chosen.push(server);
         }
         for (&index, server) in ready.tasks.iter().zip(&chosen) {
             if let Some(server) = self.servers.get_mut(server) {
-                server.runs.remove(&ready.task(index));
+                server.remove(&ready.task(index));
             }
         }
         (chosen.len() == ready.tasks.len()).then_some(chosen)
@@ -198,7 +198,7 @@
     fn cost(&self, server: &Server, step: &Step, avoid: Option<&ServerId>, left: Quantity) -> Cost {
         Cost {
             is_avoided: avoid == Some(server.id()),
-            shares_with_serving: self.would_disturb(server, step),
+            shares_with_serving: Shard::would_disturb(server, step),
             is_far: step.rack.is_some() && !server.has_label(step.rack.as_ref()),
             is_due: step.is_lasting && self.fleet.is_due(server),
             is_suspect: server.is_suspect(),
@@ -227,7 +227,6 @@
         run: task::Run,
         job: &Arc<job::Job>,
     ) {
-        let size = job.steps[task.step].taken();
         let Some(active) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -236,7 +235,8 @@
             known.phase = Phase::On(id.clone());
         }
         if let Some(server) = self.servers.get_mut(id) {
-            server.runs.insert(task.clone(), Use::new(run, Stage::Planned, size, now));
+            let taken = Use::new(run, Stage::Planned, job.steps.get(task.step), now);
+            server.add(task.clone(), taken);
         }
         match is_noted {
             true => self.send_start(now, id, &task),
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -11,7 +11,7 @@
     effect::Target,
     fact::{HostId, Listing, Reading, ServerId},
 };
-use crate::job::task;
+use crate::job::{Step, task};
 
 /// Silence after which a server gets no new work.
 const QUIET: Duration = Duration::from_millis(2500);
@@ -51,6 +51,10 @@
     pub(super) stage: Stage,
     /// What it takes; nothing is known of runs of jobs that are over.
     pub(super) size: Quantity,
+    pub(super) is_lasting: bool,
+    pub(super) is_filler: bool,
+    /// Bound of the tail of response times, for a serving task.
+    pub(super) target: Option<Duration>,
     pub(super) since: Moment,
     /// End of the time in which an unanswered start may still begin, on the
     /// server's clock.
@@ -62,11 +66,15 @@
 }
 
 impl Use {
-    pub(super) fn new(run: task::Run, stage: Stage, size: Quantity, now: Moment) -> Use {
+    /// Notes a run of a step; none is known for jobs that are over.
+    pub(super) fn new(run: task::Run, stage: Stage, step: Option<&Step>, now: Moment) -> Use {
         Use {
             run,
             stage,
-            size,
+            size: step.map(Step::taken).unwrap_or_default(),
+            is_lasting: step.is_some_and(|step| step.is_lasting),
+            is_filler: step.is_some_and(|step| step.is_filler),
+            target: step.and_then(|step| step.target),
             since: now,
             until_ms: 0,
             percent: 0,
@@ -82,6 +90,8 @@
 pub(super) struct Server {
     pub(super) listing: Listing,
     pub(super) runs: BTreeMap<task::Id, Use>,
+    /// What the runs take together.
+    taken: Quantity,
     /// The last answer's clock.
     pub(super) reading: Option<Reading>,
     /// Latest end of a lease given to it, on its clock.
@@ -94,6 +104,8 @@
     pub(super) is_fenced: bool,
     /// When the next look is due, unless one is under way.
     pub(super) next_look: Option<Moment>,
+    /// When the last look was answered.
+    pub(super) looked: Moment,
     /// Whether the next look waits for ends to be stored.
     pub(super) awaits_save: bool,
     /// Whether the last look had no answer.
@@ -110,12 +122,14 @@
         Server {
             listing,
             runs: BTreeMap::new(),
+            taken: Quantity::default(),
             reading: None,
             lease_until_ms: 0,
             seen: 0,
             saved: 0,
             is_fenced: false,
             next_look: Some(now),
+            looked: Moment::ZERO,
             awaits_save: false,
             is_silent: false,
             is_unlisted: false,
@@ -142,7 +156,21 @@
 
     /// Returns the room that no run takes.
     pub(super) fn room(&self) -> Quantity {
-        self.runs.values().fold(self.listing.capacity, |room, taken| room - taken.size)
+        self.listing.capacity - self.taken
+    }
+
+    /// Adds a run.
+    pub(super) fn add(&mut self, task: task::Id, taken: Use) {
+        self.remove(&task);
+        self.taken = self.taken + taken.size;
+        self.runs.insert(task, taken);
+    }
+
+    /// Removes what runs of a task.
+    pub(super) fn remove(&mut self, task: &task::Id) {
+        if let Some(taken) = self.runs.remove(task) {
+            self.taken = self.taken - taken.size;
+        }
     }
 
     /// Tells whether the server has a label, where one is asked for.
--- a/crates/skylarkwick-request/tests/shard/mod.rs
+++ b/crates/skylarkwick-request/tests/shard/mod.rs
@@ -27,6 +27,8 @@
 const CORES: u64 = 64;
 /// Time without a confirmed renewal after which a holder is not certain.
 const UNCONFIRMED: Duration = Duration::from_millis(4000);
+/// Time between two looks over all hosts, in milliseconds.
+const REVIEW_MS: u64 = 50;
 const CLOCK_START_MS: u64 = 100_000;
 
 pub(crate) struct Site {
@@ -148,13 +150,15 @@
         self.shard.submit(self.now, Site::accepted(id, steps));
     }
 
-    /// Decides, while the store answers at once.
+    /// Decides some time after the last decision, while the store answers at once.
     pub(crate) fn decide(&mut self) -> Vec<Effect> {
+        self.advance(REVIEW_MS);
         self.decide_confirmed(self.now)
     }
 
     /// Decides, while the lease was not confirmed for long.
     pub(crate) fn decide_in_doubt(&mut self) -> Vec<Effect> {
+        self.advance(REVIEW_MS);
         self.decide_confirmed(self.now - UNCONFIRMED)
     }
 
