Give orders by a duty apart from the holder's

A sender got its next order only with the holder's next decision, 60 to 100 ms later. Change: a dispatch duty owns the orders that wait and the senders; it ends with the holder, and what waits is void then.

--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -7,6 +7,7 @@
 //! section "Shards".
 
 mod contact;
+mod dispatch;
 mod event;
 mod fleet;
 mod holder;
--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -10,7 +10,7 @@
 };
 use skylarkwick_version::{moment::Moment, revision::Revision};
 
-use super::{contact::Sender, lease::Renewal};
+use super::lease::Renewal;
 
 /// One thing that became known.
 #[derive(Debug)]
@@ -31,8 +31,6 @@
     Looked(Box<Look>),
     /// A server said nothing.
     Blind(ServerId, Blind),
-    /// A sender has given its order to a server.
-    Sent(Sender, ServerId),
     /// Answer to a start.
     Started(ServerId, task::Id, task::Run, Answer),
     /// Answer to a stop.
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -24,7 +24,8 @@
 
 use super::{
     Neighbours, Terms,
-    contact::{self, Contacts, Glance},
+    contact::{Contacts, Glance},
+    dispatch::{self, Dispatch},
     event::Event,
     fleet,
     lease::{Lease, Renewal, Taken},
@@ -94,6 +95,7 @@
 struct Holder<O> {
     shard: Shard,
     contacts: Contacts<O>,
+    dispatch: Dispatch,
     saver: ring::Sender<Work>,
     saving: Duty,
     fleet: ring::Sender<fleet::Order>,
@@ -147,6 +149,7 @@
         let fleet = fleet::start(store, &hosts, giver, events.clone(), log.clone())?;
         Ok(Holder {
             shard,
+            dispatch: dispatch::start(orders.clone(), events.clone(), log.clone())?,
             contacts: Contacts::new(orders, events.clone(), log.clone()),
             saver,
             saving,
@@ -191,8 +194,8 @@
     /// Ends the duties; what is being written is written first, because the next
     /// holder starts from it.
     fn finish(self) {
-        let Holder { saver, saving, contacts, fleet, log, .. } = self;
-        drop((saver, contacts, fleet));
+        let Holder { saver, saving, contacts, dispatch, fleet, log, .. } = self;
+        drop((saver, contacts, dispatch, fleet));
         if !saving.join() {
             error!(log, "saver panicked");
         }
@@ -216,7 +219,6 @@
             Event::Blind(_, Blind::Fenced) => self.is_lost = true,
             Event::Blind(server, Blind::OtherLife) => self.shard.replaced(&server),
             Event::Blind(server, Blind::Silent(_)) => self.shard.silent(now, &server),
-            Event::Sent(sender, server) => self.contacts.finished(sender, &server),
             Event::Started(server, task, run, answer) => {
                 self.shard.started(now, &server, &task, run, answer);
             }
@@ -260,13 +262,13 @@
     fn carry_out(&mut self, effect: Effect) {
         let follow_up = match effect {
             Effect::Start { target, start } => {
-                self.contacts.order(contact::Order::Start(target, start))
+                self.dispatch.order(dispatch::Order::Start(target, start))
             }
             Effect::Stop { target, task, run } => {
-                self.contacts.order(contact::Order::Stop(target, task, run))
+                self.dispatch.order(dispatch::Order::Stop(target, task, run))
             }
             Effect::Pace { target, task, run, percent } => {
-                self.contacts.order(contact::Order::Pace(target, task, run, percent))
+                self.dispatch.order(dispatch::Order::Pace(target, task, run, percent))
             }
             Effect::Look { target, until_ms, acknowledged, wait } => {
                 self.contacts.look(Glance { target, until_ms, acknowledged, wait })
