--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -14,6 +14,7 @@
 mod lease;
 mod load;
 mod saver;
+pub mod sweep;
 mod wall;
 mod watch;
 mod writer;
@@ -64,6 +65,8 @@
     pub notice: Duration,
     /// Time that the maintenance of a host takes.
     pub maintenance: Duration,
+    /// Time for which callers are told of a job that is over.
+    pub told: Duration,
 }
 
 /// Holds the shard whenever it can, until the stop.
--- a/crates/skylarkwick-planner/src/jobs/fleet.rs
+++ b/crates/skylarkwick-planner/src/jobs/fleet.rs
@@ -172,56 +172,53 @@
     /// Writes orders down; returns them, and those that must not be given now.
     fn seal(&mut self, batch: Vec<Order>) -> (Vec<Sealed>, Vec<Order>) {
         let since = Boot.now();
-        if self.last.is_none() {
-            self.last = self.read().ok();
-        }
-        let Some(known) = &mut self.last else {
+        let Some(mut known) = self.last.take().or_else(|| self.read().ok()) else {
             return (Vec::new(), batch);
         };
         let now_ms = self.store.clock_ms();
-        let holder = &self.holder;
-        let obstacle = |order: &Order| {
-            let (_, last) = known.get(order.host())?;
-            holder.obstacle(last, now_ms)
-        };
-        let (mut free, mut withheld) = (Vec::new(), Vec::new());
-        for order in batch {
-            match obstacle(&order) {
-                None => free.push(order),
-                Some(because) => {
-                    warn!(self.log, "order withheld"; "order" => ?order, "because" => because);
-                    withheld.push(order);
-                }
-            }
+        let (free, mut withheld): (Vec<Order>, Vec<Order>) =
+            batch.into_iter().partition(|order| self.is_free(order, &known, now_ms));
+        if free.is_empty() {
+            self.last = Some(known);
+            return (Vec::new(), withheld);
         }
         let next = HostRow {
-            holder: holder.entry.to_string(),
-            fencing: holder.fencing,
+            holder: self.holder.entry.to_string(),
+            fencing: self.holder.fencing,
             ordered_ms: now_ms,
         };
-        if free.is_empty() {
-            return (Vec::new(), withheld);
-        }
-        let change = transaction(&free, &next, known, holder.fencing);
+        let change = transaction(&free, &next, &known, self.holder.fencing);
         match store::settle(&self.store, &change) {
             Settled::Applied(revision) => {
-                let seal = Seal { holder: Arc::clone(&holder.entry), fencing: revision.0 };
+                let holder = Arc::clone(&self.holder.entry);
+                let seal = Seal { holder, fencing: revision.0 };
                 let row = |order: &Order| (order.host().clone(), (revision, next.clone()));
                 known.extend(free.iter().map(row));
+                self.last = Some(known);
                 let sealed = |order| Sealed { order, seal: seal.clone(), since };
                 (free.into_iter().map(sealed).collect(), withheld)
             }
             outcome => {
+                // The rows may have changed, or may change later, so they are read
+                // again before the next orders.
                 warn!(self.log, "orders withheld"; "orders" => free.len(),
                     "outcome" => ?outcome);
-                // The rows may have changed, or may change later.
-                self.last = None;
                 withheld.extend(free);
                 (Vec::new(), withheld)
             }
         }
     }
 
+    /// Tells whether the last order for a host allows another one now.
+    fn is_free(&self, order: &Order, known: &Known, now_ms: u64) -> bool {
+        let last = known.get(order.host()).map(|(_, last)| last);
+        let obstacle = last.and_then(|last| self.holder.obstacle(last, now_ms));
+        if let Some(because) = obstacle {
+            warn!(self.log, "order withheld"; "order" => ?order, "because" => because);
+        }
+        obstacle.is_none()
+    }
+
     fn read(&self) -> Result<Known, Fault> {
         let page = store::read_part(&self.store, row::HOSTS, "")
             .inspect_err(|error| warn!(self.log, "orders unread"; "error" => %error))?;
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -31,6 +31,7 @@
     lease::{Lease, Renewal, Taken},
     load::{self, Loaded},
     saver::{self, Work},
+    sweep,
     wall::Wall,
     watch,
 };
@@ -41,12 +42,17 @@
 const PERIOD: Duration = Duration::from_millis(100);
 /// Shortest time in which events gather for one decision.
 const GATHER: Duration = Duration::from_millis(4);
+/// Time in which events gather, as a multiple of the time that the last decision
+/// took.
+const GATHER_PER_DECISION: u32 = 4;
 /// Longest time in which events gather for one decision.
-const LONGEST_GATHER: Duration = Duration::from_millis(60);
+const LONGEST_GATHER: Duration = Duration::from_millis(80);
 /// How often the backlog is written; its age tells entry hosts what it lacks.
 const BACKLOG_PERIOD: Duration = Duration::from_millis(700);
 /// How often the load of each pool is logged.
 const LOAD_PERIOD: Duration = Duration::from_secs(1);
+/// Time for which rows are kept beyond what callers are promised.
+const SWEEP_MARGIN: Duration = Duration::from_secs(60);
 /// Pause before the rows are read again after a fault.
 const LOAD_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for the lease after its renewals were told to end.
@@ -144,6 +150,8 @@
         watch::jobs(store.clone(), revision, ring, line, end)?;
         let (ring, line, end) = next();
         let (saving, saver) = saver::start(store.clone(), directory, fencing, ring, line, end)?;
+        let (_, line, end) = next();
+        sweep::start(store.clone(), terms.told + SWEEP_MARGIN, line, end)?;
         let (entry, handover) = (Arc::clone(&terms.entry), terms.handover);
         let giver = fleet::Holder { entry, fencing, handover };
         let fleet = fleet::start(store, &hosts, giver, events.clone(), log.clone())?;
@@ -186,7 +194,8 @@
             self.decide();
             // A decision that takes long is made more rarely, so that the duties that
             // talk to servers get their part of the processor.
-            self.gather = Boot.now().since(start).clamp(GATHER, LONGEST_GATHER);
+            let gather = Boot.now().since(start) * GATHER_PER_DECISION;
+            self.gather = gather.clamp(GATHER, LONGEST_GATHER);
         }
         info!(self.log, "shard given up"; "lost" => self.is_lost);
     }
--- a/crates/skylarkwick-request/src/shard/allotment.rs
+++ b/crates/skylarkwick-request/src/shard/allotment.rs
@@ -15,12 +15,16 @@
 /// Hosts wanted beyond what the jobs at hand use at full speed, in percent: more
 /// come while a host moves.
 const HEADROOM_PERCENT: u64 = 150;
-/// Hosts kept beyond the lasting tasks of a pool, for the start of a burst.
+/// Fewest hosts that a pool keeps for the start of its next burst.
 const KEPT_HOSTS: usize = 2;
+/// Part of its size that a pool keeps for the start of its next burst.
+const KEPT_PART: usize = 2;
 /// Time between two rounds of moves home.
 const REBALANCE_PERIOD: Duration = Duration::from_millis(300);
-/// Hosts moved in one such round.
-const REBALANCED_AT_ONCE: usize = 3;
+/// Part of all hosts that is moved in one such round.
+const REBALANCED_PART: usize = 16;
+/// Fewest hosts moved in one such round.
+const REBALANCED_AT_LEAST: usize = 3;
 
 /// Hosts of a pool.
 #[derive(Clone, Debug, Default)]
@@ -31,14 +35,17 @@
     pub(super) needed: usize,
     /// Hosts that it should have: those needed, and its part of the others.
     pub(super) wanted: usize,
+    /// Hosts that stay for the start of its next burst.
+    kept: usize,
     /// Its hosts that may be moved at once.
     idle: Vec<HostId>,
 }
 
 impl Allotment {
-    /// Returns how many hosts may leave while so many stay, and a few in any case.
+    /// Returns how many hosts may leave while so many stay, and those that are kept
+    /// in any case.
     fn beyond(&self, stay: usize) -> usize {
-        self.hosts.saturating_sub(stay.max(KEPT_HOSTS)).min(self.idle.len())
+        self.hosts.saturating_sub(stay.max(self.kept)).min(self.idle.len())
     }
 
     /// Gives an idle host away.
@@ -76,6 +83,9 @@
                 allotment.idle.push(host.id.clone());
             }
         }
+        for (pool, allotment) in &mut allotments {
+            allotment.kept = KEPT_HOSTS.max(self.home(pool) / KEPT_PART);
+        }
         let of_one = self.millicores_of_one();
         for (pool, demand) in self.demand(now) {
             let used = demand.used_millicores * HEADROOM_PERCENT / 100;
@@ -86,6 +96,11 @@
         allotments
     }
 
+    /// Returns the number of hosts that operators gave a pool.
+    fn home(&self, pool: &Arc<str>) -> usize {
+        self.fleet.homes.get(pool).copied().unwrap_or_default()
+    }
+
     /// Returns the mean processor time of a host.
     fn millicores_of_one(&self) -> u64 {
         let all: u64 = self.fleet.hosts.values().map(|host| host.capacity.millicores).sum();
@@ -96,16 +111,15 @@
     /// Gives each pool its part of the hosts that the work at hand does not need,
     /// in proportion to what it lacks of its own size.
     fn share_out(&self, allotments: &mut Allotments) {
-        let home = |pool: &Arc<str>| self.fleet.homes.get(pool).copied().unwrap_or_default();
         let is_on = |pool: &Arc<str>| !self.fleet.spare_pools.contains(pool);
         let on = || allotments.iter().filter(|(pool, _)| is_on(pool));
         let hosts: usize = on().map(|(_, allotment)| allotment.hosts).sum();
         let needed: usize = on().map(|(_, allotment)| allotment.needed).sum();
         let lacking: usize =
-            on().map(|(pool, allotment)| home(pool).saturating_sub(allotment.needed)).sum();
+            on().map(|(pool, allotment)| self.home(pool).saturating_sub(allotment.needed)).sum();
         let left = hosts.saturating_sub(needed);
         for (pool, allotment) in allotments.iter_mut().filter(|(pool, _)| is_on(pool)) {
-            let lacks = home(pool).saturating_sub(allotment.needed);
+            let lacks = self.home(pool).saturating_sub(allotment.needed);
             allotment.wanted = allotment.needed + left * lacks / lacking.max(1);
         }
     }
@@ -135,7 +149,8 @@
 
     /// Moves hosts home.
     fn rebalance(&mut self, allotments: &mut Allotments) {
-        for _ in 0..REBALANCED_AT_ONCE {
+        let most = self.fleet.hosts.len() / REBALANCED_PART;
+        for _ in 0..most.max(REBALANCED_AT_LEAST) {
             let taker = largest(allotments, |_, allotment| {
                 allotment.wanted.saturating_sub(allotment.hosts)
             });
