--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -44,7 +44,7 @@
 const GATHER: Duration = Duration::from_millis(4);
 /// Time in which events gather, as a multiple of the time that the last decision
 /// took.
-const GATHER_PER_DECISION: u32 = 4;
+const GATHER_PER_DECISION: u32 = 2;
 /// Longest time in which events gather for one decision.
 const LONGEST_GATHER: Duration = Duration::from_millis(80);
 /// How often the backlog is written; its age tells entry hosts what it lacks.
