Start gangs whole, and break up what is left of one that lacks a member

Change: planned members start together or not at all; the others are stopped when one is missing; a good end of one member ends the gang.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -13,6 +13,7 @@
 mod ends;
 mod evacuation;
 mod fleet;
+mod gang;
 mod learning;
 mod looks;
 mod order;
@@ -181,6 +182,7 @@
             self.order_hosts(now);
         }
         self.adjust_pace(now);
+        self.break_up_gangs(now);
     }
 
     /// Returns the jobs of each queue of which no server has begun a task.
@@ -204,7 +206,7 @@
         for server in self.servers.values() {
             let pool = pools.entry(Arc::clone(&server.listing.pool)).or_default();
             pool.servers += 1;
-            pool.usable += usize::from(server.takes_work(now) && !self.fleet.is_reserved(server));
+            pool.usable += usize::from(self.is_usable(now, server));
             pool.idle += usize::from(server.runs.is_empty());
             pool.runs += server.runs.len();
         }
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -158,6 +158,19 @@
         self.occurrences.get(&place.occurrence)?.steps.get(place.step)?.get(place.index)
     }
 
+    /// Notes that a gang has ended well: the end of one member stands for all, as
+    /// they end together and the ends of the others may be lost with their servers.
+    pub(super) fn finish_gang(&mut self, place: Place) {
+        let occurrence = self.occurrences.get_mut(&place.occurrence);
+        let members = occurrence.and_then(|occurrence| occurrence.steps.get_mut(place.step));
+        for (index, member) in members.into_iter().flatten().enumerate() {
+            if index != place.index {
+                member.phase = Phase::Done;
+                member.note.is_done = true;
+            }
+        }
+    }
+
     /// Returns what has to last of the tasks.
     pub(super) fn progress(&self) -> Progress {
         let mut progress = Progress::default();
--- a/crates/skylarkwick-request/src/shard/ends.rs
+++ b/crates/skylarkwick-request/src/shard/ends.rs
@@ -69,6 +69,10 @@
         active.has_run = true;
         let steps = &active.job.steps;
         let is_lasting = steps.get(ended.task.step).is_some_and(|step| step.is_lasting);
+        let is_gang = steps.get(ended.task.step).is_some_and(|step| step.is_gang);
+        if is_gang && ended.end == task::End::Done {
+            active.finish_gang(Place::of(&ended.task));
+        }
         let Some(task) = active.task_mut(Place::of(&ended.task)) else {
             return;
         };
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -181,9 +181,8 @@
         let size = step.taken();
         self.servers
             .values()
-            .filter(|server| &*server.listing.pool == pool && server.takes_work(now))
+            .filter(|server| &*server.listing.pool == pool && self.is_usable(now, server))
             .filter(|server| among.is_none_or(|among| among.contains(server.id())))
-            .filter(|server| !self.fleet.is_reserved(server))
             .filter(|server| server.has_label(step.label.as_ref()) && server.has_label(rack))
             .filter(|server| !server.runs.contains_key(task))
             .filter(|server| step.most_per_host == 0 || siblings(server, task) < step.most_per_host)
@@ -195,6 +194,11 @@
             .map(|(_, server)| server.id().clone())
     }
 
+    /// Tells whether a server may get new work.
+    pub(super) fn is_usable(&self, now: Moment, server: &Server) -> bool {
+        server.takes_work(now) && !self.fleet.is_reserved(server)
+    }
+
     fn cost(&self, server: &Server, step: &Step, avoid: Option<&ServerId>, left: Quantity) -> Cost {
         Cost {
             is_avoided: avoid == Some(server.id()),
@@ -258,6 +262,11 @@
         }
         let runs = active.runs().into_iter();
         let noted: Vec<_> = runs.filter(|(server, _)| active.noted.contains(server)).collect();
+        let is_whole = noted.iter().all(|(_, task)| self.can_start_whole(now, active, task));
+        if !is_whole {
+            self.unplan(|task| task.job == *id);
+            return;
+        }
         for (server, task) in noted {
             self.send_start(now, &server, &task);
         }
@@ -265,11 +274,11 @@
 
     /// Tells a server to start a run that is planned, if it still takes work.
     fn send_start(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
+        let is_usable = self.servers.get(id).is_some_and(|server| self.is_usable(now, server));
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        let takes_work = server.takes_work(now) && !self.fleet.is_reserved(server);
-        let until_ms = server.until_ms(now, self.rules.start_window).filter(|_| takes_work);
+        let until_ms = server.until_ms(now, self.rules.start_window).filter(|_| is_usable);
         let target = server.target(self.term.fencing);
         let Some(taken) = server.runs.get_mut(task).filter(|taken| taken.stage == Stage::Planned)
         else {
