--- a/crates/skylarkwick-connection/src/transport.rs
+++ b/crates/skylarkwick-connection/src/transport.rs
@@ -79,6 +79,7 @@
 }
 
 impl Transport for Link {
+    // The library asks for a trait object; there is one kind of buffers.
     fn buffers(&mut self) -> &mut dyn Buffers {
         &mut self.buffers
     }
