Tell the members of a gang to start together, also on stored servers

And the check of a gang walked all runs of the job for each of its runs, after each write of any job. Change: members of a gang always wait for the write; the check looks at planned runs once. What is left of a gang is found through the job's runs, in place of a loop of its own. Test: gang_start::members_on_stored_servers_wait_for_the_others fails before and passes after.

--- a/crates/skylarkwick-request/src/shard/gang.rs
+++ b/crates/skylarkwick-request/src/shard/gang.rs
@@ -9,7 +9,6 @@
     Shard,
     active::{Active, Phase},
     fact::ServerId,
-    server::Stage,
 };
 use crate::job::task;
 
@@ -24,38 +23,29 @@
         }
     }
 
-    /// Tells whether all members of a gang that are planned can be told to start;
-    /// a task that is in no gang always can.
-    pub(super) fn can_start_whole(&self, now: Moment, active: &Active, task: &task::Id) -> bool {
-        let is_gang = active.job.steps.get(task.step).is_some_and(|step| step.is_gang);
-        let members = active.runs().into_iter().filter(|(_, other)| {
-            is_gang && other.step == task.step && other.occurrence == task.occurrence
-        });
-        members.into_iter().all(|(id, member)| {
-            self.servers.get(&id).is_some_and(|server| {
-                let stage = server.runs.get(&member).map(|taken| taken.stage);
-                stage != Some(Stage::Planned) || self.is_usable(now, server)
-            })
-        })
+    /// Tells whether every gang among the planned runs of a job can be told to
+    /// start as a whole.
+    pub(super) fn can_start_whole(
+        &self,
+        now: Moment,
+        active: &Active,
+        planned: &[(ServerId, task::Id)],
+    ) -> bool {
+        let is_gang = |task: &task::Id| active.job.steps[task.step].is_gang;
+        let is_usable = |id| self.servers.get(id).is_some_and(|server| self.is_usable(now, server));
+        planned.iter().all(|(server, task)| !is_gang(task) || is_usable(server))
     }
 }
 
 /// Returns the runs of gangs of which another member waits.
 fn left_of_gangs(active: &Active) -> Vec<(ServerId, task::Id)> {
-    let mut left = Vec::new();
-    for (&occurrence, steps) in &active.occurrences {
-        for (step, tasks) in steps.steps.iter().enumerate() {
-            let is_gang = active.job.steps.get(step).is_some_and(|step| step.is_gang);
-            if !is_gang || !tasks.iter().any(|task| task.phase == Phase::Waiting) {
-                continue;
-            }
-            for (index, task) in tasks.iter().enumerate() {
-                if let Phase::On(server) = &task.phase {
-                    let id = task::Id { job: active.id.clone(), occurrence, step, index };
-                    left.push((server.clone(), id));
-                }
-            }
-        }
+    if !active.job.steps.iter().any(|step| step.is_gang) {
+        return Vec::new();
     }
-    left
+    let lacks_member = |task: &task::Id| {
+        let members = &active.occurrences[&task.occurrence].steps[task.step];
+        active.job.steps[task.step].is_gang
+            && members.iter().any(|member| member.phase == Phase::Waiting)
+    };
+    active.runs().into_iter().filter(|(_, task)| lacks_member(task)).collect()
 }
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -234,7 +234,9 @@
         let Some(active) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let is_noted = active.noted.contains(id);
+        // The members of a gang are told together, once all their servers are stored.
+        let is_gang = job.steps.get(task.step).is_some_and(|step| step.is_gang);
+        let may_start = active.noted.contains(id) && !is_gang;
         if let Some(known) = active.task_mut(Place::of(&task)) {
             known.phase = Phase::On(id.clone());
         }
@@ -242,7 +244,7 @@
             let taken = Use::new(run, Stage::Planned, job.steps.get(task.step), now);
             server.add(task.clone(), taken);
         }
-        match is_noted {
+        match may_start {
             true => self.send_start(now, id, &task),
             false => {
                 self.dirty.insert(task.job);
@@ -260,18 +262,24 @@
             self.unplan(|task| task.job == *id);
             return;
         }
-        let runs = active.runs().into_iter();
-        let noted: Vec<_> = runs.filter(|(server, _)| active.noted.contains(server)).collect();
-        let is_whole = noted.iter().all(|(_, task)| self.can_start_whole(now, active, task));
-        if !is_whole {
+        let planned = active.runs().into_iter().filter(|(server, task)| {
+            active.noted.contains(server) && self.is_planned(server, task)
+        });
+        let planned: Vec<(ServerId, task::Id)> = planned.collect();
+        if !self.can_start_whole(now, active, &planned) {
             self.unplan(|task| task.job == *id);
             return;
         }
-        for (server, task) in noted {
+        for (server, task) in planned {
             self.send_start(now, &server, &task);
         }
     }
 
+    fn is_planned(&self, id: &ServerId, task: &task::Id) -> bool {
+        let taken = self.servers.get(id).and_then(|server| server.runs.get(task));
+        taken.is_some_and(|taken| taken.stage == Stage::Planned)
+    }
+
     /// Tells a server to start a run that is planned, if it still takes work.
     fn send_start(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
         let is_usable = self.servers.get(id).is_some_and(|server| self.is_usable(now, server));
--- a/crates/skylarkwick-request/tests/gang_start.rs
+++ b/crates/skylarkwick-request/tests/gang_start.rs
@@ -69,3 +69,19 @@
     let batch = batches(&site.decide_unstored()).remove(0);
     assert_eq!(batch.entries[0].change, Change::Over(State::Completed));
 }
+
+#[test]
+fn members_on_stored_servers_wait_for_the_others() {
+    let mut site = Site::with_servers(&["a", "b"]);
+    site.submit("job", vec![step(1, 4), Step { after: vec![0], ..gang(2, 64) }]);
+    let effects = site.decide();
+    let (server, start) = site.confirm(&effects).remove(0);
+    site.advance(100);
+    site.look(&server.0, &[], &[ended(1, start.task, start.run, End::Done)]);
+    let effects = site.decide_unstored();
+    assert!(starts(&effects).is_empty(), "one of the two servers is not stored with the job");
+    for batch in batches(&effects) {
+        site.shard.saved(site.now, &batch);
+    }
+    assert_eq!(starts(&site.decide()).len(), 2);
+}
