--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -82,15 +82,9 @@
     D: Directory,
 {
     let incarnation = Incarnation(rand::random());
-    let mut lease = lease::Lease::new(
-        neighbours.store.clone(),
-        (&terms.entry, terms.strength),
-        incarnation,
-        log,
-    );
+    let mut lease = lease::Lease::new(neighbours.store.clone(), terms, incarnation, log);
     while let Some(taken) = lease.acquire(stop) {
-        let rules = rules(terms, taken.may_be_contested);
-        holder::hold(neighbours, terms, rules, &mut lease, taken, log, stop);
+        holder::hold(neighbours, terms, &mut lease, taken, log, stop);
     }
     lease.release();
 }
--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -1,6 +1,7 @@
 //! What the duties of a holder tell the shard's duty.
 
 use skylarkwick_connection::order::{Blind, Configuration};
+use skylarkwick_process::ring;
 use skylarkwick_request::{
     job::{self, progress::Progress, task},
     shard::{
@@ -55,3 +56,9 @@
     /// Outcome of a renewal of the lease, and when it was sent.
     Renewed(Renewal, Moment),
 }
+
+/// Sends an event to the holder; false once it has ended, and then its successor
+/// reads the rows.
+pub(super) fn tell(events: &ring::Sender<Event>, event: Event) -> bool {
+    events.send(event).is_ok()
+}
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -12,7 +12,7 @@
     ring,
 };
 use skylarkwick_request::shard::{
-    Rules, Shard, Term,
+    Shard, Term,
     effect::{Effect, Reason},
     fact::HostAnswer,
 };
@@ -62,7 +62,6 @@
 pub(super) fn hold<S, O, H, D>(
     neighbours: &Neighbours<S, O, H, D>,
     terms: &Terms,
-    rules: Rules,
     lease: &mut Lease<S>,
     taken: Taken,
     log: &Logger,
@@ -78,7 +77,7 @@
     let log = log.new(slog::o!("fencing" => taken.fencing));
     let renewals = watch::renewals(lease.clone(), events.clone(), log.clone(), done.clone());
     let holder = renewals.and_then(|(_, given_back)| {
-        let holder = Holder::start(neighbours, terms, rules, taken, &events, &log, (&done, stop))?;
+        let holder = Holder::start(neighbours, terms, taken, &events, &log, &done, stop)?;
         Ok((holder, given_back))
     });
     drop(events);
@@ -122,14 +121,15 @@
     fn start<S: Store, H: Hosts, D: Directory>(
         neighbours: &Neighbours<S, O, H, D>,
         terms: &Terms,
-        rules: Rules,
         taken: Taken,
         events: &ring::Sender<Event>,
         log: &Logger,
-        (done, stop): (&Stop, &Stop),
+        done: &Stop,
+        stop: &Stop,
     ) -> io::Result<Holder<O>> {
         let Neighbours { store, orders, hosts, directory } = neighbours.clone();
-        let Taken { fencing, number, since, .. } = taken;
+        let Taken { fencing, number, since, may_be_contested } = taken;
+        let rules = super::rules(terms, may_be_contested);
         let mut shard = Shard::new(rules, Term { fencing, number, since });
         let next = || (events.clone(), log.clone(), done.clone());
         let (ring, line, end) = next();
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -18,6 +18,8 @@
 };
 use slog::{Logger, info, warn};
 
+use super::Terms;
+
 /// How often a process looks at a shard that another holds.
 const LOOK_PERIOD: Duration = Duration::from_millis(400);
 
@@ -65,13 +67,9 @@
 }
 
 impl<S: Store> Lease<S> {
-    pub(super) fn new(
-        store: S,
-        (entry, strength): (&Arc<str>, f64),
-        incarnation: Incarnation,
-        log: &Logger,
-    ) -> Lease<S> {
-        let (entry, log) = (Arc::clone(entry), log.clone());
+    pub(super) fn new(store: S, terms: &Terms, incarnation: Incarnation, log: &Logger) -> Lease<S> {
+        let Terms { entry, strength, .. } = terms.clone();
+        let log = log.clone();
         let sight = Sight::default();
         Lease { store, entry, strength, incarnation, log, held: None, vacant: None, sight }
     }
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -22,7 +22,7 @@
 use slog::{Logger, warn};
 
 use super::{
-    event::Event,
+    event::{Event, tell},
     lease::Renewal,
     writer::{self, Writers},
 };
@@ -121,11 +121,6 @@
         }
     }
 
-    fn note(&self, event: Event) {
-        // The holder has ended, and its successor reads the rows.
-        let _ = self.events.send(event);
-    }
-
     fn backlog(&self, mut backlog: BacklogRow) {
         backlog.written_ms = self.store.clock_ms();
         let key = row::backlog_key(row::SHARD);
@@ -142,7 +137,7 @@
         match self.store.commit(&change)? {
             Commit::Applied(_) => Ok(()),
             Commit::Conflict(_) => {
-                self.note(Event::Renewed(Renewal::Lost, Boot.now()));
+                tell(&self.events, Event::Renewed(Renewal::Lost, Boot.now()));
                 Err(Fault::NotDone("a later holder has the shard".to_owned()))
             }
         }
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -19,7 +19,7 @@
 use slog::{Logger, info, warn};
 
 use super::{
-    event::Event,
+    event::{Event, tell},
     lease::{Lease, Renewal},
     load::{self, Change},
 };
@@ -37,11 +37,6 @@
 /// How often the lease is renewed.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(500);
 
-/// Sends an event to the holder; false once it has ended.
-fn tell(events: &ring::Sender<Event>, event: Event) -> bool {
-    events.send(event).is_ok()
-}
-
 /// Follows the jobs from a revision on.
 pub(super) fn jobs<S: Store>(
     store: S,
--- a/crates/skylarkwick-planner/src/jobs/writer.rs
+++ b/crates/skylarkwick-planner/src/jobs/writer.rs
@@ -13,7 +13,10 @@
 };
 use slog::{Logger, info, warn};
 
-use super::{event::Event, load};
+use super::{
+    event::{Event, tell},
+    load,
+};
 
 /// Queues that are written side by side.
 const WRITERS: usize = 4;
@@ -92,7 +95,7 @@
                 Ok(Commit::Applied(revision)) => {
                     for entry in &entries {
                         self.explain(entry);
-                        self.note(Event::Noted(entry.id.clone(), revision, None));
+                        tell(&self.events, Event::Noted(entry.id.clone(), revision, None));
                     }
                     return is_stored;
                 }
@@ -131,7 +134,7 @@
             find(row::job_key(queue, id)).is_some_and(|row| row.revision != entry.revision);
         if is_changed {
             // The job was cancelled, or an earlier write of ours ended it.
-            self.note(Event::Withdrawn(entry.id.clone()));
+            tell(&self.events, Event::Withdrawn(entry.id.clone()));
             return Clash::Job;
         }
         let progress = find(row::progress_key(queue, id))
@@ -140,17 +143,12 @@
             None => Clash::None,
             Some(row) => {
                 let other = load::progress_of(row, &self.log);
-                self.note(Event::Noted(entry.id.clone(), row.revision, other));
+                tell(&self.events, Event::Noted(entry.id.clone(), row.revision, other));
                 Clash::Progress
             }
         }
     }
 
-    fn note(&self, event: Event) {
-        // The holder has ended, and its successor reads the rows.
-        let _ = self.events.send(event);
-    }
-
     fn transaction(&self, entries: &[Entry]) -> Transaction {
         let mut change = Transaction::default();
         for entry in entries {
--- a/crates/skylarkwick-request/src/shard/allotment.rs
+++ b/crates/skylarkwick-request/src/shard/allotment.rs
@@ -12,8 +12,8 @@
 
 use super::{Shard, fact::HostId, fleet::Occupancy};
 
-/// Hosts wanted beyond what the jobs at hand use at full speed, in percent: more
-/// come while a host moves.
+/// Processor time wanted for what ends the jobs at hand in time, in percent: more
+/// jobs come while a host moves.
 const HEADROOM_PERCENT: u64 = 150;
 /// Fewest hosts that a pool keeps for the start of its next burst.
 const KEPT_HOSTS: usize = 2;
