Log the holder's activity and the stages of runs

Callers saw too little served and accepted work that nothing ran. The log could not tell a holder that falls behind (hypothesis 1) from servers that are kept out of use (hypothesis 2): `load` counts runs, whether they wait for a write, for an answer or for a stop, and nothing tells how much the holder does. `load` now splits the runs by stage, and `activity` gives events, decisions and their time each second.

--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -6,6 +6,7 @@
 //! call the platform and the backend servers. See `docs/DESIGN.md`, section
 //! "Shards".
 
+mod activity;
 mod dispatch;
 mod event;
 mod holder;
--- /dev/null
+++ b/crates/skylarkwick-planner/src/jobs/activity.rs
@@ -0,0 +1,53 @@
+//! What the holder does in each second, and the load of each pool, for the log.
+
+use std::time::Duration;
+
+use skylarkwick_request::shard::Shard;
+use skylarkwick_version::moment::{Moment, millis};
+use slog::{Logger, info};
+
+/// Minimum time between two logs of the activity.
+const LOG_PERIOD: Duration = Duration::from_secs(1);
+
+/// Work of the holder's duty since its last log: the events that it applied, its decisions,
+/// and the time that these took.
+#[derive(Debug, Default)]
+pub(super) struct Activity {
+    events: u64,
+    decisions: u64,
+    decision_time: Duration,
+    /// When the activity is next logged.
+    log_due: Moment,
+}
+
+impl Activity {
+    /// Counts an event that was applied to the shard.
+    pub(super) fn record_event(&mut self) {
+        self.events += 1;
+    }
+
+    /// Counts a decision, which took this long.
+    pub(super) fn record_decision(&mut self, time: Duration) {
+        self.decisions += 1;
+        self.decision_time += time;
+    }
+
+    /// Logs the activity and the load of each pool if [`LOG_PERIOD`] has passed since they
+    /// were last logged, and starts counting anew.
+    pub(super) fn log_if_due(&mut self, now: Moment, shard: &Shard, log: &Logger) {
+        if now < self.log_due {
+            return;
+        }
+        info!(log, "activity"; "events" => self.events, "decisions" => self.decisions,
+            "decision_ms" => millis(self.decision_time));
+        *self = Activity { log_due: now + LOG_PERIOD, ..Activity::default() };
+        for (pool, load) in shard.pool_loads(now) {
+            info!(log, "load"; "pool" => &*pool, "jobs" => load.jobs,
+                "servers" => load.servers, "usable" => load.usable, "idle" => load.idle,
+                "runs" => load.runs, "planned" => load.planned, "starting" => load.starting,
+                "stopping" => load.stopping, "unmet_millicores" => load.unmet_millicores,
+                "hosts" => load.hosts, "hosts_needed" => load.hosts_needed,
+                "hosts_wanted" => load.hosts_wanted);
+        }
+    }
+}
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -25,6 +25,7 @@
 
 use super::{
     Clients, Config,
+    activity::Activity,
     dispatch::{self, DispatchHandle},
     event::Event,
     host_orders,
@@ -51,8 +52,6 @@
 /// Minimum time between two writes of the backlog, the waiting jobs of each queue; entry
 /// hosts take jobs accepted since the last write as waiting too.
 const BACKLOG_PERIOD: Duration = Duration::from_millis(700);
-/// Minimum time between two logs of the loads of all pools.
-const POOL_LOAD_LOG_PERIOD: Duration = Duration::from_secs(1);
 /// Time for which the rows of finished jobs are kept after the result retention, the time
 /// for which callers can read a result, has ended.
 const RETENTION_MARGIN: Duration = Duration::from_secs(60);
@@ -125,8 +124,8 @@
     wall_clock: WallClock,
     /// When the backlog is next written.
     backlog_due: Moment,
-    /// When the load of each pool is next logged.
-    pool_load_log_due: Moment,
+    /// What it does, for the log.
+    activity: Activity,
     /// Events that result from executing effects.
     follow_ups: VecDeque<Event>,
     /// Time for which events are collected for the next decision.
@@ -202,7 +201,7 @@
             configuration_version: None,
             wall_clock: WallClock::new(Boot.now()),
             backlog_due: Moment::ZERO,
-            pool_load_log_due: Moment::ZERO,
+            activity: Activity::default(),
             follow_ups: VecDeque::new(),
             batch_window: MIN_BATCH_WINDOW,
         })
@@ -232,7 +231,9 @@
             self.decide();
             // Slow decisions are made less often, so that the duties that call servers
             // get enough processor time.
-            let batch_window = Boot.now().since(start) * BATCH_WINDOW_PER_DECISION;
+            let decision_time = Boot.now().since(start);
+            self.activity.record_decision(decision_time);
+            let batch_window = decision_time * BATCH_WINDOW_PER_DECISION;
             self.batch_window = batch_window.clamp(MIN_BATCH_WINDOW, MAX_BATCH_WINDOW);
         }
         info!(self.log, "shard holder stopped"; "lost" => self.is_lost);
@@ -254,6 +255,7 @@
     /// term, and so does a poll to which a backend server responds that a later holder has
     /// fenced it. A configuration that is not newer than the one in force is ignored.
     fn apply(&mut self, event: Event) {
+        self.activity.record_event();
         let now = Boot.now();
         match event {
             Event::ConfigurationChanged(next)
@@ -304,8 +306,8 @@
         }
     }
 
-    /// Decides and executes the effects, then publishes the backlog and logs the loads of
-    /// the pools when they are due.
+    /// Decides and executes the effects, then publishes the backlog and logs its
+    /// activity when they are due.
     ///
     /// Does nothing before a configuration is known, after the lease was lost, and once
     /// [`shard_lease::MAX_RENEWAL_GAP`] has passed since the last confirmed renewal was
@@ -322,7 +324,7 @@
             self.execute(effect);
         }
         self.publish_backlog(now);
-        self.log_pool_loads(now);
+        self.activity.log_if_due(now, &self.shard, &self.log);
     }
 
     /// Executes an effect or passes it to the duty that does. If the duty's ring is full or
@@ -402,21 +404,6 @@
         })
     }
 
-    /// Logs the load of each pool if [`POOL_LOAD_LOG_PERIOD`] has passed since it was last
-    /// logged.
-    fn log_pool_loads(&mut self, now: Moment) {
-        if now < self.pool_load_log_due {
-            return;
-        }
-        self.pool_load_log_due = now + POOL_LOAD_LOG_PERIOD;
-        for (pool, load) in self.shard.pool_loads(now) {
-            info!(self.log, "load"; "pool" => &*pool, "jobs" => load.jobs,
-                "servers" => load.servers, "usable" => load.usable, "idle" => load.idle,
-                "runs" => load.runs, "unmet_millicores" => load.unmet_millicores, "hosts" => load.hosts,
-                "hosts_needed" => load.hosts_needed, "hosts_wanted" => load.hosts_wanted);
-        }
-    }
-
     /// Requests a write of the identifiers of each queue's jobs of which no task has started,
     /// for the entry hosts to read, if [`BACKLOG_PERIOD`] has passed since the last attempt.
     /// It is skipped and logged if the saver's ring is full.
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -36,8 +36,12 @@
 use skylarkwick_version::{moment::Moment, shard_lease};
 
 use self::{
-    active::ActiveJob, effect::Effect, fleet::Fleet, input::Queue, run_time_model::RunTimeModel,
-    server::Server,
+    active::ActiveJob,
+    effect::Effect,
+    fleet::Fleet,
+    input::Queue,
+    run_time_model::RunTimeModel,
+    server::{Server, Stage},
 };
 use crate::job::{self, State, task};
 
@@ -255,6 +259,9 @@
             pool.usable += usize::from(self.is_usable(now, server));
             pool.idle += usize::from(server.runs.is_empty());
             pool.runs += server.runs.len();
+            pool.planned += server.count_stage(|stage| stage == Stage::Planned);
+            pool.starting += server.count_stage(|stage| stage == Stage::Starting);
+            pool.stopping += server.count_stage(|stage| matches!(stage, Stage::Stopping { .. }));
         }
         for (name, unmet_millicores) in &self.fleet.unmet_millicores {
             pools.entry(Arc::clone(name)).or_default().unmet_millicores = *unmet_millicores;
@@ -311,6 +318,12 @@
     pub idle: usize,
     /// Runs that are planned, in progress or being stopped.
     pub runs: usize,
+    /// Of the runs, those whose starts wait for a write of their job.
+    pub planned: usize,
+    /// Of the runs, those whose starts are not answered.
+    pub starting: usize,
+    /// Of the runs, those that are being stopped.
+    pub stopping: usize,
     /// Processor time that ready tasks lack, in thousandths of a core.
     pub unmet_millicores: u64,
     /// Hosts in the pool or ordered to move to it, without those that drain or
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -191,6 +191,11 @@
         self.info.capacity - self.reserved
     }
 
+    /// Counts the runs whose stage `is_counted` accepts.
+    pub(super) fn count_stage(&self, is_counted: impl Fn(Stage) -> bool) -> usize {
+        self.runs.values().filter(|active_run| is_counted(active_run.stage)).count()
+    }
+
     /// Adds a run and reserves its resources, in place of any other run of the
     /// same task.
     pub(super) fn add(&mut self, task: task::Id, active_run: ActiveRun) {
