Blame a server only for what is its own fault

Cause: two failed runs in a row kept all new work off a server for 2 to 8 s, whoever was at fault. A job that can never be done fails on as many servers as its queue allows attempts, so a few of them close a pool. Each of the starts in flight doubled the backoff again, so one moment of overload meant 8 s; and an order that the holder itself could not send counted as the server's rejection.

Why this works: a task that has failed on another server too is at fault. Its failure isn't counted, and the server of its first failure is excused. What fails while a backoff is in force began before it and tells nothing new. An order that was not sent has a reason of its own.

--- a/crates/skylarkwick-planner/src/jobs/dispatch.rs
+++ b/crates/skylarkwick-planner/src/jobs/dispatch.rs
@@ -262,9 +262,9 @@
     }
 
     /// Returns the event that reports an order as rejected because it was not sent, with
-    /// [`RejectReason::Unavailable`]; pace orders have none.
+    /// [`RejectReason::NotSent`]; pace orders have none.
     fn into_rejection(self) -> Option<Event> {
-        self.into_event(OrderResult::Refused(RejectReason::Unavailable, None))
+        self.into_event(OrderResult::Refused(RejectReason::NotSent, None))
     }
 
     /// Returns the event that reports the result; pace orders have none.
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -13,6 +13,7 @@
 mod drain;
 mod fleet;
 mod gang;
+mod health;
 mod order_results;
 mod pace;
 mod persistence;
--- a/crates/skylarkwick-request/src/shard/input.rs
+++ b/crates/skylarkwick-request/src/shard/input.rs
@@ -231,8 +231,10 @@
     Expired,
     /// The host lacks resources.
     InsufficientCapacity,
-    /// The server is unhealthy or overloaded, or the order never reached it.
+    /// The server is unhealthy or overloaded, or could not be reached.
     Unavailable,
+    /// The holder had too many orders to send, and the server has not seen this one.
+    NotSent,
     /// Another incarnation of the server, or another server, is at the address.
     IncarnationMismatch,
     /// The server can't process the order.
--- a/crates/skylarkwick-request/src/shard/order_results.rs
+++ b/crates/skylarkwick-request/src/shard/order_results.rs
@@ -12,8 +12,8 @@
 };
 use crate::job::task;
 
-/// Delay before a stop is sent again that had no answer, or that the server
-/// rejected because it was unavailable.
+/// Delay before a stop is sent again that had no answer, that the server
+/// rejected because it was unavailable, or that was not sent.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Time since a stop was sent after which it is sent again if its result has
 /// not been reported.
@@ -62,8 +62,10 @@
             OrderResult::Done(_) => {}
             OrderResult::Refused(reject_reason, _) => {
                 match reject_reason {
-                    RejectReason::InsufficientCapacity => server.pause(now + NO_CAPACITY_PAUSE),
-                    RejectReason::Unavailable => server.back_off(now),
+                    RejectReason::InsufficientCapacity => {
+                        server.health.pause(now + NO_CAPACITY_PAUSE)
+                    }
+                    RejectReason::Unavailable => server.health.record_rejection(now),
                     _ => {}
                 }
                 self.release(id, task, run, false);
@@ -77,8 +79,8 @@
     }
 
     /// Handles the result of a stop; ignored if the server no longer has this
-    /// run. A stop without an answer, or one that an unavailable server
-    /// rejected, is sent again after `STOP_RETRY_DELAY`. Any other counts as
+    /// run. A stop without an answer, one that an unavailable server rejected or
+    /// one that was not sent is sent again after `STOP_RETRY_DELAY`. Any other counts as
     /// acknowledged and is sent again only if the run has not ended within
     /// `STOP_END_TIMEOUT`.
     ///
@@ -103,7 +105,8 @@
             return;
         };
         match result {
-            OrderResult::Unknown | OrderResult::Refused(RejectReason::Unavailable, _) => {
+            OrderResult::Unknown
+            | OrderResult::Refused(RejectReason::Unavailable | RejectReason::NotSent, _) => {
                 active_run.stage =
                     Stage::Stopping { acknowledged: None, next_try: now + STOP_RETRY_DELAY };
             }
@@ -207,6 +210,7 @@
             RejectReason::Expired => "the order arrived after its deadline",
             RejectReason::InsufficientCapacity => "the host lacks capacity",
             RejectReason::Unavailable => "the server is unavailable or overloaded",
+            RejectReason::NotSent => "the holder had too many orders to send",
             RejectReason::IncarnationMismatch => "another incarnation or server is at the address",
             RejectReason::Invalid => "the server rejected the order as invalid",
         }
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -287,7 +287,7 @@
             is_outside_preferred_rack: step.preferred_rack.is_some()
                 && !server.has_label(step.preferred_rack.as_ref()),
             is_maintenance_due: step.is_long_running && self.fleet.is_maintenance_due(server),
-            has_recent_failures: server.has_recent_failures(),
+            has_recent_failures: server.health.has_recent_failures(),
             is_idle: server.runs.is_empty(),
             millicores_left: remaining.millicores,
         }
--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -15,8 +15,8 @@
     /// Handles the end of a run that a server reported, unless it was handled
     /// before or the server is unknown: frees the run's resources, learns its
     /// run time if it succeeded, and applies it to the job. A failure is logged
-    /// and counts for the server's backoff, unless the task is long-running; a
-    /// success resets that count.
+    /// and may count against the server, see `judge_failure`; a success resets
+    /// what counts against it.
     pub(super) fn handle_run_end(&mut self, now: Moment, id: &ServerId, finished: FinishedRun) {
         let Some(server) = self.servers.get_mut(id) else {
             return;
@@ -34,27 +34,47 @@
         if let (Some(run_time), task::RunOutcome::Done) = (run_time, finished.outcome) {
             self.record_run_time(&finished.task, run_time);
         }
-        let is_long_running = self.is_long_running(&finished.task);
-        let Some(server) = self.servers.get_mut(id) else {
+        match (finished.outcome, self.servers.get_mut(id)) {
+            (task::RunOutcome::Done, Some(server)) => server.health.record_success(),
+            (task::RunOutcome::Failed, _) => self.judge_failure(now, id, &finished.task),
+            _ => {}
+        }
+        self.apply_run_end(now, id, &finished);
+    }
+
+    /// Logs a failed run of a task and counts it against the server, unless the
+    /// task is long-running or has failed on another server before: then the
+    /// task is at fault, and the other server is excused.
+    fn judge_failure(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
+        if self.is_long_running(task) {
             return;
-        };
-        match finished.outcome {
-            task::RunOutcome::Done => server.record_success(),
-            task::RunOutcome::Failed if is_long_running => {}
-            task::RunOutcome::Failed if server.record_failure(now) => {
-                self.log(
-                    "run failed",
-                    &finished.task,
-                    id,
-                    "consecutive failures, the server gets no new work for now",
-                );
+        }
+        let reason = match self.earlier_failure(task) {
+            Some(earlier) if earlier.as_ref() != Some(id) => {
+                let earlier = earlier.and_then(|earlier| self.servers.get_mut(&earlier));
+                if let Some(earlier) = earlier {
+                    earlier.health.excuse(now, task);
+                }
+                "the task has failed on another server too"
             }
-            task::RunOutcome::Failed => {
-                self.log("run failed", &finished.task, id, "reported by the server")
+            _ => {
+                let server = self.servers.get_mut(id);
+                match server.is_some_and(|server| server.health.record_failure(now, task)) {
+                    true => "consecutive failures, the server gets no new work for now",
+                    false => "reported by the server",
+                }
             }
-            task::RunOutcome::Stopped => {}
-        }
-        self.apply_run_end(now, id, &finished);
+        };
+        self.log("run failed", task, id, reason);
+    }
+
+    /// Returns the server on which a task last failed, `None` if no run of it
+    /// has failed. The server is unknown if an earlier holder recorded the
+    /// failure.
+    fn earlier_failure(&self, task: &task::Id) -> Option<Option<ServerId>> {
+        let task = self.jobs.get(&task.job)?.task(TaskPosition::of(task))?;
+        let has_failed = !task.progress.failed_runs.is_empty();
+        has_failed.then(|| task.avoided_server.clone())
     }
 
     /// Adds the run time of a run that succeeded to those learned for its job's
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -9,6 +9,7 @@
 
 use super::{
     effect::Target,
+    health::Health,
     input::{ClockReading, HostId, ServerId, ServerInfo},
 };
 use crate::job::{Step, task};
@@ -21,15 +22,6 @@
 const MIN_CLOCK_RATE_PER_MILLE: u64 = 980;
 /// Margin before a time on a server's clock counts as certainly passed.
 const CLOCK_MARGIN: Duration = Duration::from_millis(150);
-/// Failed runs without a success in between after which a server backs off: it
-/// gets no new work for a while. One more failure suffices after that.
-const FAILURES_TO_BACK_OFF: u32 = 2;
-/// First time in which a failing server gets no new work; it doubles with each
-/// further backoff, up to `MAX_BACKOFF`, until a run succeeds.
-const INITIAL_BACKOFF: Duration = Duration::from_secs(2);
-/// Longest time in which a failing server gets no new work.
-const MAX_BACKOFF: Duration = Duration::from_secs(8);
-
 /// Stage of a run on a server, from the choice of the server to the stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -108,7 +100,7 @@
 
 /// A backend server: its entry in the platform's list, its runs, the last
 /// reading of its clock, the end of its leases, the state of its polls, which
-/// run ends were handled and stored, and its backoff after failures.
+/// run ends were handled and stored, and its health.
 #[derive(Clone, Debug)]
 pub(super) struct Server {
     pub(super) info: ServerInfo,
@@ -139,11 +131,7 @@
     pub(super) is_unreachable: bool,
     /// Whether it is missing from the platform's list.
     pub(super) is_unlisted: bool,
-    /// Failed runs counted towards the next backoff.
-    failures: u32,
-    /// Backoffs since the last run that succeeded.
-    backoffs: u32,
-    backoff_until: Moment,
+    pub(super) health: Health,
 }
 
 impl Server {
@@ -163,9 +151,7 @@
             awaits_save: false,
             is_unreachable: false,
             is_unlisted: false,
-            failures: 0,
-            backoffs: 0,
-            backoff_until: Moment::ZERO,
+            health: Health::default(),
         }
     }
 
@@ -229,13 +215,7 @@
             && !self.is_unreachable
             && !self.info.is_leaving
             && !self.is_unlisted
-            && now >= self.backoff_until
-    }
-
-    /// Returns whether a run has failed on the server, or it has backed off,
-    /// since its last run that succeeded.
-    pub(super) fn has_recent_failures(&self) -> bool {
-        self.failures > 0 || self.backoffs > 0
+            && self.health.allows_work(now)
     }
 
     /// Records a reading of the server's clock, unless a later one is known.
@@ -274,39 +254,4 @@
     pub(super) fn have_leases_expired(&self, now: Moment) -> bool {
         self.has_clock_passed(now, self.lease_until_ms)
     }
-
-    /// Resets the counts of failures and backoffs after a run that succeeded; a
-    /// backoff in progress continues.
-    pub(super) fn record_success(&mut self) {
-        self.failures = 0;
-        self.backoffs = 0;
-    }
-
-    /// Counts a failed run; returns whether the server now backs off and gets
-    /// no new work for a while.
-    pub(super) fn record_failure(&mut self, now: Moment) -> bool {
-        self.failures += 1;
-        let must_back_off = self.failures >= FAILURES_TO_BACK_OFF;
-        if must_back_off {
-            self.back_off(now);
-        }
-        must_back_off
-    }
-
-    /// Gives the server no new work for `INITIAL_BACKOFF`, doubled for each
-    /// backoff since its last run that succeeded, at most `MAX_BACKOFF`. After
-    /// that, one more failed run starts the next backoff.
-    pub(super) fn back_off(&mut self, now: Moment) {
-        let backoff = INITIAL_BACKOFF * 2_u32.saturating_pow(self.backoffs.min(4));
-        self.backoff_until = now + backoff.min(MAX_BACKOFF);
-        self.backoffs += 1;
-        // One more failure starts the next backoff.
-        self.failures = FAILURES_TO_BACK_OFF - 1;
-    }
-
-    /// Gives the server no new work until the given time, because its host has
-    /// fewer resources than known; a backoff or pause that lasts longer stays.
-    pub(super) fn pause(&mut self, until: Moment) {
-        self.backoff_until = self.backoff_until.max(until);
-    }
 }
