Take addresses from URIs without a thread for each call

What callers saw: late starts where entry hosts are weak. Every call to a backend server, to the store and to the platform started a thread and ended it again.

Cause: with a timeout, the HTTP library's resolver looks up the host of each call on a new thread, also if the host is an IP address and also if the connection is reused. If the thread can't be started, the call panics, and with it the duty that made it.

The resolver now parses the address in the URI. Names are not looked up; all callers of the pools pass addresses.

--- a/crates/skylarkwick-connection/src/agent.rs
+++ b/crates/skylarkwick-connection/src/agent.rs
@@ -12,9 +12,9 @@
     time::Duration,
 };
 
-use ureq::{Agent, config::Config, unversioned::resolver::DefaultResolver};
+use ureq::{Agent, config::Config};
 
-use crate::transport::ResetConnector;
+use crate::{resolver::AddressResolver, transport::ResetConnector};
 
 /// Time after its last use at which an idle connection is no longer used and is closed.
 const MAX_IDLE_AGE: Duration = Duration::from_secs(10);
@@ -81,7 +81,7 @@
             .max_idle_connections(self.max_idle)
             .max_idle_connections_per_host(self.max_idle)
             .build();
-        Agent::with_parts(config, ResetConnector::default(), DefaultResolver::default())
+        Agent::with_parts(config, ResetConnector::default(), AddressResolver::default())
     }
 }
 
--- a/crates/skylarkwick-connection/src/lib.rs
+++ b/crates/skylarkwick-connection/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod listen;
 pub mod peer;
 pub mod platform;
+mod resolver;
 pub mod store;
 mod transport;
