Open earlier occurrences of a scheduled job after a takeover

Callers saw a scheduled job that never completed: after a change of the shard's holder one of its due times was never run, and what still ran of it was stopped.

Cause: a holder opens the occurrences that the stored progress names and then those after the highest open one. An occurrence that was open before, but had no ended run or checkpoint stored while a later one had, was in neither set. Its runs were unknown to the job and so were stopped, and the job could not reach its number of occurrences.

Evidence, the new test on the code before:

thread 'earlier_occurrence_opened' panicked at run_takeover.rs:86:5: the run of the earlier occurrence goes on

Due times rise with their number, so whatever shows that one occurrence was due shows it for all earlier ones: opening one now opens those too, and the open ones never have a gap. An occurrence that the job does not have is no longer opened.

--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -136,17 +136,22 @@
         active
     }
 
-    /// Adds an occurrence that is due, with all tasks waiting; does nothing if
-    /// it is open already.
+    /// Adds an occurrence that is due and the earlier ones, which were due
+    /// before it, with all tasks waiting. Those that are open already stay as
+    /// they are; does nothing if the job has no such occurrence.
     pub(super) fn open_occurrence(&mut self, occurrence: u32) {
-        let job = Arc::clone(&self.job);
-        self.occurrences.entry(occurrence).or_insert_with(|| Occurrence::new(&job));
+        if occurrence >= self.job.occurrences() {
+            return;
+        }
+        for number in self.next_occurrence()..=occurrence {
+            self.occurrences.insert(number, Occurrence::new(&self.job));
+        }
     }
 
     /// Takes over stored progress in place of the progress of the tasks that it
-    /// names, and opens their occurrences. Finished tasks become done, and
-    /// servers in it become unverified: an earlier holder may have started
-    /// tasks there. Tasks that the job does not have are ignored.
+    /// names, and opens their occurrences with all earlier ones. Finished tasks
+    /// become done, and servers in it become unverified: an earlier holder may
+    /// have started tasks there. Tasks that the job does not have are ignored.
     fn restore_progress(&mut self, progress: Progress) {
         self.has_started |= !progress.tasks.is_empty();
         self.unverified_servers.extend(progress.servers.into_iter().map(ServerId));
@@ -163,6 +168,7 @@
     }
 
     /// Returns the number after the highest open occurrence; 0 if none is open.
+    /// All lower ones are open, as [`ActiveJob::open_occurrence`] leaves no gap.
     pub(super) fn next_occurrence(&self) -> u32 {
         self.occurrences.keys().next_back().map_or(0, |last| last + 1)
     }
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -8,7 +8,7 @@
 use harness::{Harness, POOL, finished_run, ms, starts, step, stops, task, timings};
 use skylarkwick_request::{
     job::{
-        Id, Step,
+        Id, Job, Schedule, Step,
         progress::{Progress, TaskPosition, TaskProgress},
         task::{RunId, RunOutcome},
     },
@@ -59,6 +59,35 @@
     assert_eq!(starts(&harness.decide()).len(), 2);
 }
 
+/// A job with two occurrences that are due at this time of day, in Unix milliseconds.
+fn scheduled_job(due_ms: u64) -> AcceptedJob {
+    let mut accepted = earlier_job_on_a();
+    let schedule = Schedule { count: 2, first_ms: due_ms, interval: ms(0) };
+    accepted.job = Arc::new(Job { schedule: Some(schedule), ..(*accepted.job).clone() });
+    accepted
+}
+
+/// Guards against an open occurrence that is never run again after a takeover, because only
+/// a later one has stored progress.
+#[test]
+fn earlier_occurrence_opened() {
+    let mut harness = taken_shard();
+    let mut accepted = scheduled_job(0);
+    for index in 0..2 {
+        let position = TaskPosition { occurrence: 1, step: 0, index };
+        let done = TaskProgress { is_done: true, ..TaskProgress::default() };
+        accepted.progress.tasks.insert(position, done);
+    }
+    harness.shard.add_job(harness.now, accepted);
+    harness.set_servers(&["a"]);
+    harness.decide();
+    harness.report("a", &[(task("job", 0, 0), RunId(5), 40)], &[]);
+    let effects = harness.decide();
+    assert!(stops(&effects).is_empty(), "the run of the earlier occurrence goes on");
+    let started: Vec<_> = starts(&effects).into_iter().map(|(_, start)| start.task).collect();
+    assert_eq!(started, [task("job", 0, 1)]);
+}
+
 #[test]
 fn running_task_adopted() {
     let mut harness = taken_shard();
