Open the occurrence of a run that a backend server reports

Callers saw a due time of a scheduled job start late or run twice after a change of the shard's holder.

Cause: each holder opens occurrences by its own time of day. If the last holder's was ahead, the next one did not know the occurrence yet: it stopped the running tasks, and it dropped the ends of finished ones, which were then acknowledged, so that the server forgot them.

Evidence, the new test on the code before:

thread 'reported_occurrence_opened' panicked at run_takeover.rs:102:5: an earlier holder has started the occurrence

A run on a server shows that a holder took the occurrence as due, so the report opens it, and the run is adopted or its end stored as any other.

--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -207,6 +207,7 @@
     /// `may_adopt` allows it, else stopped; both are logged. A report of a run
     /// older than the known one only marks the job as started.
     fn update_run(&mut self, now: Moment, id: &ServerId, running: RunStatus) {
+        self.open_reported_occurrence(&running.task);
         self.mark_started(&running.task);
         let Some(server) = self.servers.get_mut(id) else {
             return;
@@ -250,6 +251,14 @@
         }
     }
 
+    /// Opens the occurrence of a task that a server reports: a holder whose
+    /// clock was ahead has started it. Does nothing if the job is unknown.
+    fn open_reported_occurrence(&mut self, task: &task::Id) {
+        if let Some(active) = self.jobs.get_mut(&task.job) {
+            active.open_occurrence(task.occurrence);
+        }
+    }
+
     /// Keeps the checkpoint of a reported run with its task, unless it is empty
     /// or the task is unknown; the next write of the job stores it.
     fn record_checkpoint(&mut self, running: &RunStatus) {
--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -78,12 +78,14 @@
     ///
     /// After a takeover, ends arrive in any order, some of them twice, and some
     /// after a later run of the same task was adopted; a checkpoint is kept
-    /// only if no later run has ended.
+    /// only if no later run has ended. A run of an occurrence that is not open
+    /// was started by a holder whose clock was ahead, so the occurrence opens.
     fn apply_run_end(&mut self, now: Moment, id: &ServerId, finished: &FinishedRun) {
         let Some(active) = self.jobs.get_mut(&finished.task.job) else {
             return;
         };
         active.has_started = true;
+        active.open_occurrence(finished.task.occurrence);
         let steps = &active.job.steps;
         let is_long_running =
             steps.get(finished.task.step).is_some_and(|step| step.is_long_running);
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -88,6 +88,25 @@
     assert_eq!(started, [task("job", 0, 1)]);
 }
 
+/// Guards against runs that are stopped and ends that are forgotten, because the clock of
+/// the holder that started them was ahead of this one's.
+#[test]
+fn reported_occurrence_opened() {
+    let mut harness = taken_shard();
+    harness.shard.add_job(harness.now, scheduled_job(500));
+    harness.set_servers(&["a"]);
+    harness.decide();
+    let done = finished_run(1, task("job", 0, 1), RunId(4), RunOutcome::Done);
+    harness.report("a", &[(task("job", 0, 0), RunId(5), 40)], &[done]);
+    let effects = harness.decide();
+    assert!(stops(&effects).is_empty(), "an earlier holder has started the occurrence");
+    let Change::Progress(progress) = harness::batches(&effects)[0].updates[0].change.clone() else {
+        panic!("the job is not finished");
+    };
+    let ended = TaskPosition { occurrence: 0, step: 0, index: 1 };
+    assert!(progress.tasks[&ended].is_done);
+}
+
 #[test]
 fn running_task_adopted() {
     let mut harness = taken_shard();
