Send the starts of a queue once its own write is stored

Callers saw accepted jobs that never started while the store refused the writes of another queue.

Cause: a batch holds the updates of all queues, and its starts were sent only when every queue's write had succeeded. A failed write made the whole batch count as not stored; the next one contained the refused queue again, so no job of any queue could start on a server that was not recorded with it. A write without an answer held the others back for its whole timeout.

The writers now report each queue's stored updates at once, and only the updates that may not be stored are written again. The run ends that a batch covers are still acknowledged only when all of it is stored.

--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -5,7 +5,7 @@
 use skylarkwick_request::{
     job::{self, progress::Progress, task},
     shard::{
-        effect::Batch,
+        effect::{Batch, JobUpdate},
         input::{
             AcceptedJob, Host, HostId, HostOrderResult, MaintenanceWave, OrderResult, ServerId,
             ServerInfo, StatusReport,
@@ -43,9 +43,12 @@
     /// Result of the order to stop this run of a task on this server; a rejection if it was
     /// not sent.
     StopResult(ServerId, task::Id, task::RunId, OrderResult),
-    /// A batch was stored.
+    /// Updates of one queue, a part of a batch, were stored.
+    UpdatesSaved(Vec<JobUpdate>),
+    /// All updates of a batch were stored; the batch holds the run ends that they cover.
     BatchSaved(Box<Batch>),
-    /// A batch, or a part of it, may not have been stored, or the saver's ring was full.
+    /// The updates that the batch holds may not have been stored, or the saver's ring was
+    /// full.
     BatchNotSaved(Box<Batch>),
     /// Current revision of a job's progress row, and its value if another write had
     /// changed it.
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -283,6 +283,7 @@
             Event::StopResult(server, task, run, result) => {
                 self.shard.handle_stop_result(now, &server, &task, run, result);
             }
+            Event::UpdatesSaved(updates) => self.shard.handle_updates_saved(now, &updates),
             Event::BatchSaved(batch) => self.shard.handle_batch_saved(now, &batch),
             Event::BatchNotSaved(batch) => self.shard.handle_batch_save_failed(&batch),
             Event::ProgressStored(id, revision, stored) => {
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -122,19 +122,20 @@
     }
 
     /// Writes a batch, its queues concurrently; returns the event that reports whether all
-    /// of it was stored. Pauses for [`RETRY_DELAY`] first if it may not have been.
+    /// of it was stored. The writers report the updates that were; the event has the others.
+    /// Pauses for [`RETRY_DELAY`] first if there are any.
     fn save_batch(&self, batch: Batch) -> Event {
         let mut by_queue: BTreeMap<Arc<str>, Vec<JobUpdate>> = BTreeMap::new();
         for update in &batch.updates {
             by_queue.entry(Arc::clone(&update.queue)).or_default().push(update.clone());
         }
-        match self.writers.write(by_queue.into_values().collect()) {
-            true => Event::BatchSaved(Box::new(batch)),
-            false => {
-                self.stop.sleep(RETRY_DELAY);
-                Event::BatchNotSaved(Box::new(batch))
-            }
+        let Batch { updates, cursors } = batch;
+        let unsaved = self.writers.write(by_queue.into_values().collect()).unwrap_or(updates);
+        if unsaved.is_empty() {
+            return Event::BatchSaved(Box::new(Batch { updates: unsaved, cursors }));
         }
+        self.stop.sleep(RETRY_DELAY);
+        Event::BatchNotSaved(Box::new(Batch { updates: unsaved, cursors: Vec::new() }))
     }
 
     /// Writes the backlog with the store's time. If a later holder has acquired the shard, it
--- a/crates/skylarkwick-planner/src/jobs/writer.rs
+++ b/crates/skylarkwick-planner/src/jobs/writer.rs
@@ -37,26 +37,31 @@
 #[derive(Debug)]
 pub(super) struct Writers {
     update_senders: Vec<ring::Sender<Vec<JobUpdate>>>,
-    /// For each queue that was written, whether all of its updates are stored or obsolete.
-    results: ring::Receiver<bool>,
+    /// For each queue that was written, the updates that may not be stored.
+    results: ring::Receiver<Vec<JobUpdate>>,
 }
 
 impl Writers {
     /// Writes updates, grouped by queue, concurrently and blocks until all are done. Returns
-    /// false if one of them may not have been stored, other than an obsolete one.
-    pub(super) fn write(&self, queues: Vec<Vec<JobUpdate>>) -> bool {
+    /// those that may not have been stored, without obsolete ones; `None` if the writers have
+    /// ended before.
+    pub(super) fn write(&self, queues: Vec<Vec<JobUpdate>>) -> Option<Vec<JobUpdate>> {
         let count = queues.len();
         for (updates, sender) in queues.into_iter().zip(self.update_senders.iter().cycle()) {
             // A writer's receiver ends only when `self` is dropped.
             let _ = sender.send(updates);
         }
-        let stored = (0..count).filter(|_| self.results.receive() == Some(true));
-        stored.count() == count
+        let mut unsaved = Vec::new();
+        for _ in 0..count {
+            unsaved.extend(self.results.receive()?);
+        }
+        Some(unsaved)
     }
 }
 
 /// Starts the writer duties. They send to `events` the revision of each write of a job, the
-/// stored progress of a job whose progress row another write has changed, and the removal
+/// updates of each queue that are stored, so that a queue whose writes fail does not hold
+/// back the starts of others, the stored progress of a job whose progress row another write has changed, and the removal
 /// of a job whose own row has changed.
 ///
 /// # Errors
@@ -94,15 +99,16 @@
 }
 
 impl<S: Store> Writer<S> {
-    /// Writes the updates of one queue in one transaction; returns false if one of them may
-    /// not have been stored.
+    /// Writes the updates of one queue in one transaction; returns those that may not have
+    /// been stored.
     ///
     /// Updates that conflict with another write are left out, and the others are tried
     /// again. If the job's row has changed, its update is obsolete and counts as stored; if
     /// only its progress row has, the update counts as not stored. The holder receives the
-    /// revision of the write for each update written, and an event for each one left out.
-    fn write_queue(&self, mut updates: Vec<JobUpdate>) -> bool {
-        let mut is_stored = true;
+    /// revision of the write for each update written, then those updates, and an event for
+    /// each one left out.
+    fn write_queue(&self, mut updates: Vec<JobUpdate>) -> Vec<JobUpdate> {
+        let mut unsaved = Vec::new();
         while !updates.is_empty() {
             match self.store.commit(&self.transaction(&updates)) {
                 Ok(Commit::Applied(revision)) => {
@@ -113,7 +119,8 @@
                             Event::ProgressStored(update.id.clone(), revision, None),
                         );
                     }
-                    return is_stored;
+                    send(&self.events, Event::UpdatesSaved(updates));
+                    return unsaved;
                 }
                 Ok(Commit::Conflict(rows)) => {
                     let count = updates.len();
@@ -121,24 +128,26 @@
                         ConflictKind::None => true,
                         ConflictKind::Job => false,
                         ConflictKind::Progress => {
-                            is_stored = false;
+                            unsaved.push(update.clone());
                             false
                         }
                     });
                     if updates.len() == count {
                         warn!(self.log, "conflict without a changed row"; "jobs" => count);
-                        return false;
+                        unsaved.extend(updates);
+                        return unsaved;
                     }
                 }
                 Err(error) => {
                     let is_unknown = matches!(error, store::Error::Unknown(_));
                     warn!(self.log, "job updates not saved"; "jobs" => updates.len(), "error" => %error,
                         "in_doubt" => is_unknown);
-                    return false;
+                    unsaved.extend(updates);
+                    return unsaved;
                 }
             }
         }
-        is_stored
+        unsaved
     }
 
     /// Returns which row of an update has another revision than this holder knew, the job's
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -71,11 +71,9 @@
         }
     }
 
-    /// Handles a batch that was stored. The run ends that it covers may be
-    /// acknowledged, unless their server has another incarnation now. The jobs
-    /// that it stored as finished are dropped, and the starts that waited for
-    /// their servers to be recorded are sent or cancelled, as in
-    /// `send_planned_starts`.
+    /// Handles a batch that was stored, as `handle_updates_saved` does for its
+    /// updates. The run ends that it covers may be acknowledged, unless their
+    /// server has another incarnation now.
     pub fn handle_batch_saved(&mut self, now: Moment, batch: &Batch) {
         self.is_saving = false;
         for cursor in &batch.cursors {
@@ -86,7 +84,15 @@
                 _ => {}
             }
         }
-        for update in &batch.updates {
+        self.handle_updates_saved(now, &batch.updates);
+    }
+
+    /// Handles updates of a batch that were stored; others of it may still be
+    /// written. The jobs that they stored as finished are dropped, and the
+    /// starts that waited for their servers to be recorded are sent or
+    /// cancelled, as in `send_planned_starts`.
+    pub fn handle_updates_saved(&mut self, now: Moment, updates: &[JobUpdate]) {
+        for update in updates {
             match &update.change {
                 Change::Finished(_) => {
                     self.jobs.remove(&update.id);
