Continue a read of all rows after a refused call

Callers saw nothing start for as long as the store refused a part of the calls: the shard had a holder that never began.

Cause: a new holder reads the jobs and their progress, one call for each partition and page. One refused call made all of it start anew, so with many calls and a share of them refused the rows were never read as a whole. After 7 s the process acquired the shard again and went on so; it renewed the lease meanwhile, so no other process could take over. The feed of jobs read all rows in the same way after a compaction.

A table's reader now keeps what it has read and continues with the call that failed. The revision still comes from the first call, so the feed delivers every later change of a job; a later change of progress conflicts with the holder's first write of that job, as before.

--- a/crates/skylarkwick-connection/src/store.rs
+++ b/crates/skylarkwick-connection/src/store.rs
@@ -7,7 +7,7 @@
 
 pub mod row;
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use skylarkwick_version::revision::Revision;
 
@@ -210,23 +210,94 @@
     Ok(merged)
 }
 
-/// Reads every row of a table, one partition after the other.
-///
-/// The page's revision is read before the partitions are listed, so that a feed
-/// from that revision misses no row of a new partition.
+/// Reads every row of a table, as a [`TableReader`] does.
 ///
 /// # Errors
 ///
 /// Returns an error if the store gave no usable response.
 pub fn read_table<S: Store>(store: &S, table: &str) -> Result<Page, Error> {
-    let mut merged = store.read(table, "", Range::One(""))?;
-    merged.rows.clear();
-    for part in store.parts(table)? {
-        let page = read_partition(store, table, &part)?;
-        merged.rows.extend(page.rows);
-        merged.now_ms = page.now_ms;
+    let mut reader = TableReader::new(table);
+    reader.read(store)?;
+    Ok(reader.into_page())
+}
+
+/// A read of every row of a table, one partition after the other. It keeps what it has
+/// read when a read fails, so that a store that refuses some of many reads delays it but
+/// does not make it start anew.
+#[derive(Clone, Debug)]
+pub struct TableReader {
+    table: Arc<str>,
+    /// What was read so far.
+    page: Page,
+    /// Whether the page has the revision from which later changes are to be followed.
+    has_revision: bool,
+    /// Partitions that are not read to their end; `None` until they are listed.
+    parts: Option<VecDeque<Arc<str>>>,
+    /// Key of the last row that was read of the first of these partitions.
+    last_key: Arc<str>,
+}
+
+impl TableReader {
+    /// Creates a reader that has read nothing yet.
+    pub fn new(table: &str) -> TableReader {
+        TableReader {
+            table: Arc::from(table),
+            page: Page::default(),
+            has_revision: false,
+            parts: None,
+            last_key: Arc::from(""),
+        }
+    }
+
+    /// Reads the rows that were not read yet.
+    ///
+    /// The page's revision is read before the partitions are listed, so that a feed
+    /// from that revision misses no row of a new partition.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store gave no usable response; the next call continues
+    /// with the read that failed.
+    pub fn read<S: Store>(&mut self, store: &S) -> Result<(), Error> {
+        if !self.has_revision {
+            let first = store.read(&self.table, "", Range::One(""))?;
+            self.page = Page { rows: Vec::new(), ..first };
+            self.has_revision = true;
+        }
+        if self.parts.is_none() {
+            self.parts = Some(store.parts(&self.table)?.into());
+        }
+        while let Some(part) = self.parts.as_ref().and_then(VecDeque::front).cloned() {
+            let next = store.read(&self.table, &part, Range::After(&self.last_key))?;
+            self.add(next);
+        }
+        Ok(())
+    }
+
+    /// Adds rows of the first partition that is not read to its end, and goes on to the
+    /// next one if there are no more.
+    fn add(&mut self, next: Page) {
+        let last_key = next.rows.last().map(|row| Arc::clone(&row.key.name));
+        self.last_key = match (next.has_more, last_key) {
+            (true, Some(last_key)) => last_key,
+            _ => {
+                self.parts.as_mut().and_then(VecDeque::pop_front);
+                Arc::from("")
+            }
+        };
+        self.page.rows.extend(next.rows);
+        self.page.now_ms = next.now_ms;
+    }
+
+    /// Takes what was read so far.
+    pub fn into_page(self) -> Page {
+        self.page
+    }
+
+    /// Returns what was read so far.
+    pub fn page(&self) -> &Page {
+        &self.page
     }
-    Ok(merged)
 }
 
 /// Number of attempts at one transaction, without a delay between them, before its
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -29,7 +29,7 @@
     event::Event,
     host_orders,
     lease::{Acquisition, Lease, Renewal},
-    load::{self, LoadedState},
+    load::{LoadedState, Loader},
     poller::{PollRequest, Pollers},
     saver::{self, SaveRequest},
     sweep,
@@ -442,8 +442,9 @@
     since: Moment,
     stop: &StopSignal,
 ) -> Option<LoadedState> {
+    let mut loader = Loader::new();
     while Boot.now().since(since) < shard_lease::MAX_RENEWAL_GAP {
-        match load::load(store, log) {
+        match loader.load(store, log) {
             Ok(loaded) => return Some(loaded),
             Err(error) => warn!(log, "jobs not loaded"; "error" => %error,
                 "lost_answer" => matches!(error, store::Error::Unknown(_)),
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use skylarkwick_connection::store::{
-    self, Page, Row, Store,
+    self, Page, Row, Store, TableReader,
     row::{self, JobRow, PoolSizesRow, ProgressRow},
 };
 use skylarkwick_request::{
@@ -25,17 +25,48 @@
     pub(super) pool_sizes: BTreeMap<Arc<str>, usize>,
 }
 
-/// Reads the jobs that are not finished, the progress of their tasks, and the initial
-/// sizes of the pools. Invalid rows are logged and skipped.
-///
-/// # Errors
-///
-/// Returns the store's error if it does not respond.
-pub(super) fn load<S: Store>(store: &S, log: &Logger) -> Result<LoadedState, store::Error> {
-    let jobs = store::read_table(store, row::JOBS)?;
-    let progress = store::read_table(store, row::PROGRESS)?;
-    let by_job = progress_by_job(&progress, log);
-    let pool_sizes = pool_sizes(store, log)?;
+/// The reads at the start of a term, which are continued after an error.
+#[derive(Clone, Debug)]
+pub(super) struct Loader {
+    jobs: TableReader,
+    progress: TableReader,
+}
+
+impl Loader {
+    /// Creates a loader that has read nothing yet.
+    pub(super) fn new() -> Loader {
+        Loader { jobs: TableReader::new(row::JOBS), progress: TableReader::new(row::PROGRESS) }
+    }
+
+    /// Reads the jobs that are not finished, the progress of their tasks, and the initial
+    /// sizes of the pools. Invalid rows are logged and skipped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's error if it does not respond; the next call continues with the
+    /// read that failed.
+    pub(super) fn load<S: Store>(
+        &mut self,
+        store: &S,
+        log: &Logger,
+    ) -> Result<LoadedState, store::Error> {
+        // Progress is read after the jobs: a job that is added later is fed, and a later
+        // change of progress conflicts with this holder's first write.
+        self.jobs.read(store)?;
+        self.progress.read(store)?;
+        let pool_sizes = pool_sizes(store, log)?;
+        Ok(loaded_state(self.jobs.page(), self.progress.page(), pool_sizes, log))
+    }
+}
+
+/// Combines the rows of jobs and of their progress.
+fn loaded_state(
+    jobs: &Page,
+    progress: &Page,
+    pool_sizes: BTreeMap<Arc<str>, usize>,
+    log: &Logger,
+) -> LoadedState {
+    let by_job = progress_by_job(progress, log);
     let mut loaded = LoadedState { jobs: Vec::new(), revision: jobs.revision, pool_sizes };
     for row in &jobs.rows {
         if let Some(StoredJob::Active(mut accepted)) = decode_job(row, jobs.now_ms, log) {
@@ -46,7 +77,7 @@
             loaded.jobs.push(*accepted);
         }
     }
-    Ok(loaded)
+    loaded
 }
 
 /// Reads the initial number of hosts of each pool, before any move, as the first holder
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -5,7 +5,7 @@
 use skylarkwick_connection::{
     control::{Hosts, Registry},
     store::{
-        self, Feed, Store,
+        self, Feed, Page, Store, TableReader,
         row::{self, WaveRow},
     },
 };
@@ -54,17 +54,10 @@
     stop: StopSignal,
 ) -> io::Result<Duty> {
     Duty::spawn("jobs", move || {
+        let mut reader = None;
         while !stop.is_requested() {
-            let page = match store.feed(row::JOBS, revision, MAX_WAIT) {
-                Ok(Feed::Changed(page)) => page,
-                Ok(Feed::Compacted) => match store::read_table(&store, row::JOBS) {
-                    Ok(page) => page,
-                    Err(error) => {
-                        warn!(log, "jobs not read"; "error" => %error);
-                        stop.sleep(RETRY_DELAY);
-                        continue;
-                    }
-                },
+            let page = match next_jobs(&store, revision, &mut reader) {
+                Ok(page) => page,
                 Err(error) => {
                     warn!(log, "waiting for job changes failed"; "error" => %error);
                     stop.sleep(RETRY_DELAY);
@@ -90,6 +83,34 @@
     })
 }
 
+/// Returns the changes of jobs after `revision` once there are any, or all jobs if the store
+/// has compacted those changes. `reader` holds a read of all jobs that has begun; after an
+/// error, the next call continues it.
+///
+/// # Errors
+///
+/// Returns an error if the store gave no usable response.
+fn next_jobs<S: Store>(
+    store: &S,
+    revision: Revision,
+    reader: &mut Option<TableReader>,
+) -> Result<Page, store::Error> {
+    let mut begun = match reader.take() {
+        Some(begun) => begun,
+        None => match store.feed(row::JOBS, revision, MAX_WAIT)? {
+            Feed::Changed(page) => return Ok(page),
+            Feed::Compacted => TableReader::new(row::JOBS),
+        },
+    };
+    match begun.read(store) {
+        Ok(()) => Ok(begun.into_page()),
+        Err(error) => {
+            *reader = Some(begun);
+            Err(error)
+        }
+    }
+}
+
 /// Starts the duty that follows the configuration and the maintenance waves that operators
 /// write, and sends each change to `events` until the stop signal. Everything is read
 /// first. Waves are sent with their stored progress; if that of one can't be read, nothing
