--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -30,7 +30,7 @@
     event::Event,
     host_orders,
     lease::{Acquisition, Lease, Renewal},
-    load::{self, LoadedState},
+    load::{LoadedState, Loader},
     poller::{PollRequest, Pollers},
     saver::{self, SaveRequest},
     sweep,
@@ -285,6 +285,7 @@
             Event::StopResult(server, task, run, result) => {
                 self.shard.handle_stop_result(now, &server, &task, run, result);
             }
+            Event::UpdatesSaved(updates) => self.shard.handle_updates_saved(now, &updates),
             Event::BatchSaved(batch) => self.shard.handle_batch_saved(now, &batch),
             Event::BatchNotSaved(batch) => self.shard.handle_batch_save_failed(&batch),
             Event::ProgressStored(id, revision, stored) => {
@@ -428,8 +429,9 @@
     since: Moment,
     stop: &StopSignal,
 ) -> Option<LoadedState> {
+    let mut loader = Loader::new();
     while Boot.now().since(since) < shard_lease::MAX_RENEWAL_GAP {
-        match load::load(store, log) {
+        match loader.load(store, log) {
             Ok(loaded) => return Some(loaded),
             Err(error) => warn!(log, "jobs not loaded"; "error" => %error,
                 "lost_answer" => matches!(error, store::Error::Unknown(_)),
