Listeners own their connections and answer every request that they read

Cause: the listener did not own its connections; the threads of its library read requests into a queue for as long as the process lived. - The duty took requests from that queue until none came for 200 ms and looked at the stop signal only then. Under steady requests it never stopped, and the process was killed at the end of its grace period with requests in hand. - Once the duty had left that loop, requests on open connections were still read, and nobody took them from the queue until the process had ended. - Beside it: one error when accepting a connection, such as too few descriptors, ended the library's thread that accepts, for good and unlogged.

Why this works: hyper serves the connections, and they are ours. After the stop signal the socket is closed, an idle connection is closed without a read, one with a request in hand is answered with `Connection: close`, and the duty ends with the last of them. Ruled out: to go on taking requests from the library's queue until none comes for a while; one may always come in after that, and under steady requests it never ends.

Handlers use request and response types of our own, decoded paths and headers as before. Spare threads are no longer needed.

--- a/crates/skylarkwick-connection/src/caller/wire.rs
+++ b/crates/skylarkwick-connection/src/caller/wire.rs
@@ -4,9 +4,8 @@
 //! `outcome` states that the work did not run or that this is unknown. The problem's
 //! field names are on the wire (JSON).
 
-use std::{io::Read, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use rouille::{Request, Response};
 use serde::Serialize;
 use skylarkwick_request::{
     id::{self, MAX_KEY_BYTES},
@@ -16,7 +15,10 @@
 use skylarkwick_version::name;
 
 use super::{Call, Idempotency};
-use crate::backend::Answer;
+use crate::{
+    backend::Answer,
+    listen::{Request, Response},
+};
 
 /// Largest body of a call, in bytes; a longer one is refused.
 pub const MAX_BODY_BYTES: usize = 1 << 20;
@@ -74,7 +76,7 @@
     (!key.is_empty()).then_some((service, key))
 }
 
-/// Parses a call to `service` from its headers and reads its body.
+/// Parses a call to `service` from its headers and its body.
 ///
 /// # Errors
 ///
@@ -90,7 +92,7 @@
         kind,
         idempotency: parse_idempotency(request.header(KEY), request.header(TICKET))?,
         deadline: request.header(DEADLINE).map(parse_deadline).transpose()?,
-        body: read_body(request)?,
+        body: check_body(request)?,
     })
 }
 
@@ -141,24 +143,13 @@
     }
 }
 
-/// Reads the body; refuses one that is longer than [`MAX_BODY_BYTES`] or doesn't have the
-/// declared length.
-fn read_body(request: &Request) -> Result<Arc<[u8]>, Refusal> {
-    let too_long = || Refusal::Invalid(format!("the body is longer than {MAX_BODY_BYTES} bytes"));
-    let declared = request.header("Content-Length").and_then(|text| text.parse::<usize>().ok());
-    if declared.is_some_and(|length| length > MAX_BODY_BYTES) {
-        return Err(too_long());
-    }
-    let Some(data) = request.data() else { return Ok(Arc::from([])) };
-    let mut bytes = Vec::with_capacity(declared.unwrap_or(0));
-    let result = data.take(MAX_BODY_BYTES as u64 + 1).read_to_end(&mut bytes);
-    match result {
-        Ok(length) if length > MAX_BODY_BYTES => Err(too_long()),
-        Ok(length) if declared.is_some_and(|declared| declared != length) => {
-            Err(Refusal::Invalid("the body is shorter than its Content-Length".to_owned()))
+/// Returns the body; refuses one that is longer than [`MAX_BODY_BYTES`].
+fn check_body(request: &Request) -> Result<Arc<[u8]>, Refusal> {
+    match request.body() {
+        body if body.len() > MAX_BODY_BYTES => {
+            Err(Refusal::Invalid(format!("the body is longer than {MAX_BODY_BYTES} bytes")))
         }
-        Ok(_) => Ok(Arc::from(bytes)),
-        Err(error) => Err(Refusal::Invalid(format!("the body cannot be read: {error}"))),
+        body => Ok(Arc::from(body)),
     }
 }
 
--- a/crates/skylarkwick-connection/src/listen.rs
+++ b/crates/skylarkwick-connection/src/listen.rs
@@ -1,40 +1,44 @@
 //! HTTP listener, used for callers and by the stand-ins.
 //!
-//! The library serves each connection on a thread of its own: it hands a new
-//! connection to an idle thread or spawns one. If several connections arrive
-//! within the wake-up time of a thread, the library hands over more connections
-//! than it has idle threads, and the rest stay unread until another connection
-//! closes. `keep_spare_threads` therefore opens and closes a few connections
-//! at regular intervals: their threads pick up the unread connections and then
-//! stay idle as spares. Their number is small, because the system keeps each
-//! closed connection in its tables for a minute.
+//! The listener owns its connections, so that it can stop without losing a request that it
+//! has read: see docs/DESIGN.md, section "Stopping a listener". The library needs an
+//! asynchronous runtime. It runs on the thread of this duty, handlers run on threads that
+//! may block, and nothing asynchronous leaves this module.
+
+mod connection;
+mod request;
+mod response;
 
 use std::{
     io,
-    net::{SocketAddr, TcpStream},
+    net::{self, SocketAddr},
+    sync::Arc,
     time::Duration,
 };
 
-use rouille::{Request, Response, Server};
 use skylarkwick_process::duty::{Duty, StopSignal};
+use slog::{Logger, warn};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    sync::watch,
+    task,
+    time::sleep,
+};
+
+pub use self::{request::Request, response::Response};
 
-/// Longest time that a listener waits for a connection before it checks the stop signal.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval between batches of spare threads; shorter than the 5 s for which the library
-/// keeps an idle thread.
-const SPARE_INTERVAL: Duration = Duration::from_secs(2);
-/// Number of request threads per spare thread of a batch.
-const THREADS_PER_SPARE: usize = 12;
-/// Largest number of spare threads in a batch.
-const MAX_SPARES: usize = 32;
-/// Smallest number of spare threads in a batch.
-const MIN_SPARES: usize = 2;
+/// Pause after a connection could not be accepted, such as for lack of descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Threads beside those of the handlers; it waits for the stop signal.
+const STOP_THREADS: usize = 1;
 
 /// Starts an HTTP listener whose requests `handler` answers; returns its bound address and
 /// its duty, which is called `name`.
 ///
-/// Handles at most `threads` requests at once. After the stop signal, the duty
-/// ends once the requests in progress have been answered.
+/// Handles at most `threads` requests at once. After the stop signal, the duty takes no new
+/// connections, closes idle ones without reading from them, and ends once every request
+/// that was read has been answered.
 ///
 /// # Errors
 ///
@@ -45,34 +49,65 @@
     address: SocketAddr,
     threads: usize,
     handler: F,
+    log: &Logger,
     stop: StopSignal,
 ) -> io::Result<(SocketAddr, Duty)>
 where
     F: Fn(&Request) -> Response + Send + Sync + 'static,
 {
-    let server = Server::new(address, handler)
-        .map_err(|error| io::Error::other(format!("{address}: {error}")))?
-        .pool_size(threads);
-    let local = server.server_addr();
-    let spares = (threads / THREADS_PER_SPARE).clamp(MIN_SPARES, MAX_SPARES);
-    let spare_stop = stop.clone();
-    Duty::spawn("spares", move || keep_spare_threads(local, spares, &spare_stop))?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(threads + STOP_THREADS)
+        .thread_name(name)
+        .build()?;
+    let listener = bind(&runtime, address)
+        .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))?;
+    let local = listener.local_addr()?;
+    let handler = Arc::new(handler);
+    let log = log.clone();
     let duty = Duty::spawn(name, move || {
-        while !stop.is_requested() {
-            server.poll_timeout(STOP_CHECK_INTERVAL);
-        }
-        server.join();
+        runtime.block_on(serve(listener, handler, &log, stop));
+        // Handlers that still run have lost their caller.
+        runtime.shutdown_background();
     })?;
     Ok((local, duty))
 }
 
-/// Opens and closes `spares` connections to the listener at each interval until the stop
-/// signal, so that it keeps idle threads for new connections.
-fn keep_spare_threads(address: SocketAddr, spares: usize, stop: &StopSignal) {
-    while !stop.sleep(SPARE_INTERVAL) {
-        // A failed connection only means one spare thread less in this interval.
-        let connections: Vec<_> =
-            (0..spares).filter_map(|_| TcpStream::connect(address).ok()).collect();
-        drop(connections);
+/// Binds a socket that is registered with `runtime`.
+fn bind(runtime: &Runtime, address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let _context = runtime.enter();
+    TcpListener::from_std(listener)
+}
+
+/// Accepts and serves connections until the stop signal, and then waits until each of them
+/// has ended.
+async fn serve<F>(listener: TcpListener, handler: Arc<F>, log: &Logger, stop: StopSignal)
+where
+    F: Fn(&Request) -> Response + Send + Sync + 'static,
+{
+    // Every connection holds a receiver, so the channel is closed once all have ended.
+    let (stopping, is_stopping) = watch::channel(false);
+    let mut stopped = task::spawn_blocking(move || stop.wait());
+    loop {
+        let accepted = tokio::select! {
+            _ = &mut stopped => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let serving = connection::serve(stream, Arc::clone(&handler), is_stopping.clone());
+                task::spawn(serving);
+            }
+            Err(error) => {
+                warn!(log, "connection not accepted"; "error" => %error);
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
     }
+    drop(listener);
+    drop(is_stopping);
+    stopping.send_replace(true);
+    stopping.closed().await;
 }
--- a/crates/skylarkwick-connection/tests/connect_burst.rs
+++ b/crates/skylarkwick-connection/tests/connect_burst.rs
@@ -6,9 +6,8 @@
     time::Duration,
 };
 
-use rouille::Response;
-use skylarkwick_connection::listen::listen;
-use skylarkwick_process::duty::StopSignal;
+use skylarkwick_connection::listen::{Response, listen};
+use skylarkwick_process::{duty::StopSignal, log};
 
 const CONNECTIONS: usize = 60;
 const ROUNDS: usize = 2;
@@ -21,8 +20,9 @@
     for _ in 0..ROUNDS {
         let stop = StopSignal::default();
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handler = |_: &_| Response::text("here");
         let (address, _) =
-            listen("test", address, 256, |_| Response::text("here"), stop.clone()).unwrap();
+            listen("test", address, 256, handler, &log::discard(), stop.clone()).unwrap();
         let mut connections: Vec<TcpStream> =
             (0..CONNECTIONS).map(|_| TcpStream::connect(address).unwrap()).collect();
         for connection in &mut connections {
--- a/crates/skylarkwick-entry/src/api.rs
+++ b/crates/skylarkwick-entry/src/api.rs
@@ -11,9 +11,9 @@
 };
 
 use cadence::{Counted, StatsdClient};
-use rouille::{Request, Response};
 use skylarkwick_connection::{
     caller::{Call, Idempotency, wire},
+    listen::{Request, Response},
     peer::client::Client,
 };
 use skylarkwick_process::trace::Span;
@@ -69,8 +69,8 @@
     /// Handles one HTTP request: submits a request, cancels one, issues a ticket, or reports
     /// the readiness or the revisions of the documents. Other paths get a 404.
     pub(crate) fn handle(&self, request: &Request) -> Response {
-        let path = request.url();
-        match (request.method(), path.as_str()) {
+        let path = request.path();
+        match (request.method(), path.as_ref()) {
             ("POST", path) if wire::submit_path(path).is_some() => {
                 self.handle_submit(request, wire::submit_path(path).unwrap_or_default())
             }
--- a/crates/skylarkwick-entry/src/entry.rs
+++ b/crates/skylarkwick-entry/src/entry.rs
@@ -189,6 +189,7 @@
             host.caller_address,
             API_THREADS,
             move |request| api.handle(request),
+            log,
             stop.clone(),
         )
         .map_err(fail("caller API"))?;
--- a/crates/skylarkwick-stand-in/src/platform.rs
+++ b/crates/skylarkwick-stand-in/src/platform.rs
@@ -2,18 +2,20 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    io::{self, Read},
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
 };
 
-use rouille::{Request, Response};
 use serde::de::DeserializeOwned;
 use skylarkwick_connection::{
-    listen::listen,
+    listen::{Request, Response, listen},
     platform::{Error, HostRecord, Key, Liveness, Table, Transaction, http::ORIGIN_HEADER, wire},
 };
-use skylarkwick_process::duty::{Duty, StopSignal};
+use skylarkwick_process::{
+    duty::{Duty, StopSignal},
+    log,
+};
 use skylarkwick_version::{name, revision::Revision};
 
 use crate::table::Memory;
@@ -78,6 +80,7 @@
             address,
             MAX_CONCURRENT_REQUESTS,
             move |request| platform.handle(request),
+            &log::discard(),
             stop,
         )
     }
@@ -90,15 +93,15 @@
             return Response::text("this data centre is cut off from the platform")
                 .with_status_code(503);
         }
-        let path = request.url();
-        match (request.method(), path.as_str()) {
+        let path = request.path();
+        match (request.method(), path.as_ref()) {
             ("GET", "/v1/rows") => self.scan_rows(request),
             ("POST", "/v1/rows/read") => self.read_rows(request),
             ("POST", "/v1/transactions") => self.commit_transaction(request),
             ("GET", "/v1/hosts") => self.list_hosts(request),
             (method, path) => match path.strip_prefix("/v1/objects/") {
                 Some(key) => self.handle_object(method, key, request),
-                None => Response::empty_404(),
+                None => Response::empty(404),
             },
         }
     }
@@ -106,8 +109,8 @@
     /// Responds with the rows under the parameter `prefix` that changed after the
     /// revision in the parameter `after`; 0 if that is missing.
     fn scan_rows(&self, request: &Request) -> Response {
-        let prefix = request.get_param("prefix").unwrap_or_default();
-        let after = request.get_param("after").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let prefix = request.parameter("prefix").unwrap_or_default();
+        let after = request.parameter("after").and_then(|text| text.parse().ok()).unwrap_or(0);
         respond(self.table.scan(&prefix, Revision(after)).map(|scan| wire::Rows {
             through: scan.complete_through.0,
             rows: scan.rows.into_iter().map(wire::Row::from).collect(),
@@ -140,7 +143,7 @@
     /// Responds with the published records of the data centre in the parameter
     /// `data-centre`, or of all data centres without it.
     fn list_hosts(&self, request: &Request) -> Response {
-        let data_centre = request.get_param("data-centre");
+        let data_centre = request.parameter("data-centre");
         if self.table.switches.get().is_unavailable {
             return unavailable();
         }
@@ -167,14 +170,11 @@
             ("GET", Some(object)) => {
                 Response::from_data("application/octet-stream", object.clone())
             }
-            ("PUT", _) => match read_body(request) {
-                Some(object) => {
-                    objects.insert(key.to_owned(), object);
-                    Response::text("stored")
-                }
-                None => bad_request(),
-            },
-            _ => Response::empty_404(),
+            ("PUT", _) => {
+                objects.insert(key.to_owned(), request.body().to_vec());
+                Response::text("stored")
+            }
+            _ => Response::empty(404),
         }
     }
 }
@@ -197,15 +197,7 @@
     Response::text("the request body is not valid").with_status_code(400)
 }
 
-/// Reads the body of a request; returns `None` if it was taken already or can't be
-/// read.
-fn read_body(request: &Request) -> Option<Vec<u8>> {
-    let mut bytes = Vec::new();
-    request.data()?.read_to_end(&mut bytes).ok()?;
-    Some(bytes)
-}
-
-/// Parses the body of a request as JSON; returns `None` if it can't be read or parsed.
+/// Parses the body of a request as JSON; returns `None` if it can't be parsed.
 fn parse_body<T: DeserializeOwned>(request: &Request) -> Option<T> {
-    serde_json::from_slice(&read_body(request)?).ok()
+    serde_json::from_slice(request.body()).ok()
 }
--- a/crates/skylarkwick-stand-in/src/worker.rs
+++ b/crates/skylarkwick-stand-in/src/worker.rs
@@ -7,18 +7,20 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    io::{self, Read},
+    io,
     net::SocketAddr,
     sync::{Arc, Condvar, Mutex, PoisonError},
     time::Duration,
 };
 
-use rouille::{Request, Response};
 use serde::{Deserialize, Serialize};
-use skylarkwick_connection::{backend::wire, listen::listen};
+use skylarkwick_connection::{
+    backend::wire,
+    listen::{Request, Response, listen},
+};
 use skylarkwick_process::{
     duty::{Duty, StopSignal},
-    trace,
+    log, trace,
 };
 use skylarkwick_request::outcome::BackendRefusal;
 use skylarkwick_version::name;
@@ -117,7 +119,8 @@
     pub fn listen(&self, address: SocketAddr, stop: StopSignal) -> io::Result<(SocketAddr, Duty)> {
         let worker = self.clone();
         let threads = self.slots as usize + EXTRA_THREADS;
-        listen(self.host.as_str(), address, threads, move |request| worker.handle(request), stop)
+        let handler = move |request: &Request| worker.handle(request);
+        listen(self.host.as_str(), address, threads, handler, &log::discard(), stop)
     }
 
     /// Applies a change to the injected faults; tasks that run already keep the faults
@@ -155,17 +158,17 @@
         if !self.boot_state().0 {
             return Response::text("the host is down").with_status_code(503);
         }
-        let path = request.url();
-        match (request.method(), path.as_str()) {
+        let path = request.path();
+        match (request.method(), path.as_ref()) {
             ("POST", "/v1/tasks") => self.run_task(request),
             ("GET", "/v1/status") => self.status(),
             ("POST", "/v1/fence") => self.fence(request),
             ("POST", "/v1/reboot") => self.reboot(request),
             ("GET", path) => match path.strip_prefix("/v1/attempts/") {
                 Some(attempt) => self.query_attempt(attempt, request),
-                None => Response::empty_404(),
+                None => Response::empty(404),
             },
-            _ => Response::empty_404(),
+            _ => Response::empty(404),
         }
     }
 
@@ -251,7 +254,7 @@
     /// Responds with the state of an attempt, after waiting up to the parameter
     /// `wait-ms` for a running one to end. An unknown attempt becomes forbidden.
     fn query_attempt(&self, attempt: &str, request: &Request) -> Response {
-        let wait = request.get_param("wait-ms").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let wait = request.parameter("wait-ms").and_then(|text| text.parse().ok()).unwrap_or(0);
         let mut state = self.lock();
         if !state.attempts.contains_key(attempt) {
             record_attempt(&mut state, attempt, Attempt::Forbidden);
@@ -266,7 +269,7 @@
             .unwrap_or_else(PoisonError::into_inner);
         match state.attempts.get(attempt) {
             Some(result) => attempt_response(result, attempt),
-            None => Response::empty_404(),
+            None => Response::empty(404),
         }
     }
 
@@ -285,7 +288,7 @@
     /// Raises the lowest accepted epoch to the one in the body, if that is higher;
     /// responds with the status.
     fn fence(&self, request: &Request) -> Response {
-        let Some(fence) = parse_body::<wire::Fence>(request) else { return Response::empty_400() };
+        let Some(fence) = parse_body::<wire::Fence>(request) else { return Response::empty(400) };
         {
             let mut state = self.lock();
             state.epoch = state.epoch.max(fence.epoch);
@@ -298,7 +301,7 @@
     /// unless a fault prevents it.
     fn reboot(&self, request: &Request) -> Response {
         let Some(reboot) = parse_body::<wire::Reboot>(request) else {
-            return Response::empty_400();
+            return Response::empty(400);
         };
         let never_returns = {
             let mut state = self.lock();
@@ -354,12 +357,10 @@
 
 /// Adds the header with the id of an attempt to a response.
 fn with_attempt(response: Response, attempt: &str) -> Response {
-    response.with_unique_header(wire::ATTEMPT, attempt.to_owned())
+    response.with_unique_header(wire::ATTEMPT, attempt)
 }
 
 /// Parses the body of a request as JSON; returns `None` if it can't be read or parsed.
 fn parse_body<T: serde::de::DeserializeOwned>(request: &Request) -> Option<T> {
-    let mut bytes = Vec::new();
-    request.data()?.read_to_end(&mut bytes).ok()?;
-    serde_json::from_slice(&bytes).ok()
+    serde_json::from_slice(request.body()).ok()
 }
