Processes write their last log records before they end

Cause: the log is written by a thread of its own, which ended with the process. Loggers are cloned into duties that never end, so the last one is never dropped and nothing waited for the thread.

Why this works: `log::Output` keeps the guard of the writing thread, and a process drops it last, which waits until all records logged before are written. What a duty logs after that is dropped; it made the duty panic before if the writer had ended. A collector that no longer reads now holds up the end of the process until the platform kills it.

--- a/crates/skylarkwick-demo/src/main.rs
+++ b/crates/skylarkwick-demo/src/main.rs
@@ -18,9 +18,8 @@
 
 use skylarkwick_process::{
     exit::ExitStatus,
-    log::{Format, discard, to_stderr},
+    log::{Format, Output, discard},
 };
-use slog::Logger;
 
 use crate::arguments::Arguments;
 
@@ -39,7 +38,10 @@
             return finish(&writeln!(io::stderr(), "skylarkwick-demo: {error}"), ExitStatus::Error);
         }
     };
-    let report = match run::run(&arguments, &log(&arguments)) {
+    let log_output =
+        arguments.is_verbose.then(|| Output::to_stderr(Format::Human, slog::Level::Info));
+    let log = log_output.as_ref().map_or_else(discard, |output| output.logger().clone());
+    let report = match run::run(&arguments, &log) {
         Ok(report) => report,
         Err(error) => {
             return finish(&writeln!(io::stderr(), "skylarkwick-demo: {error}"), ExitStatus::Error);
@@ -52,15 +54,6 @@
     finish(&written, if report.is_ok() { ExitStatus::Success } else { ExitStatus::Failure })
 }
 
-/// Returns a log on standard error, or one that discards everything without
-/// `--verbose`.
-fn log(arguments: &Arguments) -> Logger {
-    match arguments.is_verbose {
-        true => to_stderr(Format::Human, slog::Level::Info),
-        false => discard(),
-    }
-}
-
 /// Returns `status`, or `Error` if the output could not be written.
 fn finish(written: &io::Result<()>, status: ExitStatus) -> ExitStatus {
     match written {
--- a/crates/skylarkwick-process/src/program.rs
+++ b/crates/skylarkwick-process/src/program.rs
@@ -72,16 +72,18 @@
     let settings = match Settings::load(&path, name) {
         Ok(settings) => settings,
         Err(error) => {
-            error!(log::to_stderr(log::Format::Human, slog::Level::Info), "{error}");
+            let output = log::Output::to_stderr(log::Format::Human, slog::Level::Info);
+            error!(output.logger(), "{error}");
             return ExitStatus::Error;
         }
     };
-    let log = log::to_stderr(settings.log_format, settings.log_level);
+    let output = log::Output::to_stderr(settings.log_format, settings.log_level);
+    let log = output.logger();
     trace::init(log.clone());
     let stop = StopSignal::default();
     let result = signal::watch_termination(stop.clone())
         .map_err(Into::into)
-        .and_then(|_| job(&settings, &log, &stop).map_err(Into::into));
+        .and_then(|_| job(&settings, log, &stop).map_err(Into::into));
     match result {
         Ok(()) => {
             info!(log, "stopped");
--- a/crates/skylarkwick-stand-in/src/main.rs
+++ b/crates/skylarkwick-stand-in/src/main.rs
@@ -6,7 +6,7 @@
 use skylarkwick_process::{
     duty::StopSignal,
     exit::ExitStatus,
-    log::{Format, to_stderr},
+    log::{Format, Output},
     settings::{read_source, site},
     signal,
 };
@@ -31,9 +31,10 @@
                 .help("Settings file of the site"),
         )
         .get_matches();
-    let log = to_stderr(Format::Human, slog::Level::Info);
+    let output = Output::to_stderr(Format::Human, slog::Level::Info);
+    let log = output.logger();
     let path = arguments.get_one::<PathBuf>("site").cloned().unwrap_or_default();
-    match run(&path, &log) {
+    match run(&path, log) {
         Ok(()) => ExitStatus::Success,
         Err(error) => {
             error!(log, "{error}");
