Write servers that are gone out of the rows of their jobs

Callers saw tasks of accepted jobs wait up to 10 s after a change of the shard's holder, though there was room: their jobs were recorded with servers that had left long before, and a new holder waits for the answer of every recorded server or for the end of the takeover grace.

Cause: a job's row was only written when a task was assigned to a server that it did not name, or when a run ended. It kept naming a server

- that was lost while the tasks went on elsewhere or waited for room,
- that had not answered a holder within the grace: that holder went on without it, but stored it again with every write, so each further holder waited anew,
- and a server that had answered a new holder counted as unanswered again when it left before the job was next written.

Evidence, the new tests on the code before:

thread 'lost_server_unrecorded' panicked at unreachable_server.rs:157:5: the lost server stays recorded with the job thread 'grace_ends_record' panicked at run_takeover.rs:227:9: the job is not written without server b thread 'answered_server_leaves' panicked at run_takeover.rs:208:5: assertion `left == right` failed: the runs on server a are known to be over

When a server is replaced or its leases have lapsed, its jobs are written without it; when the grace is over, so are the jobs with servers that have not answered. Both are the times from which this holder itself starts their tasks elsewhere, so no holder starts anything earlier than before. A server that restarts under its name stays recorded: it answers a poll itself.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -45,9 +45,9 @@
 /// that started before then does not add it again.
 const FINISHED_RETENTION: Duration = Duration::from_secs(60);
 
-/// Shortest time between the starts of two rounds of housekeeping (drains,
-/// orders for hosts, pace changes and stops of incomplete gangs); a round is
-/// part of a call of `decide`.
+/// Shortest time between the starts of two rounds of housekeeping (drops of
+/// unanswered servers, drains, orders for hosts, pace changes and stops of
+/// incomplete gangs); a round is part of a call of `decide`.
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(50);
 
 /// Durations that a shard uses for a whole term: the lease and start window of
@@ -213,12 +213,14 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Runs a round of housekeeping: stops tasks that have to leave draining
-    /// hosts, sends orders for hosts if `is_exclusive` (no other holder can
+    /// Runs a round of housekeeping: drops servers that have not answered from
+    /// their jobs once the takeover grace is over, stops tasks that have to
+    /// leave draining hosts, sends orders for hosts if `is_exclusive` (no other holder can
     /// have taken the shard), adjusts the pace of best-effort tasks and stops
     /// incomplete gangs. None of this need follow each event, so `decide` calls
     /// it at most once in `HOUSEKEEPING_PERIOD` (50 ms).
     fn do_housekeeping(&mut self, now: Moment, is_exclusive: bool) {
+        self.drop_unanswered_servers(now);
         self.drain_hosts(now);
         if is_exclusive {
             self.order_hosts(now);
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -115,6 +115,38 @@
         }
     }
 
+    /// Has the jobs that are recorded with a server written without it, because
+    /// everything that was started there is over; else the next holder would
+    /// wait for a server that may never answer. Jobs that an earlier holder
+    /// recorded with it follow if it has answered a poll of this holder.
+    pub(super) fn unrecord_server(&mut self, server: &ServerId) {
+        let has_answered = self.servers.get(server).is_some_and(|known| known.is_fenced);
+        for (id, active) in &mut self.jobs {
+            let was_unverified = has_answered && active.unverified_servers.remove(server);
+            if was_unverified || active.recorded_servers.contains(server) {
+                self.unsaved_jobs.insert(id.clone());
+            }
+        }
+    }
+
+    /// Drops the servers that have not answered this holder from all jobs once
+    /// the takeover grace is over, because nothing that an earlier holder
+    /// started there still runs, and has these jobs written without them.
+    pub(super) fn drop_unanswered_servers(&mut self, now: Moment) {
+        if !self.is_takeover_grace_over(now) {
+            return;
+        }
+        let servers = &self.servers;
+        let has_answered = |id: &ServerId| servers.get(id).is_some_and(|known| known.is_fenced);
+        for (id, active) in &mut self.jobs {
+            let known = active.unverified_servers.len();
+            active.unverified_servers.retain(has_answered);
+            if active.unverified_servers.len() < known {
+                self.unsaved_jobs.insert(id.clone());
+            }
+        }
+    }
+
     /// Drops from the recorded servers of a job those that this write removes
     /// from its stored progress; whether they are still recorded is unknown
     /// until the write is confirmed. Does nothing if the job is unknown or the
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -137,6 +137,7 @@
     /// its address, so the runs on it are gone. The server is removed until the
     /// platform's next list names it.
     pub fn handle_server_replaced(&mut self, id: &ServerId) {
+        self.unrecord_server(id);
         self.remove_server(id, "another incarnation or server is at the address");
     }
 
@@ -150,12 +151,13 @@
             .values()
             .filter(|server| match server.clock_reading {
                 Some(_) => server.have_leases_expired(now),
-                None => now.since(self.term.since) > self.timings.takeover_grace,
+                None => self.is_takeover_grace_over(now),
             })
             .filter(|server| server.is_unlisted || !server.runs.is_empty())
             .map(|server| server.id().clone())
             .collect();
         for id in expired {
+            self.unrecord_server(&id);
             let is_unlisted = self.servers.get(&id).is_some_and(|server| server.is_unlisted);
             if is_unlisted {
                 self.remove_server(&id, "left the list and its lease lapsed");
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -94,8 +94,13 @@
     /// runs.
     pub(super) fn are_earlier_runs_known(&self, now: Moment, active: &ActiveJob) -> bool {
         let has_answered = |id| self.servers.get(id).is_some_and(|server| server.is_fenced);
-        active.unverified_servers.iter().all(has_answered)
-            || now.since(self.term.since) > self.timings.takeover_grace
+        active.unverified_servers.iter().all(has_answered) || self.is_takeover_grace_over(now)
+    }
+
+    /// Returns whether all that earlier holders have started is over on servers
+    /// that have not answered this holder.
+    pub(super) fn is_takeover_grace_over(&self, now: Moment) -> bool {
+        now.since(self.term.since) > self.timings.takeover_grace
     }
 
     /// Ranks a step. Its timeliness follows from when the occurrence ends if no
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -195,6 +195,40 @@
     assert!(starts(&harness.decide()).is_empty(), "server b may run the tasks");
 }
 
+/// Guards against tasks that wait for the end of the grace, because a server that had
+/// answered has left before the job was next written.
+#[test]
+fn answered_server_leaves() {
+    let mut harness = taken_shard();
+    harness.shard.add_job(harness.now, earlier_job());
+    harness.set_servers(&["a", "b"]);
+    harness.report("a", &[], &[]);
+    harness.report("b", &[], &[]);
+    harness.shard.handle_server_replaced(&harness::server("a"));
+    assert_eq!(starts(&harness.decide()).len(), 2, "the runs on server a are known to be over");
+}
+
+/// Guards against a server that left long ago and is awaited by each further holder anew.
+#[test]
+fn grace_ends_record() {
+    let mut harness = taken_shard();
+    harness.shard.add_job(harness.now, earlier_job());
+    harness.set_servers(&["a"]);
+    let runs = [0, 1].map(|index| (task("job", 0, index), RunId(5), 40));
+    let grace_end = harness.now + timings().takeover_grace;
+    let mut written = Vec::new();
+    while harness.now <= grace_end {
+        harness.advance(500);
+        harness.report("a", &runs, &[]);
+        written.extend(harness::batches(&harness.decide()));
+    }
+    let last = written.pop().map(|batch| batch.updates[0].change.clone());
+    let Some(Change::Progress(progress)) = last else {
+        panic!("the job is not written without server b");
+    };
+    assert_eq!(progress.servers, [Arc::from("a")].into());
+}
+
 #[test]
 fn unrecorded_not_awaited() {
     let mut harness = taken_shard();
--- a/crates/skylarkwick-request/tests/unreachable_server.rs
+++ b/crates/skylarkwick-request/tests/unreachable_server.rs
@@ -4,7 +4,7 @@
 
 use harness::{Harness, ms, server, starts, step, stops, task};
 use skylarkwick_request::shard::{
-    effect::Effect,
+    effect::{Change, Effect},
     input::{OrderResult, RejectReason},
 };
 
@@ -126,3 +126,33 @@
     harness.shard.set_servers(harness.now, servers);
     assert_eq!(starts(&harness.decide()).len(), 1);
 }
+
+/// Guards against a job that the next holder holds back for a server that is gone, because
+/// its tasks went on elsewhere without another write.
+#[test]
+fn lost_server_unrecorded() {
+    let mut harness = Harness::with_servers(&["a", "b"]);
+    harness.submit("job", vec![step(2, 40)]);
+    let effects = harness.decide();
+    let started = harness.confirm_starts(&effects);
+    let (_, kept) = started.iter().find(|(id, _)| *id == server("b")).expect("a start on b");
+    let run = (kept.task.clone(), kept.run, 10);
+    harness.set_servers(&["b"]);
+    for _ in 0..40 {
+        harness.advance(250);
+        harness.shard.handle_poll_failure(harness.now, &server("a"));
+        harness.report("b", std::slice::from_ref(&run), &[]);
+        let effects = harness.decide();
+        let servers = harness::batches(&effects).into_iter().find_map(|batch| {
+            match &batch.updates[0].change {
+                Change::Progress(progress) => Some(progress.servers.clone()),
+                Change::Finished(_) => None,
+            }
+        });
+        if let Some(servers) = servers {
+            assert_eq!(servers, ["b".into()].into());
+            return;
+        }
+    }
+    panic!("the lost server stays recorded with the job");
+}
