Store the progress of a wave that changed or failed during a save

Operators saw a maintenance wave that was done and stayed shown as running, and after a change of the shard's holder a host maintained twice.

Cause: two faults in one pair of flags. A wave counted as completed, and was not looked at again, as soon as its last save was sent, also if that save failed. And the confirmation of a save marked the wave as stored, though another start might have been recorded since the save was sent.

Evidence, the new tests on the code before:

thread 'last_save_repeated' panicked at host_orders.rs:285:5: assertion `left == right` failed left: [] right: [({HostId("a")}, true)] thread 'later_start_saved' panicked at host_orders.rs:298:5: assertion `left == right` failed left: [] right: [({HostId("a")}, false)]

A save is marked when it is sent, so its confirmation need not mark it again, and a failed one takes back that the wave is completed.

--- a/crates/skylarkwick-request/src/shard/wave.rs
+++ b/crates/skylarkwick-request/src/shard/wave.rs
@@ -87,19 +87,20 @@
     }
 
     /// Handles the confirmation that the progress of a wave was stored;
-    /// `is_completed` is what was stored. Does nothing if the wave is unknown.
+    /// `is_completed` is what was stored. Progress that has changed since it
+    /// was sent is still to be stored. Does nothing if the wave is unknown.
     pub fn handle_wave_saved(&mut self, number: u64, is_completed: bool) {
         if let Some(progress) = self.fleet.waves.get_mut(&number) {
-            progress.is_saved = true;
-            progress.is_completed = is_completed;
+            progress.is_completed |= is_completed;
         }
     }
 
     /// Handles the progress of a wave that may not be stored; it is written
-    /// again, unless the wave counts as completed.
+    /// again, also if the wave counted as completed.
     pub fn handle_wave_save_failed(&mut self, number: u64) {
         if let Some(progress) = self.fleet.waves.get_mut(&number) {
             progress.is_saved = false;
+            progress.is_completed = false;
         }
     }
 
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -9,7 +9,7 @@
     job::task::RunId,
     shard::{
         effect::Effect,
-        input::{HostOrderResult, HostState, MaintenanceWave},
+        input::{HostId, HostOrderResult, HostState, MaintenanceWave},
     },
 };
 
@@ -258,3 +258,42 @@
     harness.shard.add_wave(harness.now, wave(&["a", "b"], 1));
     assert!(maintained_hosts(&harness.decide()).is_empty());
 }
+
+/// Returns the saves of waves: the hosts that have started, and whether all have.
+fn saved_waves(effects: &[Effect]) -> Vec<(BTreeSet<HostId>, bool)> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::SaveWave { started, is_completed, .. } => {
+                Some((started.clone(), *is_completed))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+/// Guards against a wave that is done and stays shown as running, because its last save
+/// failed.
+#[test]
+fn last_save_repeated() {
+    let mut harness = with_hosts(&["a"]);
+    harness.shard.add_wave(harness.now, wave(&["a"], 1));
+    harness.decide();
+    harness.shard.handle_host_order_result(harness.now, &host("a"), HostOrderResult::Done);
+    assert_eq!(saved_waves(&harness.decide()), [([host("a")].into(), true)]);
+    harness.shard.handle_wave_save_failed(1);
+    assert_eq!(saved_waves(&harness.decide()), [([host("a")].into(), true)]);
+}
+
+/// Guards against a start of maintenance that is never stored, because the save before it
+/// was confirmed after it.
+#[test]
+fn later_start_saved() {
+    let mut harness = with_hosts(&["a", "b"]);
+    harness.shard.add_wave(harness.now, wave(&["a", "b"], 1));
+    assert_eq!(maintained_hosts(&harness.decide()), ["a"]);
+    harness.shard.handle_host_order_result(harness.now, &host("a"), HostOrderResult::Done);
+    // This confirms the save that the first decision has sent.
+    harness.shard.handle_wave_saved(1, false);
+    assert_eq!(saved_waves(&harness.decide()), [([host("a")].into(), false)]);
+}
