Keep a newer run when the end of an older one is reported later

Callers saw a task start on a second server while it ran on the first.

Cause: a server reports its runs in full, but at most 500 ends at a time. After a takeover, or while the store does not answer and no end is acknowledged, a newer run of a task can be adopted before the end of an older one is reported by the same server. That end set the task to waiting, though its newer run was still known there, and it was placed again.

Evidence, the new test on the code before:

thread 'newer_run_kept' panicked at run_takeover.rs:382:5: server a runs the task

The task now stays assigned while the server has a newer run of it; if the older run succeeded, the newer one is stopped, as on any other server.

--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -57,6 +57,13 @@
         self.apply_run_end(now, id, &finished);
     }
 
+    /// Returns whether the server has a newer run of the task than the one that
+    /// ended; it reports many ends a part at a time, but all its runs.
+    fn has_newer_run(&self, id: &ServerId, finished: &FinishedRun) -> bool {
+        let active_run = self.servers.get(id).and_then(|server| server.runs.get(&finished.task));
+        active_run.is_some_and(|active_run| active_run.id > finished.run)
+    }
+
     /// Adds the run time of a run that succeeded to those learned for its job's
     /// queue; does nothing if the job is unknown.
     fn record_run_time(&mut self, task: &task::Id, run_time: Duration) {
@@ -70,8 +77,8 @@
 
     /// Applies the end of a run to its job, which is then stored. The task is
     /// done if the run succeeded, as are the other members of its gang, and any
-    /// run of it on another server is stopped. Otherwise it waits again, unless
-    /// it is assigned to another server; a failure counts against the limit of
+    /// other run of it is stopped. Otherwise it waits again, unless it has a
+    /// newer run on this server or is assigned to another one; a failure counts against the limit of
     /// attempts, except of a long-running task, and makes the task avoid this
     /// server. Nothing is stored if the task was done already or the job is
     /// unknown.
@@ -81,6 +88,7 @@
     /// only if no later run has ended. A run of an occurrence that is not open
     /// was started by a holder whose clock was ahead, so the occurrence opens.
     fn apply_run_end(&mut self, now: Moment, id: &ServerId, finished: &FinishedRun) {
+        let has_newer_run = self.has_newer_run(id, finished);
         let Some(active) = self.jobs.get_mut(&finished.task.job) else {
             return;
         };
@@ -125,7 +133,12 @@
             Some(server) if finished.outcome == task::RunOutcome::Done => {
                 self.request_stop(now, &server, &finished.task)
             }
-            None if finished.outcome != task::RunOutcome::Done => task.state = TaskState::Waiting,
+            None if finished.outcome == task::RunOutcome::Done && has_newer_run => {
+                self.request_stop(now, id, &finished.task)
+            }
+            None if finished.outcome != task::RunOutcome::Done && !has_newer_run => {
+                task.state = TaskState::Waiting
+            }
             _ => {}
         }
         self.unsaved_jobs.insert(finished.task.job.clone());
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -366,6 +366,22 @@
     assert!(starts(&harness.decide()).is_empty(), "the task has used up its attempts");
 }
 
+/// Guards against a second run beside one in progress, because the server reports the end of
+/// an older run of the task only with its next list of ends.
+#[test]
+fn newer_run_kept() {
+    let mut harness = taken_shard();
+    harness.shard.add_job(harness.now, earlier_job_on_a());
+    harness.set_servers(&["a", "b"]);
+    harness.report("b", &[], &[]);
+    let runs = [0, 1].map(|index| (task("job", 0, index), RunId(7), 10));
+    harness.report("a", &runs, &[]);
+    harness.decide();
+    let older = finished_run(501, task("job", 0, 0), RunId(5), RunOutcome::Failed);
+    harness.report("a", &runs, &[older]);
+    assert!(starts(&harness.decide()).is_empty(), "server a runs the task");
+}
+
 #[test]
 fn earlier_failures_count() {
     let mut harness = taken_shard();
