Publish the cores of a host only over a figure that it has read

Cause: at the start of a site all hosts read the row with the largest number of cores and then write their own without a condition, so a weaker host could replace the figure of a stronger one that wrote in between. Hosts close to that figure then took a vacant shard as early as the strongest.

Evidence, the new test on the code before, in which a host with 8 cores writes right before one with 1 core:

thread 'stronger_host_kept' panicked at whole_path.rs:261:5: assertion `left == right` failed left: Some(1.0) right: Some(8.0)

The write is now conditional on the revision that was read; a conflict reads the row again.

--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -34,6 +34,10 @@
 /// [`WEAKER_HOST_DELAY`].
 const FIRST_HOLDER_DELAY: Duration = Duration::from_millis(700);
 
+/// Maximum number of attempts to publish the cores of this host while other hosts publish
+/// theirs; each raises the figure.
+const MAX_PUBLISH_ATTEMPTS: u32 = 10;
+
 /// An acquisition of the shard, which begins a term, the time of one holder: the holder's
 /// fencing token, the number of the term, when it began, and whether the previous holder
 /// may still be active.
@@ -173,32 +177,50 @@
     }
 
     /// Stores the cores of this host if they exceed the stored maximum of all hosts; does
-    /// nothing if that can't be read or decoded. A failed write is only logged.
+    /// nothing if that can't be read or decoded. All hosts may do so at once, so the write
+    /// is conditional on the row that was read, and a conflict reads it again. Any other
+    /// failure is only logged.
     fn publish_cores(&self) {
-        let Some(max_cores) = self.max_cores() else {
-            return;
-        };
-        if self.cores > max_cores {
+        for _ in 0..MAX_PUBLISH_ATTEMPTS {
+            let Some((revision, max_cores)) = self.read_max_cores() else {
+                return;
+            };
+            if self.cores <= max_cores {
+                return;
+            }
             let key = row::max_cores_key(row::SHARD);
-            let transaction = Transaction::default().put(key, row::encode(&self.cores));
-            if let Err(error) = self.store.commit(&transaction) {
-                warn!(self.log, "core count not stored"; "error" => %error);
+            let value = row::encode(&self.cores);
+            let transaction = Transaction::default().replace(key, revision, value);
+            match store::commit_with_retry(&self.store, &transaction) {
+                store::Outcome::Applied(_) => return,
+                store::Outcome::Conflict(_) => {}
+                store::Outcome::NotDone(error) | store::Outcome::Unknown(error) => {
+                    warn!(self.log, "core count not stored"; "error" => error);
+                    return;
+                }
             }
         }
+        warn!(self.log, "core count not stored"; "error" => "other hosts kept changing it");
     }
 
-    /// Returns the largest published number of cores: zero if there is none, and `None` if
-    /// it can't be read or decoded, which is logged.
+    /// Returns the largest published number of cores, as [`Self::read_max_cores`] does.
     fn max_cores(&self) -> Option<f64> {
+        self.read_max_cores().map(|(_, max_cores)| max_cores)
+    }
+
+    /// Returns the revision of the row with the largest published number of cores, and that
+    /// number, zero if there is none; `None` if it can't be read or decoded, which is logged.
+    fn read_max_cores(&self) -> Option<(Revision, f64)> {
         let (row, _) = store::read_one(&self.store, &row::max_cores_key(row::SHARD))
             .inspect_err(|error| warn!(self.log, "core count not read"; "error" => %error))
             .ok()?;
-        let max_cores = row.value.as_deref().map(row::decode::<f64>);
-        max_cores.map_or(Some(0.0), |max_cores| {
-            max_cores
-                .inspect_err(|error| warn!(self.log, "core count not decoded"; "error" => %error))
-                .ok()
-        })
+        let Some(value) = row.value.as_deref() else {
+            return Some((row.revision, 0.0));
+        };
+        row::decode::<f64>(value)
+            .inspect_err(|error| warn!(self.log, "core count not decoded"; "error" => %error))
+            .ok()
+            .map(|max_cores| (row.revision, max_cores))
     }
 
     /// Decodes the lease row; returns `None` if it does not exist or is invalid.
