List new servers at once while the store refuses some reads

Callers saw tasks wait though servers with room had registered: the shard's holder did not know them while its reads of the list failed every now and then.

Cause: the first list after an error was dropped, because entries that expired during an outage may not be back yet. With an error before every list, none was ever used; with some errors, each cost a new server two more reads.

The reason for dropping the list concerns only entries that it lacks, so it is now used, with the missing servers of the last list kept.

--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -1,6 +1,6 @@
 //! Duties that follow the store and the platform's lists, and renew the lease.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, io, sync::Arc, time::Duration};
 
 use skylarkwick_connection::{
     control::{Hosts, Registry},
@@ -14,7 +14,7 @@
     duty::{Duty, StopSignal},
     ring,
 };
-use skylarkwick_request::shard::input::{HostId, MaintenanceWave};
+use skylarkwick_request::shard::input::{HostId, MaintenanceWave, ServerId, ServerInfo};
 use skylarkwick_version::revision::Revision;
 use slog::{Logger, info, warn};
 
@@ -186,8 +186,8 @@
 
 /// Starts the duty that lists the backend servers, with a pause of [`SERVER_PERIOD`] in
 /// between, and sends each list to `events`, until the stop signal. The first list after an
-/// error is skipped, because servers whose entries expired meanwhile may not have
-/// registered again.
+/// error keeps the servers of the last one that it lacks, because those whose entries
+/// expired meanwhile may not have registered again.
 ///
 /// # Errors
 ///
@@ -199,21 +199,22 @@
     stop: StopSignal,
 ) -> io::Result<Duty> {
     Duty::spawn("servers", move || {
-        // Above two from an error until one list has been skipped.
-        let mut skip_level = 0_u32;
+        let mut last = Vec::new();
+        let mut has_failed = false;
         loop {
             match registry.servers() {
-                // Entries that expired during an outage have to be registered again
-                // first, so the first list after it is skipped.
-                Ok(_) if skip_level > 2 => skip_level = 2.min(skip_level - 1),
-                Ok(servers) => {
-                    skip_level = 0;
+                Ok(mut servers) => {
+                    if has_failed {
+                        keep_missing(&mut servers, last);
+                    }
+                    has_failed = false;
+                    last = servers.clone();
                     if !send(&events, Event::ServersListed(servers)) {
                         return;
                     }
                 }
                 Err(error) => {
-                    skip_level = 8;
+                    has_failed = true;
                     warn!(log, "servers not listed"; "error" => %error);
                 }
             }
@@ -224,6 +225,12 @@
     })
 }
 
+/// Adds to a list of servers those of the last list that it lacks.
+fn keep_missing(servers: &mut Vec<ServerInfo>, last: Vec<ServerInfo>) {
+    let listed: BTreeSet<ServerId> = servers.iter().map(|info| info.id.clone()).collect();
+    servers.extend(last.into_iter().filter(|info| !listed.contains(&info.id)));
+}
+
 /// Starts the duty that lists the hosts, with a pause of [`HOST_PERIOD`] in between, and
 /// sends each list to `events`, until the stop signal. A failed listing is only logged.
 ///
