--- a/crates/skylarkwick-planner/src/jobs/writer.rs
+++ b/crates/skylarkwick-planner/src/jobs/writer.rs
@@ -60,9 +60,8 @@
 }
 
 /// Starts the writer duties. They send to `events` the revision of each write of a job, the
-/// updates of each queue that are stored, so that a queue whose writes fail does not hold
-/// back the starts of others, the stored progress of a job whose progress row another write has changed, and the removal
-/// of a job whose own row has changed.
+/// stored updates of each queue, the stored progress of a job whose progress row another
+/// write has changed, and the removal of a job whose own row has changed.
 ///
 /// # Errors
 ///
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -215,10 +215,10 @@
 
     /// Runs a round of housekeeping: drops servers that have not answered from
     /// their jobs once the takeover grace is over, stops tasks that have to
-    /// leave draining hosts, sends orders for hosts if `is_exclusive` (no other holder can
-    /// have taken the shard), adjusts the pace of best-effort tasks and stops
-    /// incomplete gangs. None of this need follow each event, so `decide` calls
-    /// it at most once in `HOUSEKEEPING_PERIOD` (50 ms).
+    /// leave draining hosts, sends orders for hosts if `is_exclusive` (no other
+    /// holder can have taken the shard), adjusts the pace of best-effort tasks
+    /// and stops incomplete gangs. None of this need follow each event, so
+    /// `decide` calls it at most once in `HOUSEKEEPING_PERIOD` (50 ms).
     fn do_housekeeping(&mut self, now: Moment, is_exclusive: bool) {
         self.drop_unanswered_servers(now);
         self.drain_hosts(now);
