Probe idle connections with one system call

What callers saw: late starts where entry hosts are weak.

Cause: before a pooled connection is used and after it is returned, the probe made it non-blocking, read and made it blocking again: 5 system calls, 10 for each HTTP call.

The probe now peeks without waiting.

--- a/crates/skylarkwick-connection/src/transport.rs
+++ b/crates/skylarkwick-connection/src/transport.rs
@@ -9,6 +9,7 @@
 use std::{
     fmt,
     io::{self, Read, Write},
+    mem::MaybeUninit,
     net::{SocketAddr, TcpStream},
     time::Duration,
 };
@@ -122,15 +123,12 @@
     /// Returns whether an idle connection can be reused: no data and no end of
     /// stream may have arrived on it.
     fn is_open(&mut self) -> bool {
-        let socket = SockRef::from(&self.stream);
-        if socket.set_nonblocking(true).is_err() {
-            return false;
-        }
-        let is_idle = match (&self.stream).read(&mut [0]) {
+        let mut input = [MaybeUninit::uninit()];
+        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+        match SockRef::from(&self.stream).recv_with_flags(&mut input, flags) {
             Err(error) => error.kind() == io::ErrorKind::WouldBlock,
             Ok(_) => false,
-        };
-        is_idle && socket.set_nonblocking(false).is_ok()
+        }
     }
 }
 
