Send the head and the body of a request in one write

What callers saw: late starts where entry hosts are weak.

Cause: the HTTP library hands over the head and the body of a request one after the other, and each was written at once, with a write timeout of its own that was set before: 4 system calls for each request with a body, and often two wake-ups at the other end.

The transport now queues output until the call waits for input, and sets a write timeout only if the system can't take all of it at once.

--- a/crates/skylarkwick-connection/src/transport.rs
+++ b/crates/skylarkwick-connection/src/transport.rs
@@ -26,6 +26,9 @@
 /// system closes the connection (`TCP_USER_TIMEOUT`).
 const USER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Most output that is queued before it is sent, in bytes.
+const MAX_UNSENT_BYTES: usize = 16 << 10;
+
 /// Opens TCP connections that are reset when they are dropped.
 #[derive(Debug, Default)]
 pub(crate) struct ResetConnector(());
@@ -45,7 +48,13 @@
         let stream = connect(*address, details.timeout)?;
         let config = details.config;
         let buffers = LazyBuffers::new(config.input_buffer_size(), config.output_buffer_size());
-        Ok(Some(ResetTransport { stream, buffers, read_timeout: None, write_timeout: None }))
+        Ok(Some(ResetTransport {
+            stream,
+            buffers,
+            unsent: Vec::new(),
+            read_timeout: None,
+            write_timeout: None,
+        }))
     }
 }
 
@@ -71,6 +80,9 @@
 pub(crate) struct ResetTransport {
     stream: TcpStream,
     buffers: LazyBuffers,
+    /// Output that is sent before the next wait for input, so that the head and the body
+    /// of a request are sent together.
+    unsent: Vec<u8>,
     /// Read timeout that is set on the socket, cached to set it only on a change.
     read_timeout: Option<Duration>,
     /// Write timeout that is set on the socket, cached likewise.
@@ -84,26 +96,57 @@
     }
 }
 
+impl ResetTransport {
+    /// Sends the queued output; waits only for what the system can't take at once.
+    fn send_output(&mut self, timeout: NextTimeout) -> Result<(), Error> {
+        if self.unsent.is_empty() {
+            return Ok(());
+        }
+        let flags = libc::MSG_DONTWAIT | libc::MSG_NOSIGNAL;
+        let sent = match SockRef::from(&self.stream).send_with_flags(&self.unsent, flags) {
+            Err(error) if is_retryable(&error) => 0,
+            other => other.map_err(|error| map_error(error, timeout))?,
+        };
+        let result = match sent < self.unsent.len() {
+            true => self.send_slowly(sent, timeout),
+            false => Ok(()),
+        };
+        self.unsent.clear();
+        result
+    }
+
+    /// Sends the queued output from the byte `start` on, and waits until the system has
+    /// taken it.
+    fn send_slowly(&mut self, start: usize, timeout: NextTimeout) -> Result<(), Error> {
+        let after = timeout.not_zero().map(|after| *after);
+        if after != self.write_timeout {
+            self.stream.set_write_timeout(after)?;
+            self.write_timeout = after;
+        }
+        (&self.stream).write_all(&self.unsent[start..]).map_err(|error| map_error(error, timeout))
+    }
+}
+
 impl Transport for ResetTransport {
     // The signature with `dyn` is the library's; there is one implementation.
     fn buffers(&mut self) -> &mut dyn Buffers {
         &mut self.buffers
     }
 
-    /// Sends the first `amount` bytes of the output buffer.
+    /// Queues the first `amount` bytes of the output buffer, and sends all that is queued
+    /// once it has reached [`MAX_UNSENT_BYTES`].
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
-        let after = timeout.not_zero().map(|after| *after);
-        if after != self.write_timeout {
-            self.stream.set_write_timeout(after)?;
-            self.write_timeout = after;
+        self.unsent.extend_from_slice(&self.buffers.output()[..amount]);
+        match self.unsent.len() < MAX_UNSENT_BYTES {
+            true => Ok(()),
+            false => self.send_output(timeout),
         }
-        let output = &self.buffers.output()[..amount];
-        (&self.stream).write_all(output).map_err(|error| map_error(error, timeout))
     }
 
-    /// Waits for bytes and appends them to the input buffer; returns false at the end of
-    /// the stream.
+    /// Sends the queued output, waits for bytes and appends them to the input buffer;
+    /// returns false at the end of the stream.
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
+        self.send_output(timeout)?;
         let after = timeout.not_zero().map(|after| *after);
         if after != self.read_timeout {
             self.stream.set_read_timeout(after)?;
@@ -132,6 +175,11 @@
     }
 }
 
+/// Returns whether a write that failed has sent nothing and can be made again.
+fn is_retryable(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 /// Converts an error of a read or write; a timeout names the limit that elapsed.
 fn map_error(error: io::Error, timeout: NextTimeout) -> Error {
     match is_timeout(&error) {
