Count answers at a listener's stop with many callers

steady_requests_end used one caller; 24 now send steady requests over the stop, and every request that the handler saw has to have reached its caller whole.

--- a/crates/skylarkwick-connection/tests/listener_stop.rs
+++ b/crates/skylarkwick-connection/tests/listener_stop.rs
@@ -4,7 +4,11 @@
 use std::{
     io::{self, Read, Write},
     net::{SocketAddr, TcpStream},
-    sync::{Arc, Mutex, mpsc},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        mpsc,
+    },
     thread,
     time::Duration,
 };
@@ -18,6 +22,7 @@
 const ANY_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 const MAX_THREADS: usize = 8;
+const CLIENTS: usize = 24;
 /// Far longer than anything here takes; a listener that never closes a connection or never
 /// ends fails the test after this time.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -94,27 +99,56 @@
 #[test]
 fn steady_requests_end() {
     let stop = StopSignal::default();
-    let (address, duty) = listener(&stop);
-    let mut connection = connect(address);
-    exchange(&mut connection).unwrap();
-    let is_over = Arc::new(Mutex::new(false));
-    let is_client_over = Arc::clone(&is_over);
-    let client = thread::spawn(move || {
-        while !*is_client_over.lock().unwrap() {
-            match exchange(&mut connection) {
-                Ok(_) => {}
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(())
-    });
+    let handled_count = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&handled_count);
+    let handler = move |_: &_| {
+        counter.fetch_add(1, Ordering::SeqCst);
+        Response::text("answer")
+    };
+    let (address, duty) =
+        listen("test", ANY_PORT, MAX_THREADS, handler, &log::discard(), stop.clone()).unwrap();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let (first_sender, first_answers) = mpsc::channel();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let (is_over, first_sender) = (Arc::clone(&is_over), first_sender.clone());
+            thread::spawn(move || exchange_until_closed(address, &first_sender, &is_over))
+        })
+        .collect();
+    for _ in 0..CLIENTS {
+        first_answers.recv_timeout(TIMEOUT).unwrap();
+    }
     stop.request();
     let has_ended = ends(duty);
     // A client of a listener that ends runs until its connection does.
-    *is_over.lock().unwrap() = !has_ended;
-    let result = client.join().unwrap();
+    is_over.store(!has_ended, Ordering::SeqCst);
+    let answered_counts: Vec<_> =
+        clients.into_iter().map(|client| client.join().unwrap()).collect();
     assert!(has_ended, "the listener goes on while requests keep coming");
-    assert!(result.is_err_and(|error| is_closed(&error)), "the connection stays open");
+    let answered_counts: Option<Vec<usize>> = answered_counts.into_iter().collect();
+    let answered_counts = answered_counts.expect("every connection is closed");
+    assert_eq!(answered_counts.iter().sum::<usize>(), handled_count.load(Ordering::SeqCst));
+}
+
+/// Sends requests one after another on a connection until it is closed, and returns the
+/// number of answers; `None` if it stays open without an answer or `is_over` is set.
+fn exchange_until_closed(
+    address: SocketAddr,
+    first_sender: &mpsc::Sender<()>,
+    is_over: &AtomicBool,
+) -> Option<usize> {
+    let mut connection = connect(address);
+    let mut answered_count = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        match exchange(&mut connection) {
+            Ok(_) => answered_count += 1,
+            Err(error) => return is_closed(&error).then_some(answered_count),
+        }
+        if answered_count == 1 {
+            first_sender.send(()).unwrap();
+        }
+    }
+    None
 }
 
 // Requests that arrived on an open connection after the listener had ended were read and
