Let each job start on its own recorded servers while the store is out

Cause: while no renewal is confirmed, a task starts only on the servers that are recorded with its job. A step that found none made the rest of the decision skip every step of the pool that needs as much. One job that was accepted just before the outage, and so recorded with no server, kept all others from starting.

Evidence, the test on the code before: recorded_jobs_go_on: assertion `left == right` failed left: [] right: [Id { job: Id("recorded"), occurrence: 0, step: 0, index: 1 }]

Why this works: what one job lacks on its recorded servers says nothing of the servers of another, so a shortage is noted only while any server may be chosen.

--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -138,7 +138,10 @@
             if unplaced > 0 {
                 match () {
                     () if shortage.covers(step) => {}
-                    () if is_unconstrained(step) && !step.is_gang => shortage.add(step),
+                    // Other jobs are recorded with other servers.
+                    () if is_exclusive && is_unconstrained(step) && !step.is_gang => {
+                        shortage.add(step)
+                    }
                     () if !self.has_room(request) => shortage.add_for_label(step),
                     () => {}
                 }
