Pass on the configuration before the progress of waves is read

Callers saw nothing start after a change of the shard's holder while one row could not be read.

Cause: the holder decides nothing before it knows the configuration. That came with the maintenance waves, and if the stored progress of any wave could not be read, neither was passed on.

The configuration is now sent first. The waves are still sent all together with their progress, and read again after an error; the configuration that comes with them again is ignored, as any that is not newer.

--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -113,8 +113,9 @@
 
 /// Starts the duty that follows the configuration and the maintenance waves that operators
 /// write, and sends each change to `events` until the stop signal. Everything is read
-/// first. Waves are sent with their stored progress; if that of one can't be read, nothing
-/// is sent and the changes are read again.
+/// first. Waves are sent with their stored progress; if that of one can't be read, only the
+/// configuration is sent, without which the holder starts nothing, and the changes are read
+/// again.
 ///
 /// # Errors
 ///
@@ -137,6 +138,11 @@
                     continue;
                 }
             };
+            let configured =
+                changes.configuration.map(|next| Event::ConfigurationChanged(Box::new(next)));
+            if configured.is_some_and(|event| !send(&events, event)) {
+                return;
+            }
             let waves: Option<Vec<MaintenanceWave>> = changes
                 .waves
                 .into_iter()
@@ -147,12 +153,8 @@
                 continue;
             };
             revision = Some(changes.revision);
-            let configured =
-                changes.configuration.map(|next| Event::ConfigurationChanged(Box::new(next)));
-            let new_events =
-                configured.into_iter().chain(waves.into_iter().map(Event::WaveRequested));
-            for event in new_events {
-                if !send(&events, event) {
+            for wave in waves {
+                if !send(&events, Event::WaveRequested(wave)) {
                     return;
                 }
             }
