Release the shard only once the holder before it has stopped

Callers could see a task start twice after two changes of the shard's holder in a row, the second a planned stop.

Cause: a holder without the store goes on for 7 s, so one that takes over from it waits 4.7 s longer for servers that don't answer. If it was stopped within that time it released the shard, and the next holder took it as one whose holder has ended: its grace lacked these 4.7 s, though the first holder might still start runs.

Until these 4.7 s are over the lease is now left to expire, so that the next holder takes over and waits in full.

--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -108,16 +108,15 @@
 /// its lease has expired is added.
 fn timings(config: &Config, is_takeover: bool) -> Timings {
     let lease_duration = RUN_LEASE.min(config.max_run_lease.mul_f64(0.9));
-    // The previous holder may continue this long after its lease has expired.
-    let renewal_overrun = match is_takeover {
-        true => shard_lease::MAX_RENEWAL_GAP.saturating_sub(shard_lease::LEASE_DURATION),
+    let overlap = match is_takeover {
+        true => shard_lease::HOLDER_OVERLAP,
         false => Duration::ZERO,
     };
     Timings {
         lease_duration,
         start_window: START_WINDOW,
         // Leases of runs count as 3 % longer here than they were granted.
-        takeover_grace: renewal_overrun + lease_duration.mul_f64(1.03) + TAKEOVER_MARGIN,
+        takeover_grace: overlap + lease_duration.mul_f64(1.03) + TAKEOVER_MARGIN,
         outage_threshold: config.outage_threshold,
         maintenance_duration: config.maintenance_duration,
     }
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -80,6 +80,10 @@
     log: Logger,
     /// The row and its revision; `None` while this process does not hold the lease.
     held: Option<(Revision, LeaseRow)>,
+    /// When the shard may be released: once the holder before this one has certainly
+    /// stopped, because the next one takes a released shard as one without a holder that
+    /// still acts.
+    releasable_from: Moment,
     /// When this process first found the shard free to acquire; `None` after a read that
     /// found it held by another process.
     vacant_since: Option<Moment>,
@@ -99,7 +103,17 @@
         let Config { entry, cores, .. } = config.clone();
         let log = log.clone();
         let observation = Observation::default();
-        Lease { store, entry, cores, incarnation, log, held: None, vacant_since: None, observation }
+        Lease {
+            store,
+            entry,
+            cores,
+            incarnation,
+            log,
+            held: None,
+            releasable_from: Moment::ZERO,
+            vacant_since: None,
+            observation,
+        }
     }
 
     /// Blocks until the shard can be acquired and acquires it; returns `None` on the stop
@@ -159,6 +173,9 @@
             "before" => current.map(|current| current.holder).unwrap_or_default());
         self.held = Some((revision, LeaseRow { fencing: revision.0, ..next }));
         let is_takeover = decision == Decision::TakeOver;
+        if is_takeover {
+            self.releasable_from = Boot.now() + shard_lease::HOLDER_OVERLAP;
+        }
         Some(Acquisition { fencing_token: revision.0, number, since, is_takeover })
     }
 
@@ -286,11 +303,16 @@
     }
 
     /// Releases the shard, so that another process need not wait until the lease
-    /// expires. Does nothing if it is not held; after a failed write the lease expires.
+    /// expires. Does nothing if it is not held; after a failed write the lease expires, and
+    /// so it does while the holder that this process replaced may still act.
     pub(super) fn release(&mut self) {
         let Some((revision, held)) = self.held.take() else {
             return;
         };
+        if Boot.now() < self.releasable_from {
+            info!(self.log, "shard left to expire"; "shard" => row::SHARD);
+            return;
+        }
         let next = LeaseRow { holder: String::new(), ..held };
         if self.commit(&self.lease_transaction(revision, &next)).is_some() {
             info!(self.log, "shard released"; "shard" => row::SHARD);
--- a/crates/skylarkwick-version/src/shard_lease.rs
+++ b/crates/skylarkwick-version/src/shard_lease.rs
@@ -26,6 +26,9 @@
 /// holder stops acting for the shard. The store may be unavailable to every process, and
 /// then none can have taken over.
 pub const MAX_RENEWAL_GAP: Duration = Duration::from_millis(7000);
+/// Time after a takeover for which the previous holder may still act: it continues this long
+/// after its lease has expired.
+pub const HOLDER_OVERLAP: Duration = MAX_RENEWAL_GAP.saturating_sub(LEASE_DURATION);
 
 /// Lease row of a shard, as far as it matters for acquiring the shard: its holder, if any,
 /// and the time of the last renewal.
