Release the shard when its holder is stopped while it reads the rows

Callers saw nothing start for 2.3 s longer than necessary, until a lease expired, after a planned stop of an entry host that had just become the shard's holder.

Cause: the lease is renewed while the rows are read. When that was cut short, the last state of the lease was not taken back from the duty that renews it, so the release was conditional on a revision that the renewals had replaced, and conflicted.

Evidence, the new test on the code before:

thread 'loading_holder_releases' panicked at whole_path.rs:282:5: assertion `left == right` failed left: "front-1" right: ""

The lease is now taken back however the term ends.

--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -64,9 +64,9 @@
 /// Runs the shard until its lease is lost or the stop signal: starts the duties of this
 /// term, handles their events, and then ends them.
 ///
-/// If a duty cannot be started or the rows cannot be read, logs the error and returns, and
-/// `lease` stays as it was. Otherwise a duty renews a clone of `lease` meanwhile; `lease`
-/// is then set to the clone's last state, unless the duty does not return it within
+/// If a duty cannot be started or the rows cannot be read, logs the error and returns. A
+/// duty renews a clone of `lease` meanwhile; `lease` is then set to the clone's last state,
+/// so that it can be released, unless the duty does not return it within
 /// [`LEASE_RETURN_TIMEOUT`].
 pub(super) fn run<S, O, H, D>(
     clients: &Clients<S, O, H, D>,
@@ -86,24 +86,31 @@
     let (events, input) = ring::bounded(RING_CAPACITY);
     let log = log.new(slog::o!("fencing" => acquisition.fencing_token));
     let renewals = watch::renewals(lease.clone(), events.clone(), log.clone(), term_end.clone());
-    let holder = renewals.and_then(|(_, returned_lease)| {
-        let holder = Holder::start(clients, config, acquisition, &events, &log, &term_end, stop)?;
-        Ok((holder, returned_lease))
-    });
+    let returned_lease = match renewals {
+        Ok((_, returned_lease)) => returned_lease,
+        Err(error) => {
+            error!(log, "shard holder not started"; "error" => %error);
+            return;
+        }
+    };
+    let holder = Holder::start(clients, config, acquisition, &events, &log, &term_end, stop);
     drop(events);
     match holder {
-        Err(error) => error!(log, "shard holder not started"; "error" => %error),
-        Ok((mut holder, returned_lease)) => {
+        Err(error) => {
+            error!(log, "shard holder not started"; "error" => %error);
+            term_end.request();
+            drop(input);
+        }
+        Ok(mut holder) => {
             holder.run(&input, stop);
             term_end.request();
             drop(input);
             holder.finish();
-            if let Ok(last) = returned_lease.receive_timeout(LEASE_RETURN_TIMEOUT) {
-                *lease = last;
-            }
         }
     }
-    term_end.request();
+    if let Ok(last) = returned_lease.receive_timeout(LEASE_RETURN_TIMEOUT) {
+        *lease = last;
+    }
 }
 
 /// State of the holder's duty in one term: the shard, the ways to the duties that
