Skip steps whose label has no server left in this decision

What callers saw: late starts on sites whose jobs require labels.

Cause: a step that found no server lets later ones of the same decision that need as much be skipped, but only if it requires nothing but resources. Each waiting step that requires a label, or limits its tasks per host, searched all servers in every decision.

Now the shard notes, by label, resources that no usable server of the pool has, whatever else the step demands; servers only fill up within a decision, so the skipped steps would have found none.

--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -59,6 +59,46 @@
     pub(super) rack: Option<&'a Arc<str>>,
 }
 
+/// Requirements that the servers of a pool could not meet earlier in a
+/// decision, in which they only fill up. Steps that need at least as much are
+/// skipped.
+#[derive(Clone, Debug, Default)]
+struct Shortage {
+    /// Resources for which a step without further requirements found no server.
+    unplaceable: Vec<Resources>,
+    /// Resources that no usable server with this label has; `None` stands for
+    /// any server.
+    unavailable: BTreeMap<Option<Arc<str>>, Vec<Resources>>,
+}
+
+impl Shortage {
+    /// Returns whether no server can be found for the tasks of a step.
+    fn covers(&self, step: &Step) -> bool {
+        let required = step.reserved_resources();
+        let is_short =
+            |known: &Vec<Resources>| known.iter().any(|less| less.fits_within(&required));
+        (is_unconstrained(step) && is_short(&self.unplaceable))
+            || self.unavailable.get(&step.required_label).is_some_and(is_short)
+    }
+
+    /// Adds a step without further requirements that found no server.
+    fn add(&mut self, step: &Step) {
+        self.unplaceable.push(step.reserved_resources());
+    }
+
+    /// Adds a step for which no usable server with its required label has
+    /// enough resources.
+    fn add_for_label(&mut self, step: &Step) {
+        let label = step.required_label.clone();
+        self.unavailable.entry(label).or_default().push(step.reserved_resources());
+    }
+}
+
+/// Returns whether a step requires nothing of a server but resources.
+fn is_unconstrained(step: &Step) -> bool {
+    step.required_label.is_none() && step.max_per_host == 0
+}
+
 impl Shard {
     /// Assigns waiting tasks, in the order of their rank, to servers with
     /// enough resources, and records the demand of the others as unmet demand
@@ -71,15 +111,13 @@
     /// servers that are recorded with the job are used.
     pub(super) fn place_tasks(&mut self, now: Moment, is_exclusive: bool) {
         self.fleet.unmet_millicores.clear();
-        let mut unplaceable_by_pool: BTreeMap<Arc<str>, Vec<Resources>> = BTreeMap::new();
+        let mut shortages: BTreeMap<Arc<str>, Shortage> = BTreeMap::new();
         for ready in self.ready_steps(now) {
             let Some((pool, job)) = self.pool_and_job(&ready.job) else {
                 continue;
             };
             let step = &job.steps[ready.step];
-            let required = step.reserved_resources();
-            let unplaceable = unplaceable_by_pool.entry(Arc::clone(&pool)).or_default();
-            let is_unconstrained = step.required_label.is_none() && step.max_per_host == 0;
+            let shortage = shortages.entry(Arc::clone(&pool)).or_default();
             let recorded_servers = match is_exclusive {
                 true => None,
                 false => self.jobs.get(&ready.job).map(|active| active.recorded_servers.clone()),
@@ -91,21 +129,18 @@
                 allowed_servers: recorded_servers.as_ref(),
                 rack: None,
             };
-            // A step that needs at least as much as one that could not be placed
-            // is skipped.
             let placed = match () {
-                () if is_unconstrained
-                    && unplaceable.iter().any(|smaller| smaller.fits_within(&required)) =>
-                {
-                    0
-                }
+                () if shortage.covers(step) => 0,
                 () if step.is_gang => self.place_gang(request, &job, &ready),
                 () => self.place_independent_tasks(request, &job, &ready),
             };
             let unplaced = ready.tasks.len() - placed;
             if unplaced > 0 {
-                if is_unconstrained && !step.is_gang {
-                    unplaceable_by_pool.entry(Arc::clone(&pool)).or_default().push(required);
+                match () {
+                    () if shortage.covers(step) => {}
+                    () if is_unconstrained(step) && !step.is_gang => shortage.add(step),
+                    () if !self.has_room(request) => shortage.add_for_label(step),
+                    () => {}
                 }
                 self.add_unmet(&pool, step, unplaced);
             }
@@ -265,6 +300,18 @@
             .map(|(_, server)| server.id().clone())
     }
 
+    /// Returns whether any usable server of the pool has the required label and
+    /// enough resources, whatever else the request demands.
+    fn has_room(&self, request: PlacementRequest<'_>) -> bool {
+        let PlacementRequest { now, pool, step, .. } = request;
+        let required = step.reserved_resources();
+        self.servers
+            .values()
+            .filter(|server| required.fits_within(&server.available()))
+            .filter(|server| server.has_label(step.required_label.as_ref()))
+            .any(|server| &*server.info.pool == pool && self.is_usable(now, server))
+    }
+
     /// Returns whether a server may get new work: it accepts work itself, and
     /// its host neither drains nor has an order, except a completed move to the
     /// server's pool.
