Determine the learned run time of a queue once for each job

What callers saw: late starts where entry hosts are weak and many jobs wait.

Cause: ranking and demand looked up the queue's run times for each step of each job several times in each decision, and each time computed the mean from its logarithm. Steps without waiting tasks were also given a list of them.

The mean is now computed when a run is added, and the estimates are chosen once for each job.

--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -13,7 +13,7 @@
 
 use super::{
     input::{AcceptedJob, Queue, ServerId},
-    run_time_model::RunTimeModel,
+    run_time_model::Estimate,
 };
 use crate::job::{
     Id, Job, State,
@@ -284,35 +284,27 @@
     /// loses its value (its expiry). Both count from acceptance: the objective
     /// allows the critical path times the queue's stretch (limited to 1 to 100)
     /// plus its target, the expiry `EXPIRY_FACTOR` (3) times as much.
-    pub(super) fn deadlines(&self, queue: &Queue, run_times: &RunTimeModel) -> (Moment, Moment) {
-        let critical_path = self.critical_path(|_| true, run_times);
+    pub(super) fn deadlines(&self, queue: &Queue, estimate: Estimate) -> (Moment, Moment) {
+        let critical_path = self.critical_path(|_| true, estimate);
         let objective = critical_path.mul_f64(queue.stretch.clamp(1.0, 100.0)) + queue.target;
         (self.accepted_at + objective, self.accepted_at + objective * EXPIRY_FACTOR)
     }
 
     /// Returns the run time that an occurrence still needs if no task has to
     /// wait; a step that is not done counts in full.
-    pub(super) fn remaining_time(
-        &self,
-        occurrence: &Occurrence,
-        run_times: &RunTimeModel,
-    ) -> Duration {
-        self.critical_path(|step| !occurrence.is_step_done(step), run_times)
+    pub(super) fn remaining_time(&self, occurrence: &Occurrence, estimate: Estimate) -> Duration {
+        self.critical_path(|step| !occurrence.is_step_done(step), estimate)
     }
 
     /// Returns the critical path, the longest sum of expected run times along
     /// the dependencies of steps; steps that `is_counted` does not select count
     /// as zero.
-    fn critical_path(
-        &self,
-        is_counted: impl Fn(usize) -> bool,
-        run_times: &RunTimeModel,
-    ) -> Duration {
+    fn critical_path(&self, is_counted: impl Fn(usize) -> bool, estimate: Estimate) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.job.steps.len());
         for (number, step) in self.job.steps.iter().enumerate() {
             let start = step.depends_on.iter().filter_map(|&earlier| ends.get(earlier)).max();
             let own = match is_counted(number) {
-                true => run_times.run_time(&self.queue, step),
+                true => estimate.run_time(step),
                 false => Duration::ZERO,
             };
             ends.push(start.copied().unwrap_or_default() + own);
@@ -334,19 +326,19 @@
         &self,
         now: Moment,
         queue: &Queue,
-        run_times: &RunTimeModel,
+        estimate: Estimate,
     ) -> u64 {
-        let (objective, expiry) = self.deadlines(queue, run_times);
+        let (objective, expiry) = self.deadlines(queue, estimate);
         let mut millicores = 0;
         for occurrence in self.occurrences.values() {
-            let critical_path = self.remaining_time(occurrence, run_times).max(MIN_CRITICAL_PATH);
+            let critical_path = self.remaining_time(occurrence, estimate).max(MIN_CRITICAL_PATH);
             let span = match now + critical_path {
                 end if end <= objective => objective.since(now).mul_f64(ON_TIME_SHARE),
                 end if end <= expiry => expiry.since(now).mul_f64(LATE_SHARE),
                 _ => EXPIRED_JOB_SPAN,
             };
             millicores +=
-                self.remaining_work(occurrence, run_times) / millis(span.max(critical_path));
+                self.remaining_work(occurrence, estimate) / millis(span.max(critical_path));
         }
         millicores
     }
@@ -366,12 +358,12 @@
 
     /// Returns the work of all unfinished tasks that are not long-running, each
     /// with its full expected run time, in millicores times milliseconds.
-    pub(super) fn remaining_work(&self, occurrence: &Occurrence, run_times: &RunTimeModel) -> u64 {
+    pub(super) fn remaining_work(&self, occurrence: &Occurrence, estimate: Estimate) -> u64 {
         let mut work = 0_u64;
         let finite_steps = occurrence.steps.iter().zip(&self.job.steps);
         for (tasks, step) in finite_steps.filter(|(_, step)| !step.is_long_running) {
             let left = tasks.iter().filter(|task| task.state != TaskState::Done).count();
-            let each = millis(run_times.run_time(&self.queue, step));
+            let each = millis(estimate.run_time(step));
             work += u64::try_from(left).unwrap_or_default()
                 * each
                 * step.reserved_resources().millicores;
--- a/crates/skylarkwick-request/src/shard/demand.rs
+++ b/crates/skylarkwick-request/src/shard/demand.rs
@@ -34,8 +34,8 @@
             if let Some(queue) = self.queues.get(&active.queue) {
                 let pool_demand = demand.entry(Arc::clone(&queue.pool)).or_default();
                 pool_demand.min_hosts = pool_demand.min_hosts.max(active.min_hosts());
-                pool_demand.batch_millicores +=
-                    active.required_millicores(now, queue, &self.run_times);
+                let estimate = self.run_times.estimate(&active.queue);
+                pool_demand.batch_millicores += active.required_millicores(now, queue, estimate);
             }
         }
         for server in self.servers.values() {
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -72,12 +72,13 @@
             }
             for (&number, occurrence) in &active.occurrences {
                 for (step, tasks) in occurrence.steps.iter().enumerate() {
-                    let waiting: Vec<usize> = (0..tasks.len())
-                        .filter(|&index| tasks[index].state == TaskState::Waiting)
-                        .collect();
-                    if waiting.is_empty() || !occurrence.is_ready(&active.job, step) {
+                    let is_waiting = |index: &usize| tasks[*index].state == TaskState::Waiting;
+                    let is_ready = (0..tasks.len()).any(|index| is_waiting(&index))
+                        && occurrence.is_ready(&active.job, step);
+                    if !is_ready {
                         continue;
                     }
+                    let waiting = (0..tasks.len()).filter(is_waiting).collect();
                     let rank = self.rank(now, active, occurrence, step, queue);
                     let job = id.clone();
                     ready.push(ReadyStep { rank, job, occurrence: number, step, tasks: waiting });
@@ -109,8 +110,9 @@
         step: usize,
         queue: &Queue,
     ) -> Rank {
-        let (objective, expiry) = active.deadlines(queue, &self.run_times);
-        let end = now + active.remaining_time(occurrence, &self.run_times);
+        let estimate = self.run_times.estimate(&active.queue);
+        let (objective, expiry) = active.deadlines(queue, estimate);
+        let end = now + active.remaining_time(occurrence, estimate);
         let timeliness = match () {
             () if active.job.steps[step].is_long_running => Timeliness::LongRunning,
             () if end <= objective => Timeliness::OnTime,
@@ -118,7 +120,7 @@
             () => Timeliness::Expired,
         };
         let is_started = Reverse(active.has_scheduled_tasks());
-        let remaining_work = active.remaining_work(occurrence, &self.run_times);
+        let remaining_work = active.remaining_work(occurrence, estimate);
         Rank { timeliness, priority: queue.priority, is_started, remaining_work, objective }
     }
 }
--- a/crates/skylarkwick-request/src/shard/run_time_model.rs
+++ b/crates/skylarkwick-request/src/shard/run_time_model.rs
@@ -22,6 +22,8 @@
     /// Geometric moving mean of the run times, which starts from the caller's
     /// estimate for the first run.
     mean: LogMean,
+    /// The run time that this mean stands for.
+    run_time: Duration,
     /// Moving mean error of the callers' estimates, as a natural logarithm.
     estimate_error: f64,
     /// Moving mean error of the learned run time, as a natural logarithm.
@@ -46,29 +48,44 @@
         run_time_estimate: Duration,
         run_time: Duration,
     ) {
+        let mean = LogMean::from_declared(run_time_estimate.max(MIN_RUN_TIME));
         let initial = QueueRunTimes {
-            mean: LogMean::from_declared(run_time_estimate.max(MIN_RUN_TIME)),
+            mean,
+            run_time: mean.run_time(),
             estimate_error: 0.0,
             learned_error: 0.0,
         };
         let learned = self.queues.entry(Arc::clone(queue)).or_insert(initial);
         let estimate_error = log_error(run_time_estimate, run_time);
-        let learned_error = log_error(learned.mean.run_time(), run_time);
+        let learned_error = log_error(learned.run_time, run_time);
         learned.estimate_error += ERROR_WEIGHT * (estimate_error - learned.estimate_error);
         learned.learned_error += ERROR_WEIGHT * (learned_error - learned.learned_error);
         learned.mean.observe(run_time.max(MIN_RUN_TIME));
+        learned.run_time = learned.mean.run_time();
     }
 
-    /// Returns the expected run time of a step's tasks: the mean learned for
+    /// Returns the expected run times of a queue's tasks: the mean learned for
     /// the queue if its moving error is lower than that of the callers'
-    /// estimates, else the estimate given for the step.
-    pub(super) fn run_time(&self, queue: &str, step: &Step) -> Duration {
-        match self.queues.get(queue) {
-            Some(learned) if learned.learned_error < learned.estimate_error => {
-                learned.mean.run_time()
-            }
-            _ => step.run_time_estimate,
-        }
+    /// estimates, else the estimates.
+    pub(super) fn estimate(&self, queue: &str) -> Estimate {
+        let learned = self.queues.get(queue);
+        let accurate = learned.filter(|learned| learned.learned_error < learned.estimate_error);
+        Estimate { learned: accurate.map(|learned| learned.run_time) }
+    }
+}
+
+/// Expected run times of a queue's tasks.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Estimate {
+    /// Run time learned for the queue; `None` if the callers' estimates are at
+    /// least as accurate.
+    learned: Option<Duration>,
+}
+
+impl Estimate {
+    /// Returns the expected run time of a step's tasks.
+    pub(super) fn run_time(self, step: &Step) -> Duration {
+        self.learned.unwrap_or(step.run_time_estimate)
     }
 }
 
