--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -59,13 +59,11 @@
     pub(super) rack: Option<&'a Arc<str>>,
 }
 
-/// Requirements that the servers of a pool could not meet earlier in a
+/// Requirements that no usable server of a pool could meet earlier in a
 /// decision, in which they only fill up. Steps that need at least as much are
 /// skipped.
 #[derive(Clone, Debug, Default)]
 struct Shortage {
-    /// Resources for which a step without further requirements found no server.
-    unplaceable: Vec<Resources>,
     /// Resources that no usable server with this label has; `None` stands for
     /// any server.
     unavailable: BTreeMap<Option<Arc<str>>, Vec<Resources>>,
@@ -75,30 +73,21 @@
     /// Returns whether no server can be found for the tasks of a step.
     fn covers(&self, step: &Step) -> bool {
         let required = step.reserved_resources();
-        let is_short =
-            |known: &Vec<Resources>| known.iter().any(|less| less.fits_within(&required));
-        (is_unconstrained(step) && is_short(&self.unplaceable))
-            || self.unavailable.get(&step.required_label).is_some_and(is_short)
-    }
-
-    /// Adds a step without further requirements that found no server.
-    fn add(&mut self, step: &Step) {
-        self.unplaceable.push(step.reserved_resources());
+        let is_short = |label: &Option<Arc<str>>| {
+            let known = self.unavailable.get(label);
+            known.is_some_and(|known| known.iter().any(|less| less.fits_within(&required)))
+        };
+        is_short(&None) || is_short(&step.required_label)
     }
 
     /// Adds a step for which no usable server with its required label has
     /// enough resources.
-    fn add_for_label(&mut self, step: &Step) {
+    fn add(&mut self, step: &Step) {
         let label = step.required_label.clone();
         self.unavailable.entry(label).or_default().push(step.reserved_resources());
     }
 }
 
-/// Returns whether a step requires nothing of a server but resources.
-fn is_unconstrained(step: &Step) -> bool {
-    step.required_label.is_none() && step.max_per_host == 0
-}
-
 impl Shard {
     /// Assigns waiting tasks, in the order of their rank, to servers with
     /// enough resources, and records the demand of the others as unmet demand
@@ -113,51 +102,37 @@
         self.fleet.unmet_millicores.clear();
         let mut shortages: BTreeMap<Arc<str>, Shortage> = BTreeMap::new();
         for ready in self.ready_steps(now) {
-            let Some((pool, job)) = self.pool_and_job(&ready.job) else {
-                continue;
-            };
+            let ReadyStep { pool, job, .. } = &ready;
             let step = &job.steps[ready.step];
-            let shortage = shortages.entry(Arc::clone(&pool)).or_default();
+            let shortage = shortages.entry(Arc::clone(pool)).or_default();
             let recorded_servers = match is_exclusive {
                 true => None,
-                false => self.jobs.get(&ready.job).map(|active| active.recorded_servers.clone()),
+                false => self.jobs.get(&ready.job_id).map(|active| active.recorded_servers.clone()),
             };
             let request = PlacementRequest {
                 now,
-                pool: &pool,
+                pool,
                 step,
                 allowed_servers: recorded_servers.as_ref(),
                 rack: None,
             };
             let placed = match () {
                 () if shortage.covers(step) => 0,
-                () if step.is_gang => self.place_gang(request, &job, &ready),
-                () => self.place_independent_tasks(request, &job, &ready),
+                () if step.is_gang => self.place_gang(request, &ready),
+                () => self.place_independent_tasks(request, &ready),
             };
             let unplaced = ready.tasks.len() - placed;
             if unplaced > 0 {
-                match () {
-                    () if shortage.covers(step) => {}
-                    // Other jobs are recorded with other servers.
-                    () if is_exclusive && is_unconstrained(step) && !step.is_gang => {
-                        shortage.add(step)
-                    }
-                    () if !self.has_room(request) => shortage.add_for_label(step),
-                    () => {}
+                // That this job found no server may have reasons of its own, such as the
+                // servers that it is recorded with.
+                if !shortage.covers(step) && !self.has_room(request) {
+                    shortage.add(step);
                 }
-                self.add_unmet(&pool, step, unplaced);
+                self.add_unmet(pool, step, unplaced);
             }
         }
     }
 
-    /// Returns a job and the pool of its queue; `None` if the job or queue is
-    /// unknown.
-    fn pool_and_job(&self, id: &job::Id) -> Option<(Arc<str>, Arc<job::Job>)> {
-        let active = self.jobs.get(id)?;
-        let queue = self.queues.get(&active.queue)?;
-        Some((Arc::clone(&queue.pool), Arc::clone(&active.job)))
-    }
-
     /// Adds the processor time that this many tasks of a step request, at least
     /// a thousandth of a core each, to the unmet demand of a pool, which is
     /// limited to `MAX_UNMET_MILLICORES`.
@@ -173,7 +148,6 @@
     fn place_independent_tasks(
         &mut self,
         request: PlacementRequest<'_>,
-        job: &Arc<job::Job>,
         ready: &ReadyStep,
     ) -> usize {
         let mut placed = 0;
@@ -184,7 +158,7 @@
                 break;
             };
             let run = self.next_run_id();
-            self.assign_run(request.now, &server, task, run, job);
+            self.assign_run(request.now, &server, task, run, &ready.job);
             placed += 1;
         }
         placed
@@ -195,12 +169,7 @@
     /// finds no server. Returns the number of tasks placed. A step that prefers
     /// one rack is tried on each label of the pool first, then without that
     /// restriction.
-    fn place_gang(
-        &mut self,
-        request: PlacementRequest<'_>,
-        job: &Arc<job::Job>,
-        ready: &ReadyStep,
-    ) -> usize {
+    fn place_gang(&mut self, request: PlacementRequest<'_>, ready: &ReadyStep) -> usize {
         let step = request.step;
         if ready.tasks.len() < usize::try_from(step.count).unwrap_or_default() {
             return 0;
@@ -216,7 +185,7 @@
             {
                 let run = self.next_run_id();
                 for (&index, server) in ready.tasks.iter().zip(chosen) {
-                    self.assign_run(request.now, &server, ready.task(index), run, job);
+                    self.assign_run(request.now, &server, ready.task(index), run, &ready.job);
                 }
                 return ready.tasks.len();
             }
@@ -282,6 +251,7 @@
         let required = step.reserved_resources();
         self.servers
             .values()
+            .filter(|server| required.fits_within(&server.available()))
             .filter(|server| &*server.info.pool == pool && self.is_usable(now, server))
             .filter(|server| {
                 allowed_servers.is_none_or(|allowed_servers| allowed_servers.contains(server.id()))
@@ -293,11 +263,9 @@
             .filter(|server| {
                 step.max_per_host == 0 || count_siblings(server, task) < step.max_per_host
             })
-            .filter_map(|server| {
-                let available = server.available();
-                required
-                    .fits_within(&available)
-                    .then(|| (self.cost(server, step, avoided, available - required), server))
+            .map(|server| {
+                let remaining = server.available() - required;
+                (self.cost(server, step, avoided, remaining), server)
             })
             .min_by(|(left, _), (right, _)| left.cmp(right))
             .map(|(_, server)| server.id().clone())
@@ -482,7 +450,7 @@
     /// Returns the id of the step's task with this index, without a check that
     /// there is one.
     fn task(&self, index: usize) -> task::Id {
-        let (job, occurrence, step) = (self.job.clone(), self.occurrence, self.step);
+        let (job, occurrence, step) = (self.job_id.clone(), self.occurrence, self.step);
         task::Id { job, occurrence, step, index }
     }
 }
