Let the test of spread steps place the later step last

The test passed also if a step that may not share a host counted as a shortage of resources, because the other job ranked first. With the condition taken out:

assertion `left == right` failed left: [("a", "on-x")] right: [("a", "on-x"), ("b", "on-x")]

--- a/crates/skylarkwick-request/tests/label_requirements.rs
+++ b/crates/skylarkwick-request/tests/label_requirements.rs
@@ -30,6 +30,12 @@
     vec![Step { required_label: Some(Arc::from(label)), ..step(1, cores) }]
 }
 
+/// Creates a step that is placed after the others, because it has the most work.
+fn last_labelled(label: &str, cores: u64) -> Vec<Step> {
+    let run_time_estimate = harness::ms(60_000);
+    vec![Step { run_time_estimate, ..labelled(label, cores).remove(0) }]
+}
+
 /// Returns the jobs and servers of the starts of one decision, in order of the jobs.
 fn started(harness: &mut Harness) -> Vec<(String, String)> {
     let mut started: Vec<(String, String)> = starts(&harness.decide())
@@ -62,8 +68,7 @@
     assert_eq!(started(&mut harness), pairs(&[("a", "on-x")]));
     harness.submit("b", labelled("x", 3));
     harness.submit("c", labelled("x", 4));
-    let small = Step { run_time_estimate: harness::ms(60_000), ..labelled("x", 2).remove(0) };
-    harness.submit("d", vec![small]);
+    harness.submit("d", last_labelled("x", 2));
     assert_eq!(started(&mut harness), pairs(&[("d", "on-x")]));
 }
 
@@ -74,7 +79,7 @@
     let mut harness = with_labels(&["x"]);
     let spread = Step { count: 2, max_per_host: 1, ..labelled("x", 1).remove(0) };
     harness.submit("a", vec![spread]);
-    harness.submit("b", labelled("x", 1));
+    harness.submit("b", last_labelled("x", 1));
     assert_eq!(started(&mut harness), pairs(&[("a", "on-x"), ("b", "on-x")]));
 }
 
