Drop servers that have left also while the store refuses some reads

Operators could see tasks placed on a server that had left the list long ago, and that server kept in the planner, for as long as every list of the servers came after a refused one.

Cause: the first list after an error keeps the servers that it lacks, and what it kept then counted as listed. With an error before every list a server was kept without end, though an entry that is missing two seconds after the store's return is to be treated as gone.

The list now counts how many lists in a row have lacked a server, and keeps it for 8 of them, two seconds of lists.

--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -1,6 +1,6 @@
 //! Duties that follow the store and the platform's lists, and renew the lease.
 
-use std::{collections::BTreeSet, io, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
 
 use skylarkwick_connection::{
     control::{Hosts, Registry},
@@ -33,6 +33,9 @@
 const BATCH_WINDOW: Duration = Duration::from_millis(40);
 /// Pause between two listings of the backend servers.
 const SERVER_PERIOD: Duration = Duration::from_millis(250);
+/// Number of lists after an error that may lack a server in a row before it counts as gone;
+/// they take two seconds, within which entries that expired during an outage are back.
+const MAX_LACKING_LISTS: u32 = 8;
 /// Pause between two listings of the hosts.
 const HOST_PERIOD: Duration = Duration::from_millis(500);
 /// Pause before each renewal of the lease, counted from the end of the previous one.
@@ -186,8 +189,7 @@
 
 /// Starts the duty that lists the backend servers, with a pause of [`SERVER_PERIOD`] in
 /// between, and sends each list to `events`, until the stop signal. The first list after an
-/// error keeps the servers of the last one that it lacks, because those whose entries
-/// expired meanwhile may not have registered again.
+/// error is completed from the earlier ones, see [`ServerList::complete`].
 ///
 /// # Errors
 ///
@@ -199,17 +201,17 @@
     stop: StopSignal,
 ) -> io::Result<Duty> {
     Duty::spawn("servers", move || {
-        let mut last = Vec::new();
+        let mut list = ServerList::default();
         let mut has_failed = false;
         loop {
             match registry.servers() {
-                Ok(mut servers) => {
-                    if has_failed {
-                        keep_missing(&mut servers, last);
+                Ok(servers) => {
+                    match has_failed {
+                        true => list.complete(servers),
+                        false => list.replace(servers),
                     }
                     has_failed = false;
-                    last = servers.clone();
-                    if !send(&events, Event::ServersListed(servers)) {
+                    if !send(&events, Event::ServersListed(list.servers())) {
                         return;
                     }
                 }
@@ -225,10 +227,35 @@
     })
 }
 
-/// Adds to a list of servers those of the last list that it lacks.
-fn keep_missing(servers: &mut Vec<ServerInfo>, last: Vec<ServerInfo>) {
-    let listed: BTreeSet<ServerId> = servers.iter().map(|info| info.id.clone()).collect();
-    servers.extend(last.into_iter().filter(|info| !listed.contains(&info.id)));
+/// The servers that count as listed, each with the number of lists in a row that lacked it.
+#[derive(Debug, Default)]
+struct ServerList {
+    servers: BTreeMap<ServerId, (ServerInfo, u32)>,
+}
+
+impl ServerList {
+    /// Takes a list as it is.
+    fn replace(&mut self, servers: Vec<ServerInfo>) {
+        self.servers = servers.into_iter().map(|info| (info.id.clone(), (info, 0))).collect();
+    }
+
+    /// Takes a list that was read after an error, and keeps the servers that it lacks,
+    /// because their entries may have expired meanwhile and not be back yet. A server that
+    /// [`MAX_LACKING_LISTS`] lists have lacked is gone.
+    fn complete(&mut self, servers: Vec<ServerInfo>) {
+        let earlier = std::mem::take(&mut self.servers);
+        self.replace(servers);
+        for (id, (info, lacking)) in earlier {
+            if lacking < MAX_LACKING_LISTS {
+                self.servers.entry(id).or_insert((info, lacking + 1));
+            }
+        }
+    }
+
+    /// Returns the servers.
+    fn servers(&self) -> Vec<ServerInfo> {
+        self.servers.values().map(|(info, _)| info.clone()).collect()
+    }
 }
 
 /// Starts the duty that lists the hosts, with a pause of [`HOST_PERIOD`] in between, and
