Read the jobs for as long as the lease is held

Callers saw nothing start for as long as the store refused a part of the calls and there were many partitions.

Cause: a new holder gave up reading the rows 7 s after it had acquired the shard, though its lease was being renewed, and what it had read was dropped. The next term, mostly of the same process, began anew. A refused call costs 0.1 s and a call without an answer 1.5 s, so a read that needs some 70 refused or 5 lost calls never ended.

The holder now reads until it has all rows, the process stops or the lease is lost; the duty that renews the lease then ends the term. Nothing is decided before a renewal of the last 7 s is confirmed, as before.

--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -144,7 +144,7 @@
     /// # Errors
     ///
     /// Fails if a duty cannot be started, or if the rows could not be read before the
-    /// `stop` signal or within [`shard_lease::MAX_RENEWAL_GAP`] of the acquisition.
+    /// `stop` signal or the loss of the lease, which requests `term_end`.
     fn start<S: Store, H: Hosts, D: Registry>(
         clients: &Clients<S, O, H, D>,
         config: &Config,
@@ -165,7 +165,8 @@
         watch::operator_changes(store.clone(), registry.clone(), duty_events, duty_log, duty_stop)?;
         let (duty_events, duty_log, duty_stop) = duty_context();
         watch::hosts(hosts.clone(), duty_events, duty_log, duty_stop)?;
-        let loaded = load_with_retry(&store, log, since, stop).ok_or_else(load_error)?;
+        let loaded = load_with_retry(&store, log, since, [term_end, stop]);
+        let loaded = loaded.ok_or_else(load_error)?;
         let LoadedState { jobs, revision, pool_sizes } = loaded;
         info!(log, "jobs loaded"; "jobs" => jobs.len(), "revision" => revision.0,
             "ms" => millis(Boot.now().since(since)));
@@ -420,26 +421,24 @@
     }
 }
 
-/// Reads the rows of jobs, their progress and the pool sizes, retrying on errors. Returns
-/// `None` on the stop signal, or [`shard_lease::MAX_RENEWAL_GAP`] after `since`, the time
-/// at which the lease was acquired.
+/// Reads the rows of jobs, their progress and the pool sizes; after an error it continues
+/// with the read that failed, however long that takes. Returns `None` once one of `stops` is
+/// requested. `since` is the time at which the lease was acquired.
 fn load_with_retry<S: Store>(
     store: &S,
     log: &Logger,
     since: Moment,
-    stop: &StopSignal,
+    stops: [&StopSignal; 2],
 ) -> Option<LoadedState> {
     let mut loader = Loader::new();
-    while Boot.now().since(since) < shard_lease::MAX_RENEWAL_GAP {
+    while !stops.into_iter().any(StopSignal::is_requested) {
         match loader.load(store, log) {
             Ok(loaded) => return Some(loaded),
             Err(error) => warn!(log, "jobs not loaded"; "error" => %error,
                 "lost_answer" => matches!(error, store::Error::Unknown(_)),
                 "ms" => millis(Boot.now().since(since))),
         }
-        if stop.sleep(READ_RETRY_DELAY) {
-            break;
-        }
+        stops[0].sleep(READ_RETRY_DELAY);
     }
     None
 }
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -288,7 +288,8 @@
 
 /// Starts the duty that renews the lease, after a pause of [`RENEWAL_PERIOD`] each time,
 /// until it is lost, the stop signal, or the end of the holder, and sends each result to
-/// `events`. The returned receiver gets the lease in its last state when the duty ends.
+/// `events`. A lost lease requests the stop signal, because it ends the term, also while the
+/// holder still reads its jobs. The returned receiver gets the lease in its last state when the duty ends.
 ///
 /// # Errors
 ///
@@ -304,7 +305,11 @@
         while !stop.sleep(RENEWAL_PERIOD) {
             let sent = Boot.now();
             let renewal = lease.renew();
-            if !send(&events, Event::LeaseRenewal(renewal, sent)) || renewal == Renewal::Lost {
+            let is_sent = send(&events, Event::LeaseRenewal(renewal, sent));
+            if renewal == Renewal::Lost {
+                stop.request();
+            }
+            if !is_sent {
                 break;
             }
         }
