Start tasks of an occurrence only once it is due here

Callers could see a task of a scheduled job start before its time.

Cause: a run or a run end that a server reports opens its occurrence and all earlier ones, as stored progress does, because a holder whose clock was ahead has started it. Open meant due, so this holder at once started all their other tasks too, however far its own clock was from their time.

Evidence, the new test on the code before:

thread 'early_occurrence_waits' panicked at run_takeover.rs:121:5: the occurrence is not due yet

A job now counts the occurrences that are due by this holder's time of day, and only tasks of these are started. Runs of the others are still adopted and their ends stored.

--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -88,8 +88,8 @@
 /// A job that is not stored as finished: what was submitted, the revisions of
 /// its stored rows, the servers on which its tasks may already have been
 /// started or may be started now, its outcome once decided, and its open
-/// occurrences by number. An occurrence opens when it is due and stays open
-/// after its tasks are done.
+/// occurrences by number. An occurrence opens when it is due, or when an earlier
+/// holder has started tasks of it, and stays open after its tasks are done.
 #[derive(Clone, Debug)]
 pub(super) struct ActiveJob {
     pub(super) id: Id,
@@ -109,6 +109,10 @@
     pub(super) has_started: bool,
     pub(super) outcome: Option<State>,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
+    /// Number of occurrences that are due by this holder's time of day. Later
+    /// ones may be open, because an earlier holder whose clock was ahead has
+    /// started tasks of them; their other tasks wait.
+    pub(super) due_occurrences: u32,
 }
 
 impl ActiveJob {
@@ -128,16 +132,17 @@
             has_started: false,
             outcome: None,
             occurrences: BTreeMap::new(),
+            due_occurrences: 0,
         };
         if active.job.schedule.is_none() {
             active.open_occurrence(0);
+            active.due_occurrences = 1;
         }
         active.restore_progress(accepted.progress);
         active
     }
 
-    /// Adds an occurrence that is due and the earlier ones, which were due
-    /// before it, with all tasks waiting. Those that are open already stay as
+    /// Adds an occurrence and the earlier ones, which are due before it, with all tasks waiting. Those that are open already stay as
     /// they are; does nothing if the job has no such occurrence.
     pub(super) fn open_occurrence(&mut self, occurrence: u32) {
         if occurrence >= self.job.occurrences() {
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -212,10 +212,12 @@
             if active.job.schedule.is_none() {
                 continue;
             }
-            let first = active.next_occurrence();
-            for occurrence in first..active.job.occurrences() {
+            for occurrence in active.due_occurrences..active.job.occurrences() {
                 match active.job.due_ms(occurrence) {
-                    Some(due_ms) if due_ms <= unix_ms => active.open_occurrence(occurrence),
+                    Some(due_ms) if due_ms <= unix_ms => {
+                        active.open_occurrence(occurrence);
+                        active.due_occurrences = occurrence + 1;
+                    }
                     _ => break,
                 }
             }
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -70,7 +70,7 @@
             if active.outcome.is_some() || !self.are_earlier_runs_known(now, active) {
                 continue;
             }
-            for (&number, occurrence) in &active.occurrences {
+            for (&number, occurrence) in active.occurrences.range(..active.due_occurrences) {
                 for (step, tasks) in occurrence.steps.iter().enumerate() {
                     let waiting: Vec<usize> = (0..tasks.len())
                         .filter(|&index| tasks[index].state == TaskState::Waiting)
--- a/crates/skylarkwick-request/tests/harness/mod.rs
+++ b/crates/skylarkwick-request/tests/harness/mod.rs
@@ -34,6 +34,8 @@
 pub(crate) struct Harness {
     pub(crate) shard: Shard,
     pub(crate) now: Moment,
+    /// Time of day, in Unix milliseconds.
+    pub(crate) unix_ms: u64,
     pub(crate) servers: Vec<ServerInfo>,
 }
 
@@ -119,7 +121,7 @@
         let now = Moment::from_start(ms(60_000));
         let mut shard = Shard::new(timings(), Term { fencing_token: number, number, since: now });
         shard.set_queues(vec![queue(QUEUE, POOL)]);
-        Harness { shard, now, servers: Vec::new() }
+        Harness { shard, now, unix_ms: 0, servers: Vec::new() }
     }
 
     /// Creates a shard with servers of these names, each of which has answered a poll.
@@ -173,15 +175,15 @@
 
     /// Decides while every write is unanswered.
     pub(crate) fn decide_unsaved(&mut self) -> Vec<Effect> {
-        self.shard.decide(self.now, 0, self.now)
+        self.shard.decide(self.now, self.unix_ms, self.now)
     }
 
     fn decide_confirmed(&mut self, confirmed: Moment) -> Vec<Effect> {
-        let mut effects = self.shard.decide(self.now, 0, confirmed);
+        let mut effects = self.shard.decide(self.now, self.unix_ms, confirmed);
         let mut stored = batches(&effects);
         while let Some(batch) = stored.pop() {
             self.shard.handle_batch_saved(self.now, &batch);
-            let next = self.shard.decide(self.now, 0, confirmed);
+            let next = self.shard.decide(self.now, self.unix_ms, confirmed);
             stored.extend(batches(&next));
             effects.extend(next);
         }
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -107,6 +107,24 @@
     assert!(progress.tasks[&ended].is_done);
 }
 
+/// Guards against tasks that start before their time, because an earlier holder whose clock
+/// was ahead has started others of their occurrence.
+#[test]
+fn early_occurrence_waits() {
+    let mut harness = taken_shard();
+    harness.shard.add_job(harness.now, scheduled_job(500));
+    harness.set_servers(&["a"]);
+    harness.decide();
+    harness.report("a", &[(task("job", 0, 0), RunId(5), 40)], &[]);
+    let effects = harness.decide();
+    assert!(stops(&effects).is_empty(), "the run goes on");
+    assert!(starts(&effects).is_empty(), "the occurrence is not due yet");
+    harness.unix_ms = 500;
+    let started: Vec<_> =
+        starts(&harness.decide()).into_iter().map(|(_, start)| start.task).collect();
+    assert!(started.contains(&task("job", 0, 1)), "the occurrence is due");
+}
+
 #[test]
 fn running_task_adopted() {
     let mut harness = taken_shard();
