Tests of three decisions that none held

Taken out one at a time, these parts of earlier fixes left all tests green: that a success clears the failed tasks of a server, that an older run's success stops a newer run of the task, and that a replaced server stays awaited by the jobs of an earlier holder until it answers. The new tests without these parts:

thread 'success_clears_failures' panicked at server_blame.rs:107:5: one task has failed since the success thread 'newer_run_stopped' panicked at run_takeover.rs:415:5: assertion `left == right` failed: the task is done; left: 0, right: 1 thread 'replaced_server_awaited' panicked at run_takeover.rs:427:5: server a may run the tasks

The code is as it was.

--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -400,6 +400,37 @@
     assert!(starts(&harness.decide()).is_empty(), "server a runs the task");
 }
 
+/// Guards against a run that goes on after an older run of the same task on that server has
+/// succeeded.
+#[test]
+fn newer_run_stopped() {
+    let mut harness = taken_shard();
+    harness.shard.add_job(harness.now, earlier_job_on_a());
+    harness.set_servers(&["a"]);
+    let runs = [0, 1].map(|index| (task("job", 0, index), RunId(7), 10));
+    harness.report("a", &runs, &[]);
+    harness.decide();
+    let older = finished_run(501, task("job", 0, 0), RunId(5), RunOutcome::Done);
+    harness.report("a", &runs, &[older]);
+    assert_eq!(stops(&harness.decide()).len(), 1, "the task is done");
+}
+
+/// Guards against a second run of a task that an earlier holder has started on the next
+/// incarnation of a server, which this holder has not polled yet.
+#[test]
+fn replaced_server_awaited() {
+    let mut harness = taken_shard();
+    harness.shard.add_job(harness.now, earlier_job_on_a());
+    harness.set_servers(&["a", "b"]);
+    harness.report("b", &[], &[]);
+    harness.shard.handle_server_replaced(&harness::server("a"));
+    assert!(starts(&harness.decide()).is_empty(), "server a may run the tasks");
+    harness.set_servers(&["a", "b"]);
+    assert!(starts(&harness.decide()).is_empty(), "server a has not answered");
+    harness.report("a", &[], &[]);
+    assert_eq!(starts(&harness.decide()).len(), 2);
+}
+
 #[test]
 fn earlier_failures_count() {
     let mut harness = taken_shard();
--- a/crates/skylarkwick-request/tests/server_blame.rs
+++ b/crates/skylarkwick-request/tests/server_blame.rs
@@ -86,6 +86,27 @@
     assert_eq!(started_on(&harness.decide()), ["b"]);
 }
 
+/// Guards against SHORT: failures that lie far apart, with successes in between, closed a
+/// server.
+#[test]
+fn success_clears_failures() {
+    let mut harness = Harness::with_servers(&["a"]);
+    let mut ends = Ends::default();
+    for (job, outcome) in
+        [("bad-0", RunOutcome::Failed), ("good", RunOutcome::Done), ("bad-1", RunOutcome::Failed)]
+    {
+        harness.submit(job, vec![step(1, 4)]);
+        let effects = harness.decide();
+        let result = |name: &str, _: &str| match name == job {
+            true => outcome,
+            false => RunOutcome::Done,
+        };
+        ends.run(&mut harness, &effects, result);
+    }
+    harness.submit("next", vec![step(1, 4)]);
+    assert!(!starts(&harness.decide()).is_empty(), "one task has failed since the success");
+}
+
 /// Guards against SHORT: one moment of overload, with several orders in flight, closed a
 /// server for the longest backoff.
 #[test]
