--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -73,7 +73,7 @@
             if active.outcome.is_some() || !self.are_earlier_runs_known(now, active) {
                 continue;
             }
-            for (&number, occurrence) in &active.occurrences {
+            for (&number, occurrence) in active.occurrences.range(..active.due_occurrences) {
                 for (step, tasks) in occurrence.steps.iter().enumerate() {
                     let is_waiting = |index: &usize| tasks[*index].state == TaskState::Waiting;
                     let is_ready = (0..tasks.len()).any(|index| is_waiting(&index))
