--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -5,7 +5,7 @@
 
 use skylarkwick_connection::{
     control::{Hosts, Orders, PollError, Registry},
-    store::{self, Store, row::PoolSizesRow},
+    store::{Store, row::PoolSizesRow},
 };
 use skylarkwick_process::{
     clock::{Boot, Clock},
@@ -30,7 +30,7 @@
     event::Event,
     host_orders,
     lease::{Acquisition, Lease, Renewal},
-    load::{LoadedState, Loader},
+    load::{self, LoadedState},
     poller::{PollRequest, Pollers},
     saver::{self, SaveRequest},
     sweep,
@@ -55,8 +55,6 @@
 /// Time for which the rows of finished jobs are kept after the result retention, the time
 /// for which callers can read a result, has ended.
 const RETENTION_MARGIN: Duration = Duration::from_secs(60);
-/// Pause before the rows of jobs are read again after an error at the start of a term.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest wait for the renewal duty to return the lease after it was stopped.
 const LEASE_RETURN_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -172,8 +170,8 @@
         watch::operator_changes(store.clone(), registry.clone(), duty_events, duty_log, duty_stop)?;
         let (duty_events, duty_log, duty_stop) = duty_context();
         watch::hosts(hosts.clone(), duty_events, duty_log, duty_stop)?;
-        let loaded = load_with_retry(&store, log, since, [term_end, stop]);
-        let loaded = loaded.ok_or_else(load_error)?;
+        let loaded = load::load_with_retry(&store, log, since, [term_end, stop]);
+        let loaded = loaded.ok_or_else(load::error)?;
         let LoadedState { jobs, revision, pool_sizes } = loaded;
         info!(log, "jobs loaded"; "jobs" => jobs.len(), "revision" => revision.0,
             "ms" => millis(Boot.now().since(since)));
@@ -427,30 +425,3 @@
         }
     }
 }
-
-/// Reads the rows of jobs, their progress and the pool sizes; after an error it continues
-/// with the read that failed, however long that takes. Returns `None` once one of `stops` is
-/// requested. `since` is the time at which the lease was acquired.
-fn load_with_retry<S: Store>(
-    store: &S,
-    log: &Logger,
-    since: Moment,
-    stops: [&StopSignal; 2],
-) -> Option<LoadedState> {
-    let mut loader = Loader::new();
-    while !stops.into_iter().any(StopSignal::is_requested) {
-        match loader.load(store, log) {
-            Ok(loaded) => return Some(loaded),
-            Err(error) => warn!(log, "jobs not loaded"; "error" => %error,
-                "lost_answer" => matches!(error, store::Error::Unknown(_)),
-                "ms" => millis(Boot.now().since(since))),
-        }
-        stops[0].sleep(READ_RETRY_DELAY);
-    }
-    None
-}
-
-/// Returns the error for a term that ends before the jobs were read.
-fn load_error() -> io::Error {
-    io::Error::other("the jobs could not be read while the lease was valid")
-}
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -1,18 +1,28 @@
 //! Reads and decodes the rows that earlier holders have stored.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
 
 use skylarkwick_connection::store::{
     self, Page, Row, Store, TableReader,
     row::{self, JobRow, PoolSizesRow, ProgressRow},
 };
+use skylarkwick_process::{
+    clock::{Boot, Clock},
+    duty::StopSignal,
+};
 use skylarkwick_request::{
     job::{self, Job, progress::Progress},
     shard::input::AcceptedJob,
 };
-use skylarkwick_version::revision::Revision;
+use skylarkwick_version::{
+    moment::{Moment, millis},
+    revision::Revision,
+};
 use slog::{Logger, warn};
 
+/// Pause before the rows of jobs are read again after an error at the start of a term.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// What a new holder starts from: the jobs that are not finished, with their progress, the
 /// revision that they were read at, and the initial sizes of the pools.
 #[derive(Debug)]
@@ -27,14 +37,14 @@
 
 /// The reads at the start of a term, which are continued after an error.
 #[derive(Clone, Debug)]
-pub(super) struct Loader {
+struct Loader {
     jobs: TableReader,
     progress: TableReader,
 }
 
 impl Loader {
     /// Creates a loader that has read nothing yet.
-    pub(super) fn new() -> Loader {
+    fn new() -> Loader {
         Loader { jobs: TableReader::new(row::JOBS), progress: TableReader::new(row::PROGRESS) }
     }
 
@@ -45,11 +55,7 @@
     ///
     /// Returns the store's error if it does not respond; the next call continues with the
     /// read that failed.
-    pub(super) fn load<S: Store>(
-        &mut self,
-        store: &S,
-        log: &Logger,
-    ) -> Result<LoadedState, store::Error> {
+    fn load<S: Store>(&mut self, store: &S, log: &Logger) -> Result<LoadedState, store::Error> {
         // Progress is read after the jobs: a job that is added later is fed, and a later
         // change of progress conflicts with this holder's first write.
         self.jobs.read(store)?;
@@ -59,6 +65,33 @@
     }
 }
 
+/// Reads the rows of jobs, their progress and the pool sizes; after an error it continues
+/// with the read that failed, however long that takes. Returns `None` once one of `stops` is
+/// requested. `since` is the time at which the lease was acquired.
+pub(super) fn load_with_retry<S: Store>(
+    store: &S,
+    log: &Logger,
+    since: Moment,
+    stops: [&StopSignal; 2],
+) -> Option<LoadedState> {
+    let mut loader = Loader::new();
+    while !stops.into_iter().any(StopSignal::is_requested) {
+        match loader.load(store, log) {
+            Ok(loaded) => return Some(loaded),
+            Err(error) => warn!(log, "jobs not loaded"; "error" => %error,
+                "lost_answer" => matches!(error, store::Error::Unknown(_)),
+                "ms" => millis(Boot.now().since(since))),
+        }
+        stops[0].sleep(READ_RETRY_DELAY);
+    }
+    None
+}
+
+/// Returns the error for a term that ends before the jobs were read.
+pub(super) fn error() -> io::Error {
+    io::Error::other("the jobs could not be read while the lease was valid")
+}
+
 /// Combines the rows of jobs and of their progress.
 fn loaded_state(
     jobs: &Page,
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -23,6 +23,7 @@
 mod run_results;
 mod run_time_model;
 mod server;
+mod shortage;
 mod wave;
 
 pub mod effect;
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -14,6 +14,7 @@
     input::ServerId,
     ranking::ReadyStep,
     server::{ActiveRun, Server, Stage},
+    shortage::Shortage,
 };
 use crate::job::{self, Step, progress::TaskPosition, task};
 
@@ -59,35 +60,6 @@
     pub(super) rack: Option<&'a Arc<str>>,
 }
 
-/// Requirements that no usable server of a pool could meet earlier in a
-/// decision, in which they only fill up. Steps that need at least as much are
-/// skipped.
-#[derive(Clone, Debug, Default)]
-struct Shortage {
-    /// Resources that no usable server with this label has; `None` stands for
-    /// any server.
-    unavailable: BTreeMap<Option<Arc<str>>, Vec<Resources>>,
-}
-
-impl Shortage {
-    /// Returns whether no server can be found for the tasks of a step.
-    fn covers(&self, step: &Step) -> bool {
-        let required = step.reserved_resources();
-        let is_short = |label: &Option<Arc<str>>| {
-            let known = self.unavailable.get(label);
-            known.is_some_and(|known| known.iter().any(|less| less.fits_within(&required)))
-        };
-        is_short(&None) || is_short(&step.required_label)
-    }
-
-    /// Adds a step for which no usable server with its required label has
-    /// enough resources.
-    fn add(&mut self, step: &Step) {
-        let label = step.required_label.clone();
-        self.unavailable.entry(label).or_default().push(step.reserved_resources());
-    }
-}
-
 impl Shard {
     /// Assigns waiting tasks, in the order of their rank, to servers with
     /// enough resources, and records the demand of the others as unmet demand
--- a/crates/skylarkwick-request/tests/harness/mod.rs
+++ b/crates/skylarkwick-request/tests/harness/mod.rs
@@ -272,3 +272,25 @@
 ) -> FinishedRun {
     FinishedRun { number, task, run, outcome, checkpoint: Arc::from("") }
 }
+
+/// Creates a shard without hosts that the second holder has just taken.
+pub(crate) fn taken_shard() -> Harness {
+    let mut harness = Harness::new(2);
+    harness.shard.set_hosts(harness.now, Vec::new());
+    harness
+}
+
+/// A job with tasks that an earlier holder may have started on servers a and b.
+pub(crate) fn earlier_job() -> AcceptedJob {
+    let mut accepted = Harness::accepted_job("job", vec![step(2, 4)]);
+    accepted.progress.servers = [Arc::from("a"), Arc::from("b")].into();
+    accepted.progress_revision = Revision(8);
+    accepted
+}
+
+/// The same job, with tasks that can only have been started on server a.
+pub(crate) fn earlier_job_on_a() -> AcceptedJob {
+    let mut accepted = earlier_job();
+    accepted.progress.servers = [Arc::from("a")].into();
+    accepted
+}
