End the planner's process when one of its duties panics

Callers could see nothing start, or a server without work, for the rest of a term: a poller that panicked left a closed ring, a writer that panicked kept the saver waiting, and the lease was renewed meanwhile, so no other process took over.

Cause: a panic ends a thread, and nobody looks at the end of a duty.

Why this works: the platform starts the process again, and another planner takes the shard over in some seconds. Weighed: a guard in each duty that ends the term (more code, and a saver that waits for a dead writer still has to be woken). Not for entry hosts, whose listener answers a request with status 500 if its handler panics.

--- a/crates/skylarkwick-process/src/duty.rs
+++ b/crates/skylarkwick-process/src/duty.rs
@@ -1,7 +1,7 @@
 //! Duties: named threads, each with a single job, and the signal that stops them.
 
 use std::{
-    io,
+    io, panic, process,
     sync::{Arc, Condvar, Mutex, PoisonError},
     thread,
     time::Duration,
@@ -69,3 +69,14 @@
         self.thread.join().is_ok()
     }
 }
+
+/// Makes a panic of any thread end the process, after its message was printed to standard
+/// error. For processes whose duties depend on each other: without one of them, the others
+/// would go on and keep another process from taking over.
+pub fn abort_on_panic() {
+    let print = panic::take_hook();
+    panic::set_hook(Box::new(move |panic| {
+        print(panic);
+        process::abort();
+    }));
+}
