--- a/crates/skylarkwick-request/tests/server_blame.rs
+++ b/crates/skylarkwick-request/tests/server_blame.rs
@@ -2,9 +2,9 @@
 
 mod harness;
 
-use harness::{Harness, finished_run, server, starts, step, task};
+use harness::{Harness, finished_run, server, starts, step, stops, task};
 use skylarkwick_request::{
-    job::task::RunOutcome,
+    job::{Id, task::RunOutcome},
     shard::{
         effect::Effect,
         input::{OrderResult, RejectReason},
@@ -140,3 +140,19 @@
     harness.shard.handle_start_result(harness.now, &id, &start.task, start.run, result);
     assert_eq!(starts(&harness.decide()).len(), 1, "the server has rejected nothing");
 }
+
+/// Guards against a run that goes on because the holder had too many orders to send its
+/// stop: the stop is sent again soon, not as if the server had acknowledged it.
+#[test]
+fn unsent_stop_repeated() {
+    let mut harness = Harness::with_servers(&["a"]);
+    harness.submit("job", vec![step(1, 4)]);
+    let effects = harness.decide();
+    harness.confirm_starts(&effects);
+    harness.shard.remove_job(harness.now, &Id::new("job"));
+    let (id, task, run) = stops(&harness.decide()).remove(0);
+    let result = OrderResult::Refused(RejectReason::NotSent, None);
+    harness.shard.handle_stop_result(harness.now, &id, &task, run, result);
+    harness.advance(400);
+    assert_eq!(stops(&harness.decide()).len(), 1);
+}
