--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -291,7 +291,8 @@
 /// Starts the duty that renews the lease, after a pause of [`RENEWAL_PERIOD`] each time,
 /// until it is lost, the stop signal, or the end of the holder, and sends each result to
 /// `events`. A lost lease requests the stop signal, because it ends the term, also while the
-/// holder still reads its jobs. The returned receiver gets the lease in its last state when the duty ends.
+/// holder still reads its jobs. The returned receiver gets the lease in its last state when
+/// the duty ends.
 ///
 /// # Errors
 ///
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -142,8 +142,9 @@
         active
     }
 
-    /// Adds an occurrence and the earlier ones, which are due before it, with all tasks waiting. Those that are open already stay as
-    /// they are; does nothing if the job has no such occurrence.
+    /// Adds an occurrence and the earlier ones, which are due before it, with
+    /// all tasks waiting. Those that are open already stay as they are; does
+    /// nothing if the job has no such occurrence.
     pub(super) fn open_occurrence(&mut self, occurrence: u32) {
         if occurrence >= self.job.occurrences() {
             return;
--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -98,10 +98,10 @@
     /// Applies the end of a run to its job, which is then stored. The task is
     /// done if the run succeeded, as are the other members of its gang, and any
     /// other run of it is stopped. Otherwise it waits again, unless it has a
-    /// newer run on this server or is assigned to another one; a failure counts against the limit of
-    /// attempts, except of a long-running task, and makes the task avoid this
-    /// server. Nothing is stored if the task was done already or the job is
-    /// unknown.
+    /// newer run on this server or is assigned to another one; a failure counts
+    /// against the limit of attempts, except of a long-running task, and makes
+    /// the task avoid this server. Nothing is stored if the task was done
+    /// already or the job is unknown.
     ///
     /// After a takeover, ends arrive in any order, some of them twice, and some
     /// after a later run of the same task was adopted; a checkpoint is kept
