Store the oldest changes of jobs first and acknowledge the run ends that a batch covers

Ruled out: acknowledging by time, since an end must be stored before. Change: a queue of changed jobs, oldest first; each server keeps its ends that are not stored with the job that they change, and a batch acknowledges those before the first whose job waits for a later one. The check of batch_fits_transaction that no cursor is sent was right only for the old rule; it is replaced by the exact cursor: the last end before the first unstored one.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -22,6 +22,7 @@
 mod ranking;
 mod run_results;
 mod run_time_model;
+mod save_queue;
 mod server;
 mod shortage;
 mod wave;
@@ -29,11 +30,7 @@
 pub mod effect;
 pub mod input;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use skylarkwick_version::{moment::Moment, shard_lease};
 
@@ -43,6 +40,7 @@
     fleet::Fleet,
     input::Queue,
     run_time_model::RunTimeModel,
+    save_queue::SaveQueue,
     server::{Server, Stage},
 };
 use crate::job::{self, State, task};
@@ -112,7 +110,7 @@
     /// Finished and removed jobs, and when this shard learned of it.
     finished_jobs: BTreeMap<job::Id, Moment>,
     /// Jobs to write in the next batches.
-    unsaved_jobs: BTreeSet<job::Id>,
+    unsaved_jobs: SaveQueue,
     /// Whether a batch is being stored.
     is_saving: bool,
     /// Effects that the next return of `decide` hands over.
@@ -133,7 +131,7 @@
             run_times: RunTimeModel::default(),
             next_run: task::RunId::first_of_term(term.number),
             finished_jobs: BTreeMap::new(),
-            unsaved_jobs: BTreeSet::new(),
+            unsaved_jobs: SaveQueue::default(),
             is_saving: false,
             effects: Vec::new(),
         }
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -8,6 +8,7 @@
     Shard,
     effect::{Batch, Change, Cursor, Effect, JobUpdate},
     input::ServerId,
+    server::Server,
 };
 use crate::job::{self, State, progress::Progress};
 
@@ -18,9 +19,9 @@
 
 impl Shard {
     /// Sends the next batch of changed jobs to the store, unless an earlier
-    /// batch is still being stored. A batch that leaves no changed job behind
-    /// also covers the run ends handled so far, which may be acknowledged once
-    /// it is stored. If no job has changed, they may be acknowledged at once.
+    /// batch is still being stored. It also covers the run ends whose jobs wait
+    /// for no later batch; these may be acknowledged once it is stored. If no job
+    /// has changed, all may be acknowledged at once.
     pub(super) fn save(&mut self) {
         if self.is_saving {
             return;
@@ -37,10 +38,7 @@
         for id in &ids {
             self.unsaved_jobs.remove(id);
         }
-        let cursors = match self.unsaved_jobs.is_empty() {
-            true => self.cursors(),
-            false => Vec::new(),
-        };
+        let cursors = self.cursors();
         self.is_saving = true;
         for update in &updates {
             self.record_write_started(update);
@@ -67,7 +65,7 @@
     /// only when no job has a change to store.
     fn mark_ends_saved(&mut self) {
         for server in self.servers.values_mut() {
-            server.last_saved_end = server.last_seen_end;
+            server.mark_ends_saved(server.last_seen_end);
         }
     }
 
@@ -79,7 +77,7 @@
         for cursor in &batch.cursors {
             match self.servers.get_mut(&cursor.server) {
                 Some(server) if server.info.incarnation_ms == cursor.incarnation_ms => {
-                    server.last_saved_end = server.last_saved_end.max(cursor.number);
+                    server.mark_ends_saved(cursor.number);
                 }
                 _ => {}
             }
@@ -247,17 +245,19 @@
         })
     }
 
-    /// Returns, for each server with handled run ends that are not stored, a
-    /// cursor that covers all ends handled so far.
+    /// Returns a cursor for each server with handled run ends that are stored
+    /// once the batch about to be sent is: those before the first one whose job
+    /// waits for a later batch.
     fn cursors(&self) -> Vec<Cursor> {
-        let unsaved =
-            self.servers.values().filter(|server| server.last_seen_end > server.last_saved_end);
-        unsaved
-            .map(|server| Cursor {
+        let is_covered = |(_, job): &&(u64, job::Id)| !self.unsaved_jobs.contains(job);
+        let last_covered = |server: &Server| {
+            let (number, _) = server.unsaved_ends.iter().take_while(is_covered).last()?;
+            Some(Cursor {
                 server: server.id().clone(),
                 incarnation_ms: server.info.incarnation_ms,
-                number: server.last_seen_end,
+                number: *number,
             })
-            .collect()
+        };
+        self.servers.values().filter_map(last_covered).collect()
     }
 }
--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -25,6 +25,7 @@
             return;
         }
         server.last_seen_end = finished.number;
+        server.unsaved_ends.push_back((finished.number, finished.task.job.clone()));
         let known =
             server.runs.get(&finished.task).filter(|active_run| active_run.id <= finished.run);
         let run_time = known.map(|active_run| now.since(active_run.stage_since));
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -1,6 +1,10 @@
 //! Backend servers, as the shard's holder knows them.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use skylarkwick_version::{
     moment::{Moment, millis},
@@ -12,7 +16,7 @@
     health::Health,
     input::{ClockReading, HostId, ServerId, ServerInfo},
 };
-use crate::job::{Step, task};
+use crate::job::{self, Step, task};
 
 /// Time since a server's last answer with a reading of its clock, to a poll or
 /// an order, after which it gets no new work.
@@ -118,6 +122,9 @@
     pub(super) last_seen_end: u64,
     /// Number of the last run end that is stored and may be acknowledged.
     pub(super) last_saved_end: u64,
+    /// Handled run ends after that, oldest first: their numbers, and the jobs that
+    /// they change.
+    pub(super) unsaved_ends: VecDeque<(u64, job::Id)>,
     /// Whether it has answered a poll of this holder, and so rejects earlier
     /// holders.
     pub(super) is_fenced: bool,
@@ -145,6 +152,7 @@
             lease_until_ms: 0,
             last_seen_end: 0,
             last_saved_end: 0,
+            unsaved_ends: VecDeque::new(),
             is_fenced: false,
             next_poll: Some(now),
             last_poll: Moment::ZERO,
@@ -197,6 +205,14 @@
         }
     }
 
+    /// Records that the run ends up to this number are stored and may be acknowledged.
+    pub(super) fn mark_ends_saved(&mut self, number: u64) {
+        self.last_saved_end = self.last_saved_end.max(number);
+        while self.unsaved_ends.front().is_some_and(|(end, _)| *end <= number) {
+            self.unsaved_ends.pop_front();
+        }
+    }
+
     /// Returns whether the server has a label; true if `label` is `None`.
     pub(super) fn has_label(&self, label: Option<&Arc<str>>) -> bool {
         label.is_none_or(|label| self.info.labels.contains(label))
--- a/crates/skylarkwick-request/tests/job_lifecycle.rs
+++ b/crates/skylarkwick-request/tests/job_lifecycle.rs
@@ -191,5 +191,9 @@
     harness.report("a", &[], &results);
     let batch = batches(&harness.decide()).remove(0);
     assert!(batch.updates.len() * ROWS_PER_UPDATE <= MAX_ROWS);
-    assert!(batch.cursors.is_empty(), "results of the other jobs are not stored yet");
+    let is_stored = |job: &Id| batch.updates.iter().any(|update| update.id == *job);
+    let first_unstored = results.iter().find(|result| !is_stored(&result.task.job)).unwrap();
+    let cursor = batch.cursors.first().expect("a cursor up to the last end that is stored");
+    assert_eq!(cursor.number, first_unstored.number - 1, "later ends are not stored yet");
+    assert_eq!(batch.cursors.len(), 1);
 }
