Plan only as many starts as the holder can send

Ruled out: a fixed limit (hosts differ by a factor of four in processor time). Change: starts without a confirmation are limited to what the measured rate confirms in half a second. Tasks that wait for that reason are no unmet demand of their pool.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -23,6 +23,7 @@
 mod run_results;
 mod run_time_model;
 mod save_queue;
+mod send_window;
 mod server;
 mod shortage;
 mod wave;
@@ -41,6 +42,7 @@
     input::Queue,
     run_time_model::RunTimeModel,
     save_queue::SaveQueue,
+    send_window::SendWindow,
     server::{Server, Stage},
 };
 use crate::job::{self, State, task};
@@ -105,6 +107,7 @@
     /// When the last round of housekeeping began.
     last_housekeeping: Moment,
     run_times: RunTimeModel,
+    send_window: SendWindow,
     /// Number of the next run.
     next_run: task::RunId,
     /// Finished and removed jobs, and when this shard learned of it.
@@ -129,6 +132,7 @@
             fleet: Fleet::default(),
             last_housekeeping: Moment::ZERO,
             run_times: RunTimeModel::default(),
+            send_window: SendWindow::default(),
             next_run: task::RunId::first_of_term(term.number),
             finished_jobs: BTreeMap::new(),
             unsaved_jobs: SaveQueue::default(),
--- a/crates/skylarkwick-request/src/shard/order_results.rs
+++ b/crates/skylarkwick-request/src/shard/order_results.rs
@@ -57,6 +57,7 @@
             OrderResult::Done(_) if active_run.stage == Stage::Starting => {
                 active_run.stage = Stage::Running;
                 active_run.stage_since = now;
+                self.send_window.record_confirmed();
                 self.mark_started(task);
             }
             OrderResult::Done(_) => {}
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -68,12 +68,29 @@
     /// names them); others, and those of gangs, are sent after the next write
     /// of the job.
     ///
+    /// Stops once as many starts are unconfirmed as the holder can send in a
+    /// bounded time, see `SendWindow`: more would only hold room. Tasks that are
+    /// left for that reason are no unmet demand, because hosts don't help them.
+    ///
     /// Unless `is_exclusive` (no other holder can have taken the shard), only
     /// servers that are recorded with the job are used.
     pub(super) fn place_tasks(&mut self, now: Moment, is_exclusive: bool) {
+        self.send_window.measure(now);
+        let mut remaining = self.send_window.remaining(self.count_unconfirmed());
+        if remaining == 0 {
+            return;
+        }
         self.fleet.unmet_millicores.clear();
         let mut shortages: BTreeMap<Arc<str>, Shortage> = BTreeMap::new();
-        for ready in self.ready_steps(now) {
+        for mut ready in self.ready_steps(now) {
+            if remaining == 0 {
+                self.send_window.record_limit();
+                return;
+            }
+            // The members of a gang start together, so the last one may exceed the window.
+            if !ready.job.steps[ready.step].is_gang {
+                ready.tasks.truncate(remaining);
+            }
             let ReadyStep { pool, job, .. } = &ready;
             let step = &job.steps[ready.step];
             let shortage = shortages.entry(Arc::clone(pool)).or_default();
@@ -93,6 +110,7 @@
                 () if step.is_gang => self.place_gang(request, &ready),
                 () => self.place_independent_tasks(request, &ready),
             };
+            remaining = remaining.saturating_sub(placed);
             let unplaced = ready.tasks.len() - placed;
             if unplaced > 0 {
                 // That this job found no server may have reasons of its own, such as the
@@ -105,6 +123,12 @@
         }
     }
 
+    /// Returns the number of runs whose starts were not sent or not answered yet.
+    fn count_unconfirmed(&self) -> usize {
+        let is_unconfirmed = |stage| matches!(stage, Stage::Planned | Stage::Starting);
+        self.servers.values().map(|server| server.count_stage(is_unconfirmed)).sum()
+    }
+
     /// Adds the processor time that this many tasks of a step request, at least
     /// a thousandth of a core each, to the unmet demand of a pool, which is
     /// limited to `MAX_UNMET_MILLICORES`.
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -220,6 +220,7 @@
             }
             if active_run.stage == Stage::Starting {
                 active_run.stage = Stage::Running;
+                self.send_window.record_confirmed();
             }
             if active_run.percent != running.percent {
                 active_run.percent = running.percent;
