Divide a site into shards, each with its own lease and holder

Cause: one planner on half a core scheduled a whole site. At 1,100 backend servers it levels off at a fifth of the demand, however well it levels off. Weighed: one holder a pool (a pool's turn alone is more than one holder sends); one decider with many senders (a second protocol between our processes, an order that two may send); slices of each pool (hosts of a pool only, so that moves between pools need two holders). Chosen: parts of the site that own hosts of every pool and every rack, by a hash of the host's name, and jobs by a hash of their identifier. Each is scheduled by the shard's code as it stands, moves and maintenance included; no two holders ever have to agree on a server or a host. Change: the division is stored once, by the number of hosts, about 70 a shard; up to 104 hosts stay one shard, and so does a site that an earlier release has scheduled. Rows of jobs lie in partitions of their shard. A planner competes for all shards, reads their leases in one call, and leaves vacant ones to hosts with more cores left. A wave is divided so that the shards never exceed its limit; where the limit is below the number of shards they take turns. Tests: shard_owners, wave_shares; whole_path's sites without a planner get the row that a planner would have stored, its other sites are divided by the planner.

--- a/crates/skylarkwick-connection/src/store.rs
+++ b/crates/skylarkwick-connection/src/store.rs
@@ -5,6 +5,7 @@
 //! response was lost may have taken effect, or may still take effect seconds
 //! later if its conditions hold. See `docs/DESIGN.md`, section "Rows".
 
+pub mod keyspace;
 pub mod row;
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
@@ -221,12 +222,14 @@
     Ok(reader.into_page())
 }
 
-/// A read of every row of a table, one partition after the other. It keeps what it has
+/// A read of every row of a table, or of some of its partitions, one partition after the other. It keeps what it has
 /// read when a read fails, so that a store that refuses some of many reads delays it but
 /// does not make it start anew.
 #[derive(Clone, Debug)]
 pub struct TableReader {
     table: Arc<str>,
+    /// End of the names of the partitions to read; empty for all.
+    part_suffix: Arc<str>,
     /// What was read so far.
     page: Page,
     /// Whether the page has the revision from which later changes are to be followed.
@@ -238,10 +241,16 @@
 }
 
 impl TableReader {
-    /// Creates a reader that has read nothing yet.
+    /// Creates a reader of all partitions that has read nothing yet.
     pub fn new(table: &str) -> TableReader {
+        TableReader::with_part_suffix(table, "")
+    }
+
+    /// Creates a reader of the partitions whose names end with `part_suffix`.
+    pub fn with_part_suffix(table: &str, part_suffix: &str) -> TableReader {
         TableReader {
             table: Arc::from(table),
+            part_suffix: Arc::from(part_suffix),
             page: Page::default(),
             has_revision: false,
             parts: None,
@@ -265,7 +274,9 @@
             self.has_revision = true;
         }
         if self.parts.is_none() {
-            self.parts = Some(store.parts(&self.table)?.into());
+            let mut parts = store.parts(&self.table)?;
+            parts.retain(|part| part.ends_with(&*self.part_suffix));
+            self.parts = Some(parts.into());
         }
         while let Some(part) = self.parts.as_ref().and_then(VecDeque::front).cloned() {
             let next = store.read(&self.table, &part, Range::After(&self.last_key))?;
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -17,86 +17,9 @@
     lease::Incarnation, moment::millis, resources::Resources, shard_lease::Record,
 };
 
-use super::Key;
-
 /// Version of the encoding, which is the first byte of each row.
 const ENCODING_VERSION: u8 = 1;
 
-/// Table of jobs, active and finished ([`JobRow`]); the partition is the queue, the key
-/// is the job's identifier.
-pub const JOBS: &str = "job";
-/// Table of the progress of jobs ([`ProgressRow`]); same partitions and keys as
-/// [`JOBS`].
-pub const PROGRESS: &str = "progress";
-/// Table of the leases of shards ([`LeaseRow`]); the key is the shard.
-pub const LEASES: &str = "lease";
-/// Table of the largest number of cores, an `f64`, among the hosts that may hold a
-/// shard: the strongest takes a shard that never had a holder. The key is the shard.
-pub const MAX_CORES: &str = "strength";
-/// Table of fences, each written only by a new holder of its shard. The revision
-/// of the row is the holder's fencing token. Writes of the holder for the shard
-/// are conditional on it, so that a late write of an earlier holder is refused. The
-/// key is the shard.
-pub const FENCES: &str = "fence";
-/// Table of the jobs of each queue of which no task is known to have started
-/// ([`BacklogRow`]); the key is the shard.
-pub const BACKLOG: &str = "backlog";
-/// Table of the progress of waves ([`WaveRow`]); the key is the wave's number.
-pub const WAVES: &str = "round";
-/// Table of the sizes of pools before any host was moved between them
-/// ([`PoolSizesRow`]); the key is the shard.
-pub const POOL_SIZES: &str = "home";
-/// Table of the last order for each host ([`HostOrderRow`]); the key is the host.
-pub const HOST_ORDERS: &str = "order";
-
-/// Name of the only shard of a site.
-pub const SHARD: &str = "0";
-
-/// Returns the key of a job's row in [`JOBS`].
-pub fn job_key(queue: &str, id: &str) -> Key {
-    Key::new(JOBS, queue, id)
-}
-
-/// Returns the key of a job's row in [`PROGRESS`].
-pub fn progress_key(queue: &str, id: &str) -> Key {
-    Key::new(PROGRESS, queue, id)
-}
-
-/// Returns the key of a shard's row in [`LEASES`].
-pub fn lease_key(shard: &str) -> Key {
-    Key::new(LEASES, "", shard)
-}
-
-/// Returns the key of a shard's row in [`MAX_CORES`].
-pub fn max_cores_key(shard: &str) -> Key {
-    Key::new(MAX_CORES, "", shard)
-}
-
-/// Returns the key of a shard's row in [`FENCES`].
-pub fn fence_key(shard: &str) -> Key {
-    Key::new(FENCES, "", shard)
-}
-
-/// Returns the key of a shard's row in [`BACKLOG`].
-pub fn backlog_key(shard: &str) -> Key {
-    Key::new(BACKLOG, "", shard)
-}
-
-/// Returns the key of a wave's row in [`WAVES`].
-pub fn wave_key(number: u64) -> Key {
-    Key::new(WAVES, "", &number.to_string())
-}
-
-/// Returns the key of a shard's row in [`POOL_SIZES`].
-pub fn pool_sizes_key(shard: &str) -> Key {
-    Key::new(POOL_SIZES, "", shard)
-}
-
-/// Returns the key of a host's row in [`HOST_ORDERS`].
-pub fn host_order_key(host: &str) -> Key {
-    Key::new(HOST_ORDERS, "", host)
-}
-
 /// Why a row can't be decoded: unsupported version, invalid bytes, or no bytes.
 #[derive(Debug, thiserror::Error)]
 pub enum DecodeError {
@@ -376,6 +299,13 @@
     pub waiting: BTreeMap<String, Vec<String>>,
 }
 
+/// Row of the division of the site into shards; it is written once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardingRow {
+    /// Number of shards.
+    pub count: u32,
+}
+
 /// Row of the sizes of the pools before any host was moved between them; it is written
 /// once.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -9,7 +9,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -18,7 +18,8 @@
 use skylarkwick_connection::{
     control::{Configuration, Registry, Route},
     store::{
-        self, Commit, Store, Transaction,
+        self, Commit, Key, Store, Transaction,
+        keyspace::Keyspace,
         row::{self, FinalState, JobBody, JobRow},
     },
 };
@@ -27,7 +28,7 @@
     duty::{Duty, StopSignal},
 };
 use skylarkwick_request::job::{self, Id, Job, State};
-use skylarkwick_version::{moment::Moment, revision::Revision};
+use skylarkwick_version::{moment::Moment, revision::Revision, sharding::Sharding};
 use slog::{Logger, info, warn};
 
 use self::backlog::Backlog;
@@ -82,10 +83,11 @@
 }
 
 /// State shared by the API and the thread that follows the configuration: the last
-/// configuration received, when the store last responded, and whether the process stops.
+/// configuration received, the division of the site into shards once it is known, when the store last responded, and whether the process stops.
 #[derive(Debug, Default)]
 struct SharedState {
     configuration: Mutex<Option<Arc<Configuration>>>,
+    sharding: OnceLock<Sharding>,
     last_store_response: Mutex<Option<Moment>>,
     is_stopping: AtomicBool,
 }
@@ -115,8 +117,15 @@
     ) -> std::io::Result<Api<S>> {
         let shared = Arc::new(SharedState::default());
         let (follower_state, follower_log, stop) = (Arc::clone(&shared), log.clone(), stop.clone());
+        let follower_store = store.clone();
         Duty::spawn("notices", move || {
-            configuration::follow(&registry, &follower_state, &follower_log, &stop);
+            configuration::follow(
+                &follower_store,
+                &registry,
+                &follower_state,
+                &follower_log,
+                &stop,
+            );
         })?;
         Ok(Api { store, shared, backlog: Arc::default(), log: log.clone() })
     }
@@ -141,11 +150,12 @@
         RETRY_AFTER
     }
 
-    /// Returns whether callers can be served: the configuration is known, the
-    /// store has responded recently and the process is not stopping.
+    /// Returns whether callers can be served: the configuration and the division into shards
+    /// are known, the store has responded recently and the process is not stopping.
     pub fn is_ready(&self) -> bool {
         let is_stopping = self.shared.is_stopping.load(Ordering::Acquire);
-        self.is_store_responding() && !is_stopping && self.configuration().is_some()
+        let is_configured = self.configuration().is_some() && self.sharding().is_some();
+        self.is_store_responding() && !is_stopping && is_configured
     }
 
     /// Returns whether the store has responded within [`STORE_RESPONSE_TIMEOUT`]. Only the
@@ -171,14 +181,14 @@
         if let Err(error) = job.validate() {
             return SubmitOutcome::Invalid(error);
         }
-        if !self.is_store_responding() {
+        let Some(sharding) = self.sharding().filter(|_| self.is_store_responding()) else {
             info!(self.log, "refused"; "job" => id.as_str(), "queue" => queue,
                 "because" => "the store does not answer");
             return SubmitOutcome::Refused;
-        }
+        };
         let body = JobBody::from(job);
         let row = JobRow::Active { accepted_ms: self.store.clock_ms(), body };
-        let key = row::job_key(queue, id.as_str());
+        let key = Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str());
         let change = Transaction::default().replace(key, Revision::ABSENT, row::encode(&row));
         let outcome = self.store_job(&change, deadline.saturating_sub(RESPONSE_MARGIN));
         info!(self.log, "submitted"; "job" => id.as_str(), "queue" => queue,
@@ -223,18 +233,23 @@
     ///
     /// Returns an error if the store does not respond or the row cannot be decoded.
     pub fn job_state(&self, queue: &str, id: &Id) -> Result<Option<State>, store::Error> {
-        let (row, _) = store::read_one(&self.store, &row::job_key(queue, id.as_str()))
+        let (row, _) = self
+            .job_key(queue, id)
+            .and_then(|key| store::read_one(&self.store, &key))
             .inspect_err(|error| {
-                warn!(self.log, "job state unknown"; "job" => id.as_str(),
+            warn!(self.log, "job state unknown"; "job" => id.as_str(),
                 "error" => %error)
-            })?;
+        })?;
         let Some(value) = row.value else {
             return Ok(None);
         };
         match row::decode(&value) {
             Ok(JobRow::Finished { state, .. }) => Ok(Some(state.into())),
             Ok(JobRow::Active { accepted_ms, .. }) => {
-                let is_waiting = self.backlog.is_waiting(&self.store, queue, id, accepted_ms);
+                let is_waiting = self.sharding().is_some_and(|sharding| {
+                    let keyspace = Keyspace::of_job(sharding, id.as_str());
+                    self.backlog.is_waiting(&self.store, keyspace, queue, id, accepted_ms)
+                });
                 Ok(Some(if is_waiting { State::Queued } else { State::Running }))
             }
             Err(error) => {
@@ -263,7 +278,9 @@
     /// changed since it was read, or may not have been written. An active row is overwritten
     /// even if it cannot be decoded.
     fn try_cancel(&self, queue: &str, id: &Id) -> CancelOutcome {
-        let key = row::job_key(queue, id.as_str());
+        let Ok(key) = self.job_key(queue, id) else {
+            return CancelOutcome::InDoubt;
+        };
         let Ok((row, now_ms)) = store::read_one(&self.store, &key) else {
             return CancelOutcome::InDoubt;
         };
@@ -288,7 +305,22 @@
     ///
     /// Returns an error if the store does not respond or a row cannot be decoded.
     pub fn count_waiting(&self, queue: &str) -> Result<usize, store::Error> {
-        self.backlog.count(&self.store, queue)
+        self.backlog.count(&self.store, self.sharding().ok_or_else(unknown_sharding)?, queue)
+    }
+
+    /// Returns the key of a job's row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error while the division of the site into shards is unknown.
+    fn job_key(&self, queue: &str, id: &Id) -> Result<Key, store::Error> {
+        let sharding = self.sharding().ok_or_else(unknown_sharding)?;
+        Ok(Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str()))
+    }
+
+    /// Returns the division of the site into shards, which never changes once it is known.
+    fn sharding(&self) -> Option<Sharding> {
+        self.shared.sharding.get().copied()
     }
 
     /// Returns the last configuration received, if any.
@@ -296,3 +328,9 @@
         self.shared.configuration.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
+
+/// Returns the error of a request that needs the division of the site into shards before it
+/// is known.
+fn unknown_sharding() -> store::Error {
+    store::Error::NotDone("the site is not divided into shards yet".to_owned())
+}
--- a/crates/skylarkwick-entry/src/jobs/configuration.rs
+++ b/crates/skylarkwick-entry/src/jobs/configuration.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use skylarkwick_connection::control::{Configuration, Registry};
+use skylarkwick_connection::{
+    control::{Configuration, Registry},
+    store::{Store, keyspace},
+};
 use skylarkwick_process::{
     clock::{Boot, Clock},
     duty::StopSignal,
@@ -17,12 +20,15 @@
 /// Maximum time for which the store holds a poll without a change; it bounds how late a dead
 /// connection is noticed.
 const POLL_WAIT: Duration = Duration::from_millis(1000);
+/// The same until the division of the site into shards is known.
+const STARTUP_POLL_WAIT: Duration = Duration::from_millis(100);
 /// Pause after a poll that failed, before the next one.
 const ERROR_PAUSE: Duration = Duration::from_millis(200);
 
 /// Polls for configurations and applies newer ones until `stop` is requested. Records the
 /// time of each response of the store.
-pub(super) fn follow<R: Registry>(
+pub(super) fn follow<S: Store, R: Registry>(
+    store: &S,
     registry: &R,
     shared: &SharedState,
     log: &Logger,
@@ -31,7 +37,11 @@
     let mut revision = None;
     let mut is_store_lost = false;
     while !stop.is_requested() {
-        match registry.operator_changes(revision, POLL_WAIT) {
+        let wait = match shared.sharding.get() {
+            Some(_) => POLL_WAIT,
+            None => STARTUP_POLL_WAIT,
+        };
+        match registry.operator_changes(revision, wait) {
             Ok(changes) => {
                 revision = Some(changes.revision);
                 *shared.last_store_response.lock().unwrap_or_else(PoisonError::into_inner) =
@@ -42,6 +52,9 @@
                 if let Some(configuration) = changes.configuration {
                     apply_newer(shared, configuration, log);
                 }
+                if shared.sharding.get().is_none() {
+                    learn_sharding(store, shared, log);
+                }
             }
             Err(error) => {
                 if !std::mem::replace(&mut is_store_lost, true) {
@@ -53,6 +66,20 @@
     }
 }
 
+/// Reads the division of the site into shards, which a planner stores when the site starts
+/// for the first time.
+fn learn_sharding<S: Store>(store: &S, shared: &SharedState, log: &Logger) {
+    match keyspace::read_sharding(store) {
+        Ok(Some(sharding)) => {
+            info!(log, "shards known"; "shards" => sharding.count());
+            // Only this thread sets it.
+            let _ = shared.sharding.set(sharding);
+        }
+        Ok(None) => {}
+        Err(error) => warn!(log, "shards not known"; "error" => %error),
+    }
+}
+
 /// Replaces the current configuration unless its version is as high or higher.
 fn apply_newer(shared: &SharedState, configuration: Configuration, log: &Logger) {
     let mut current = shared.configuration.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -1,20 +1,24 @@
 //! The job planner: places tasks, and moves and maintains hosts.
 //!
-//! One job planner runs on every entry host. The one that holds the lease is the
-//! holder of the shard; the others stand by. Most modules run one kind of duty.
-//! The holder's duty owns the shard and blocks only on its own ring; other duties
-//! call the platform and the backend servers. See `docs/DESIGN.md`, section
-//! "Shards".
+//! One job planner runs on every entry host. The one that holds the lease of a shard
+//! is its holder; the others stand by, and a planner may hold several shards. Most
+//! modules run one kind of duty. The holder's duty owns a shard and blocks only on
+//! its own ring; other duties call the platform and the backend servers. See
+//! `docs/DESIGN.md`, section "Shards".
 
 mod activity;
+mod candidate;
 mod dispatch;
+mod division;
 mod event;
 mod holder;
 mod host_orders;
 mod lease;
 mod load;
+mod operator_changes;
 mod poller;
 mod saver;
+mod strength;
 pub mod sweep;
 mod wall_clock;
 mod watch;
@@ -28,9 +32,11 @@
 };
 use skylarkwick_process::duty::StopSignal;
 use skylarkwick_request::shard::Timings;
-use skylarkwick_version::{lease::Incarnation, shard_lease};
+use skylarkwick_version::shard_lease;
 use slog::Logger;
 
+use self::candidate::Candidate;
+
 /// Time for which a backend server continues a run after the holder last renewed the run's
 /// lease with a poll; 90 % of [`Config::max_run_lease`] if that is shorter.
 const RUN_LEASE: Duration = Duration::from_millis(4600);
@@ -80,9 +86,9 @@
     pub result_retention: Duration,
 }
 
-/// Competes for the lease of the shard, the scheduling state of all queues and servers, and
-/// runs the shard while it is the holder. If the lease is lost, competes again. Blocks
-/// until the stop signal, and then releases the lease if it still holds it.
+/// Competes for the leases of the site's shards, each the scheduling state of a part of the
+/// servers and jobs, and runs those that it holds. If a lease is lost, competes for it again.
+/// Blocks until the stop signal, and then releases the leases that it still holds.
 pub fn run<S, O, H, D>(
     clients: &Clients<S, O, H, D>,
     config: &Config,
@@ -94,12 +100,9 @@
     H: Hosts,
     D: Registry,
 {
-    let incarnation = Incarnation(rand::random());
-    let mut lease = lease::Lease::new(clients.store.clone(), config, incarnation, log);
-    while let Some(acquired) = lease.acquire(stop) {
-        holder::run(clients, config, &mut lease, acquired, log, stop);
+    if let Some(sharding) = division::divide(clients, log, stop) {
+        Candidate::new(clients, config, sharding, log, stop).run();
     }
-    lease.release();
 }
 
 /// Returns the durations that the shard uses in a term, the time of one holder. The run
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -31,6 +31,7 @@
     host_orders,
     lease::{Acquisition, Lease, Renewal},
     load::{self, LoadedState},
+    operator_changes::{self, OperatorSource},
     poller::{PollRequest, Pollers},
     saver::{self, SaveRequest},
     sweep,
@@ -160,17 +161,23 @@
         stop: &StopSignal,
     ) -> io::Result<Holder<O>> {
         let Clients { store, orders, hosts, registry } = clients.clone();
-        let Acquisition { fencing_token, number, since, is_takeover } = acquisition;
+        let Acquisition { keyspace, fencing_token, number, since, is_takeover } = acquisition;
         let timings = super::timings(config, is_takeover);
         let mut shard = Shard::new(timings, Term { fencing_token, number, since });
         let duty_context = || (events.clone(), log.clone(), term_end.clone());
         let (duty_events, duty_log, duty_stop) = duty_context();
-        watch::servers(registry.clone(), duty_events, duty_log, duty_stop)?;
+        watch::servers(registry.clone(), keyspace, duty_events, duty_log, duty_stop)?;
         let (duty_events, duty_log, duty_stop) = duty_context();
-        watch::operator_changes(store.clone(), registry.clone(), duty_events, duty_log, duty_stop)?;
+        let source = OperatorSource {
+            store: store.clone(),
+            registry: registry.clone(),
+            keyspace,
+            maintenance_duration: config.maintenance_duration,
+        };
+        operator_changes::start(source, duty_events, duty_log, duty_stop)?;
         let (duty_events, duty_log, duty_stop) = duty_context();
-        watch::hosts(hosts.clone(), duty_events, duty_log, duty_stop)?;
-        let loaded = load::load_with_retry(&store, log, since, [term_end, stop]);
+        watch::hosts(hosts.clone(), keyspace, duty_events, duty_log, duty_stop)?;
+        let loaded = load::load_with_retry(&store, keyspace, log, since, [term_end, stop]);
         let loaded = loaded.ok_or_else(load::error)?;
         let LoadedState { jobs, revision, pool_sizes } = loaded;
         info!(log, "jobs loaded"; "jobs" => jobs.len(), "revision" => revision.0,
@@ -180,19 +187,24 @@
             shard.add_job(Boot.now(), accepted);
         }
         let (duty_events, duty_log, duty_stop) = duty_context();
-        watch::jobs(store.clone(), revision, duty_events, duty_log, duty_stop)?;
+        watch::jobs(store.clone(), keyspace, revision, duty_events, duty_log, duty_stop)?;
         let (duty_events, duty_log, duty_stop) = duty_context();
-        let (saver_duty, saver) =
-            saver::start(store.clone(), registry, fencing_token, duty_events, duty_log, duty_stop)?;
+        let (saver_duty, saver) = saver::start(
+            saver::Target { store: store.clone(), registry, keyspace, fencing_token },
+            duty_events,
+            duty_log,
+            duty_stop,
+        )?;
         let (_, duty_log, duty_stop) = duty_context();
         sweep::start(
             store.clone(),
+            keyspace,
             config.result_retention + RETENTION_MARGIN,
             duty_log,
             duty_stop,
         )?;
         let (entry, handover_delay) = (Arc::clone(&config.entry), config.handover_delay);
-        let issuer = host_orders::Issuer { entry, fencing_token, handover_delay };
+        let issuer = host_orders::Issuer { entry, keyspace, fencing_token, handover_delay };
         let host_orders = host_orders::start(store, &hosts, issuer, events.clone(), log.clone())?;
         Ok(Holder {
             shard,
--- a/crates/skylarkwick-planner/src/jobs/host_orders.rs
+++ b/crates/skylarkwick-planner/src/jobs/host_orders.rs
@@ -12,6 +12,7 @@
     control::{Authority, Hosts},
     store::{
         self, Row, Store, Transaction,
+        keyspace::{self, Keyspace},
         row::{self, HostOrderRow},
     },
 };
@@ -64,6 +65,8 @@
 pub(super) struct Issuer {
     /// The entry host of this process.
     pub(super) entry: Arc<str>,
+    /// Rows of the shard.
+    pub(super) keyspace: Keyspace,
     /// Fencing token of the shard.
     pub(super) fencing_token: u64,
     /// Shortest time between the orders of two holders for one host.
@@ -206,7 +209,7 @@
             fencing: self.issuer.fencing_token,
             ordered_ms: now_ms,
         };
-        let transaction = transaction(&allowed, &next, &last_orders, self.issuer.fencing_token);
+        let transaction = transaction(&allowed, &next, &last_orders, &self.issuer);
         match store::commit_with_retry(&self.store, &transaction) {
             store::Outcome::Applied(revision) => {
                 let holder = Arc::clone(&self.issuer.entry);
@@ -240,15 +243,20 @@
         withhold_reason.is_none()
     }
 
-    /// Reads the last order of each host.
+    /// Reads the last order of each host of the shard.
     ///
     /// # Errors
     ///
     /// Returns the store's error, which is also logged.
     fn read(&self) -> Result<LastOrders, store::Error> {
-        let page = store::read_partition(&self.store, row::HOST_ORDERS, "")
+        let page = store::read_partition(&self.store, keyspace::HOST_ORDERS, "")
             .inspect_err(|error| warn!(self.log, "host orders not read"; "error" => %error))?;
-        Ok(page.rows.iter().filter_map(|row| self.decode(row)).collect())
+        Ok(page
+            .rows
+            .iter()
+            .filter(|row| self.issuer.keyspace.owns(&row.key.name))
+            .filter_map(|row| self.decode(row))
+            .collect())
     }
 
     /// Decodes the row of a host's last order; returns `None` if the row was removed. An
@@ -265,18 +273,19 @@
 
 /// Returns the transaction that writes `next` as the last order of each host that `orders`
 /// name. It is conditional on the revisions of these hosts' rows in `last_orders`, and on
-/// the shard's fence row, whose revision is `fencing_token` until a later holder acquires
+/// the shard's fence row, whose revision is the issuer's fencing token until a later holder acquires
 /// the shard.
 fn transaction(
     orders: &[Order],
     next: &HostOrderRow,
     last_orders: &LastOrders,
-    fencing_token: u64,
+    issuer: &Issuer,
 ) -> Transaction {
-    let start = Transaction::default().require(row::fence_key(row::SHARD), Revision(fencing_token));
+    let fence = (issuer.keyspace.fence(), Revision(issuer.fencing_token));
+    let start = Transaction::default().require(fence.0, fence.1);
     orders.iter().fold(start, |transaction, order| {
         let host = order.host();
         let revision = last_orders.get(host).map_or(Revision::ABSENT, |(revision, _)| *revision);
-        transaction.replace(row::host_order_key(&host.0), revision, row::encode(next))
+        transaction.replace(keyspace::host_order_key(&host.0), revision, row::encode(next))
     })
 }
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -4,6 +4,7 @@
 
 use skylarkwick_connection::store::{
     self, Page, Row, Store, TableReader,
+    keyspace::{self, Keyspace},
     row::{self, JobRow, PoolSizesRow, ProgressRow},
 };
 use skylarkwick_process::{
@@ -38,14 +39,16 @@
 /// The reads at the start of a term, which are continued after an error.
 #[derive(Clone, Debug)]
 struct Loader {
+    keyspace: Keyspace,
     jobs: TableReader,
     progress: TableReader,
 }
 
 impl Loader {
     /// Creates a loader that has read nothing yet.
-    fn new() -> Loader {
-        Loader { jobs: TableReader::new(row::JOBS), progress: TableReader::new(row::PROGRESS) }
+    fn new(keyspace: Keyspace) -> Loader {
+        let reader = |table| TableReader::with_part_suffix(table, &keyspace.part_suffix());
+        Loader { keyspace, jobs: reader(keyspace::JOBS), progress: reader(keyspace::PROGRESS) }
     }
 
     /// Reads the jobs that are not finished, the progress of their tasks, and the initial
@@ -60,8 +63,26 @@
         // change of progress conflicts with this holder's first write.
         self.jobs.read(store)?;
         self.progress.read(store)?;
-        let pool_sizes = pool_sizes(store, log)?;
-        Ok(loaded_state(self.jobs.page(), self.progress.page(), pool_sizes, log))
+        let pool_sizes = pool_sizes(store, self.keyspace, log)?;
+        Ok(self.loaded_state(pool_sizes, log))
+    }
+
+    /// Combines the rows of jobs and of their progress.
+    fn loaded_state(&self, pool_sizes: BTreeMap<Arc<str>, usize>, log: &Logger) -> LoadedState {
+        let jobs = self.jobs.page();
+        let by_job = progress_by_job(self.progress.page(), log);
+        let mut loaded = LoadedState { jobs: Vec::new(), revision: jobs.revision, pool_sizes };
+        for row in &jobs.rows {
+            let decoded = decode_job(row, self.keyspace, jobs.now_ms, log);
+            if let Some(StoredJob::Active(mut accepted)) = decoded {
+                if let Some((revision, progress)) = by_job.get(&accepted.id) {
+                    accepted.progress = progress.clone();
+                    accepted.progress_revision = *revision;
+                }
+                loaded.jobs.push(*accepted);
+            }
+        }
+        loaded
     }
 }
 
@@ -70,11 +91,12 @@
 /// requested. `since` is the time at which the lease was acquired.
 pub(super) fn load_with_retry<S: Store>(
     store: &S,
+    keyspace: Keyspace,
     log: &Logger,
     since: Moment,
     stops: [&StopSignal; 2],
 ) -> Option<LoadedState> {
-    let mut loader = Loader::new();
+    let mut loader = Loader::new(keyspace);
     while !stops.into_iter().any(StopSignal::is_requested) {
         match loader.load(store, log) {
             Ok(loaded) => return Some(loaded),
@@ -92,27 +114,6 @@
     io::Error::other("the jobs could not be read while the lease was valid")
 }
 
-/// Combines the rows of jobs and of their progress.
-fn loaded_state(
-    jobs: &Page,
-    progress: &Page,
-    pool_sizes: BTreeMap<Arc<str>, usize>,
-    log: &Logger,
-) -> LoadedState {
-    let by_job = progress_by_job(progress, log);
-    let mut loaded = LoadedState { jobs: Vec::new(), revision: jobs.revision, pool_sizes };
-    for row in &jobs.rows {
-        if let Some(StoredJob::Active(mut accepted)) = decode_job(row, jobs.now_ms, log) {
-            if let Some((revision, progress)) = by_job.get(&accepted.id) {
-                accepted.progress = progress.clone();
-                accepted.progress_revision = *revision;
-            }
-            loaded.jobs.push(*accepted);
-        }
-    }
-    loaded
-}
-
 /// Reads the initial number of hosts of each pool, before any move, as the first holder
 /// stored it; empty if it is not stored or invalid.
 ///
@@ -121,9 +122,10 @@
 /// Returns the store's error if it does not respond.
 fn pool_sizes<S: Store>(
     store: &S,
+    keyspace: Keyspace,
     log: &Logger,
 ) -> Result<BTreeMap<Arc<str>, usize>, store::Error> {
-    let (row, _) = store::read_one(store, &row::pool_sizes_key(row::SHARD))?;
+    let (row, _) = store::read_one(store, &keyspace.pool_sizes())?;
     let Some(value) = row.value else {
         return Ok(BTreeMap::new());
     };
@@ -167,10 +169,17 @@
     Finished(job::Id),
 }
 
-/// Decodes a job's row; logs an invalid one and returns `None`. An active job is returned
+/// Decodes a job's row; returns `None` for one of another shard, and for an invalid one,
+/// which is logged. An active job is returned
 /// without progress, which has a row of its own. `now_ms` is the store's clock, from which
 /// the job's age is counted.
-pub(super) fn decode_job(row: &Row, now_ms: u64, log: &Logger) -> Option<StoredJob> {
+pub(super) fn decode_job(
+    row: &Row,
+    keyspace: Keyspace,
+    now_ms: u64,
+    log: &Logger,
+) -> Option<StoredJob> {
+    let queue = keyspace.queue(&row.key.part)?;
     let id = job::Id::new(&row.key.name);
     let Some(value) = row.value.as_deref() else {
         return Some(StoredJob::Finished(id));
@@ -180,7 +189,7 @@
         Ok(JobRow::Active { accepted_ms, body }) => {
             Some(StoredJob::Active(Box::new(AcceptedJob {
                 id,
-                queue: Arc::clone(&row.key.part),
+                queue,
                 job: Arc::new(Job::from(body)),
                 revision: row.revision,
                 age: Duration::from_millis(now_ms.saturating_sub(accepted_ms)),
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -6,6 +6,7 @@
     control::Registry,
     store::{
         self, Commit, Key, Store, Transaction,
+        keyspace::Keyspace,
         row::{self, BacklogRow, PoolSizesRow, WaveRow},
     },
 };
@@ -18,7 +19,7 @@
     job,
     shard::effect::{Batch, JobUpdate},
 };
-use skylarkwick_version::{moment::millis, revision::Revision};
+use skylarkwick_version::{moment::millis, revision::Revision, sharding::Sharding};
 use slog::{Logger, warn};
 
 use super::{
@@ -56,26 +57,38 @@
     },
 }
 
+/// Where a holder's saver writes: the store and the operators' reports, the rows of the shard,
+/// and the fencing token of the holder.
+#[derive(Clone, Debug)]
+pub(super) struct Target<S, D> {
+    /// Client of the platform's store.
+    pub(super) store: S,
+    /// Reports waves to the operators.
+    pub(super) registry: D,
+    /// Rows of the shard.
+    pub(super) keyspace: Keyspace,
+    /// Fencing token of the holder.
+    pub(super) fencing_token: u64,
+}
+
 /// Starts the saver and its writers; returns the saver's duty and the ring for requests.
 /// The duty ends once that ring is dropped and its requests are written, or a result can't
 /// be sent to `events`; the `stop` signal only ends pauses after failed writes.
-/// `fencing_token` is that of this holder.
 ///
 /// # Errors
 ///
 /// Fails if a thread cannot be started.
 pub(super) fn start<S: Store, D: Registry>(
-    store: S,
-    registry: D,
-    fencing_token: u64,
+    target: Target<S, D>,
     events: ring::Sender<Event>,
     log: Logger,
     stop: StopSignal,
 ) -> io::Result<(Duty, ring::Sender<SaveRequest>)> {
     let (requests, input) = ring::bounded(RING_CAPACITY);
+    let Target { store, registry, keyspace, fencing_token } = target;
     let fence = Revision(fencing_token);
-    let writers = writer::start(&store, &events, &log)?;
-    let saver = Saver { store, registry, fence, writers, events, log, stop };
+    let writers = writer::start(&store, keyspace, &events, &log)?;
+    let saver = Saver { store, registry, keyspace, fence, writers, events, log, stop };
     let duty = Duty::spawn("saver", move || saver.run(&input))?;
     Ok((duty, requests))
 }
@@ -85,6 +98,7 @@
 struct Saver<S, D> {
     store: S,
     registry: D,
+    keyspace: Keyspace,
     /// Revision of the fence row, which the next holder replaces.
     fence: Revision,
     writers: Writers,
@@ -142,7 +156,7 @@
     /// is not written and the lease is reported as lost. Any failure is logged.
     fn save_backlog(&self, mut backlog: BacklogRow) {
         backlog.written_ms = self.store.clock_ms();
-        let key = row::backlog_key(row::SHARD);
+        let key = self.keyspace.backlog();
         if let Err(error) = self.put(key, row::encode(&backlog)) {
             warn!(self.log, "backlog not saved"; "error" => %error);
         }
@@ -155,7 +169,7 @@
     ///
     /// Returns the store's error, also if a later holder has acquired the shard.
     fn put(&self, key: Key, value: Vec<u8>) -> Result<(), store::Error> {
-        let fence = row::fence_key(row::SHARD);
+        let fence = self.keyspace.fence();
         let transaction = Transaction::default().put(key, value).require(fence, self.fence);
         match self.store.commit(&transaction)? {
             Commit::Applied(_) => Ok(()),
@@ -171,8 +185,8 @@
     /// as failures; a failure is only logged.
     fn save_pool_sizes(&self, pool_sizes: &PoolSizesRow) {
         let transaction = Transaction::default()
-            .replace(row::pool_sizes_key(row::SHARD), Revision::ABSENT, row::encode(pool_sizes))
-            .require(row::fence_key(row::SHARD), self.fence);
+            .replace(self.keyspace.pool_sizes(), Revision::ABSENT, row::encode(pool_sizes))
+            .require(self.keyspace.fence(), self.fence);
         match store::commit_with_retry(&self.store, &transaction) {
             store::Outcome::Applied(_) => {}
             outcome => warn!(self.log, "pool sizes not saved"; "outcome" => ?outcome),
@@ -192,14 +206,55 @@
         let due_ms = self.store.clock_ms() + millis(time_left);
         let row = row::encode(&WaveRow { started, due_ms });
         let result = self
-            .put(row::wave_key(wave), row)
-            .and_then(|()| self.registry.report_wave(wave, is_completed));
+            .put(self.keyspace.wave(wave), row)
+            .and_then(|()| self.report_wave(wave, is_completed));
         if let Err(error) = &result {
             warn!(self.log, "wave not saved"; "wave" => wave, "error" => %error);
             self.stop.sleep(RETRY_DELAY);
         }
         result.is_ok()
     }
+
+    /// Reports a wave to the operators as running, or as completed once every shard has
+    /// stored that its part is. A shard that completes before others reports nothing, because
+    /// a late report that the wave runs would replace that of its completion.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's error; the wave may have been reported.
+    fn report_wave(&self, number: u64, is_completed: bool) -> Result<(), store::Error> {
+        match is_completed {
+            true if !self.is_wave_completed(number)? => Ok(()),
+            _ => self.registry.report_wave(number, is_completed),
+        }
+    }
+
+    /// Returns whether the shards have stored together that the maintenance of every host of
+    /// a wave has started; true if the operators have removed the wave.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's error if it gave no usable response, or if a row can't be decoded.
+    fn is_wave_completed(&self, number: u64) -> Result<bool, store::Error> {
+        let sharding = self.keyspace.sharding();
+        if sharding == Sharding::SINGLE {
+            return Ok(true);
+        }
+        let changes = self.registry.operator_changes(None, Duration::ZERO)?;
+        let wave = changes.waves.into_iter().find(|wave| wave.number == number);
+        let mut left = wave.map(|wave| wave.hosts).unwrap_or_default();
+        for shard in sharding.shards() {
+            let key = Keyspace::new(sharding, shard).wave(number);
+            let (row, _) = store::read_one(&self.store, &key)?;
+            let Some(value) = row.value else {
+                continue;
+            };
+            let row = row::decode::<WaveRow>(&value)
+                .map_err(|error| store::Error::NotDone(error.to_string()))?;
+            left.retain(|host| !row.started.iter().any(|started| **started == *host.0));
+        }
+        Ok(left.is_empty())
+    }
 }
 
 /// Returns the backlog row of the waiting jobs; `written_ms` is set when it is
--- a/crates/skylarkwick-planner/src/jobs/sweep.rs
+++ b/crates/skylarkwick-planner/src/jobs/sweep.rs
@@ -4,7 +4,8 @@
 use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
 
 use skylarkwick_connection::store::{
-    self, Commit, Row, Store, Transaction,
+    self, Commit, Row, Store, TableReader, Transaction,
+    keyspace::{self, Keyspace},
     row::{self, JobRow},
 };
 use skylarkwick_process::duty::{Duty, StopSignal};
@@ -18,7 +19,7 @@
 /// to a hundred in total, and each row needs both.
 const MAX_ROWS: usize = 50;
 
-/// Starts the duty that removes the rows of jobs that finished longer than `retention` ago,
+/// Starts the duty that removes the rows of a shard's jobs that finished longer than `retention` ago,
 /// after a pause of [`PERIOD`] each time, until the stop signal. Errors are only logged.
 ///
 /// # Errors
@@ -26,13 +27,14 @@
 /// Fails if the thread cannot be started.
 pub(super) fn start<S: Store>(
     store: S,
+    keyspace: Keyspace,
     retention: Duration,
     log: Logger,
     stop: StopSignal,
 ) -> io::Result<Duty> {
     Duty::spawn("sweep", move || {
         while !stop.sleep(PERIOD) {
-            match remove_expired(&store, retention, &log) {
+            match remove_expired(&store, keyspace, retention, &log) {
                 Ok(0) => {}
                 Ok(removed) => info!(log, "expired rows removed"; "rows" => removed),
                 Err(error) => warn!(log, "expired rows not removed"; "error" => %error),
@@ -41,7 +43,7 @@
     })
 }
 
-/// Removes the rows of jobs that finished longer than `retention` ago; returns their
+/// Removes the rows of a shard's jobs that finished longer than `retention` ago; returns their
 /// number. A transaction removes at most `MAX_ROWS` (50) rows of one queue; if one of them
 /// has changed since it was read, all of them stay, and the next sweep reads them again.
 ///
@@ -51,10 +53,13 @@
 /// then, and the next sweep removes the remaining ones.
 pub fn remove_expired<S: Store>(
     store: &S,
+    keyspace: Keyspace,
     retention: Duration,
     log: &Logger,
 ) -> Result<usize, store::Error> {
-    let page = store::read_table(store, row::JOBS)?;
+    let mut reader = TableReader::with_part_suffix(keyspace::JOBS, &keyspace.part_suffix());
+    reader.read(store)?;
+    let page = reader.into_page();
     let cutoff_ms = page.now_ms.saturating_sub(millis(retention));
     let mut parts: BTreeMap<&Arc<str>, Vec<&Row>> = BTreeMap::new();
     for row in page.rows.iter().filter(|row| is_expired(row, cutoff_ms, log)) {
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -1,12 +1,12 @@
 //! Duties that follow the store and the platform's lists, and renew the lease.
 
-use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, io, time::Duration};
 
 use skylarkwick_connection::{
     control::{Hosts, Registry},
     store::{
         self, Feed, Page, Store, TableReader,
-        row::{self, WaveRow},
+        keyspace::{self, Keyspace},
     },
 };
 use skylarkwick_process::{
@@ -14,7 +14,7 @@
     duty::{Duty, StopSignal},
     ring,
 };
-use skylarkwick_request::shard::input::{HostId, MaintenanceWave, ServerId, ServerInfo};
+use skylarkwick_request::shard::input::{ServerId, ServerInfo};
 use skylarkwick_version::revision::Revision;
 use slog::{Logger, info, warn};
 
@@ -33,6 +33,10 @@
 const BATCH_WINDOW: Duration = Duration::from_millis(40);
 /// Pause between two listings of the backend servers.
 const SERVER_PERIOD: Duration = Duration::from_millis(250);
+/// Number of shards up to which the lists are read at their full rate.
+const FULL_RATE_SHARDS: u32 = 4;
+/// Factor by which the pauses between two lists grow at most.
+const MAX_PERIOD_FACTOR: u32 = 4;
 /// Number of lists after an error that may lack a server in a row before it counts as gone;
 /// they take two seconds, within which entries that expired during an outage are back.
 const MAX_LACKING_LISTS: u32 = 8;
@@ -41,7 +45,7 @@
 /// Pause before each renewal of the lease, counted from the end of the previous one.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(500);
 
-/// Starts the duty that follows changes of jobs after `revision`, and sends an
+/// Starts the duty that follows changes of the shard's jobs after `revision`, and sends an
 /// [`Event::JobAdded`] or [`Event::JobRemoved`] for each changed row until the stop signal.
 /// Invalid rows are skipped. If the store has compacted the changes, all rows are read and
 /// sent again.
@@ -51,6 +55,7 @@
 /// Fails if the thread cannot be started.
 pub(super) fn jobs<S: Store>(
     store: S,
+    keyspace: Keyspace,
     mut revision: Revision,
     events: ring::Sender<Event>,
     log: Logger,
@@ -59,7 +64,7 @@
     Duty::spawn("jobs", move || {
         let mut reader = None;
         while !stop.is_requested() {
-            let page = match next_jobs(&store, revision, &mut reader) {
+            let page = match next_jobs(&store, keyspace, revision, &mut reader) {
                 Ok(page) => page,
                 Err(error) => {
                     warn!(log, "waiting for job changes failed"; "error" => %error);
@@ -70,7 +75,7 @@
             revision = page.revision;
             let is_empty = page.rows.is_empty();
             for row in &page.rows {
-                let event = match load::decode_job(row, page.now_ms, &log) {
+                let event = match load::decode_job(row, keyspace, page.now_ms, &log) {
                     Some(StoredJob::Active(accepted)) => Event::JobAdded(accepted),
                     Some(StoredJob::Finished(id)) => Event::JobRemoved(id),
                     None => continue,
@@ -95,14 +100,17 @@
 /// Returns an error if the store gave no usable response.
 fn next_jobs<S: Store>(
     store: &S,
+    keyspace: Keyspace,
     revision: Revision,
     reader: &mut Option<TableReader>,
 ) -> Result<Page, store::Error> {
     let mut begun = match reader.take() {
         Some(begun) => begun,
-        None => match store.feed(row::JOBS, revision, MAX_WAIT)? {
+        None => match store.feed(keyspace::JOBS, revision, MAX_WAIT)? {
             Feed::Changed(page) => return Ok(page),
-            Feed::Compacted => TableReader::new(row::JOBS),
+            Feed::Compacted => {
+                TableReader::with_part_suffix(keyspace::JOBS, &keyspace.part_suffix())
+            }
         },
     };
     match begun.read(store) {
@@ -114,83 +122,8 @@
     }
 }
 
-/// Starts the duty that follows the configuration and the maintenance waves that operators
-/// write, and sends each change to `events` until the stop signal. Everything is read
-/// first. Waves are sent with their stored progress; if that of one can't be read, only the
-/// configuration is sent, without which the holder starts nothing, and the changes are read
-/// again.
-///
-/// # Errors
-///
-/// Fails if the thread cannot be started.
-pub(super) fn operator_changes<S: Store, D: Registry>(
-    store: S,
-    registry: D,
-    events: ring::Sender<Event>,
-    log: Logger,
-    stop: StopSignal,
-) -> io::Result<Duty> {
-    Duty::spawn("notices", move || {
-        let mut revision = None;
-        while !stop.is_requested() {
-            let changes = match registry.operator_changes(revision, MAX_WAIT) {
-                Ok(changes) => changes,
-                Err(error) => {
-                    warn!(log, "waiting for operator changes failed"; "error" => %error);
-                    stop.sleep(RETRY_DELAY);
-                    continue;
-                }
-            };
-            let configured =
-                changes.configuration.map(|next| Event::ConfigurationChanged(Box::new(next)));
-            if configured.is_some_and(|event| !send(&events, event)) {
-                return;
-            }
-            let waves: Option<Vec<MaintenanceWave>> = changes
-                .waves
-                .into_iter()
-                .map(|wave| with_stored_progress(&store, wave, &log))
-                .collect();
-            let Some(waves) = waves else {
-                stop.sleep(RETRY_DELAY);
-                continue;
-            };
-            revision = Some(changes.revision);
-            for wave in waves {
-                if !send(&events, Event::WaveRequested(wave)) {
-                    return;
-                }
-            }
-        }
-    })
-}
-
-/// Returns the wave with its stored progress, the hosts that have started and the time
-/// left, or as it is if the row is missing or invalid; returns `None` if the store can't
-/// be read.
-fn with_stored_progress<S: Store>(
-    store: &S,
-    mut wave: MaintenanceWave,
-    log: &Logger,
-) -> Option<MaintenanceWave> {
-    let (row, _) = store::read_one(store, &row::wave_key(wave.number))
-        .inspect_err(|error| warn!(log, "wave not read"; "error" => %error))
-        .ok()?;
-    if let Some(value) = row.value {
-        match row::decode::<WaveRow>(&value) {
-            Ok(row) => {
-                wave.started = row.started.iter().map(|id| HostId(Arc::from(&**id))).collect();
-                let left = row.due_ms.saturating_sub(store.clock_ms());
-                wave.time_left = Duration::from_millis(left);
-            }
-            Err(error) => warn!(log, "wave row not decoded"; "error" => %error),
-        }
-    }
-    Some(wave)
-}
-
 /// Starts the duty that lists the backend servers, with a pause of [`SERVER_PERIOD`] in
-/// between, and sends each list to `events`, until the stop signal. The first list after an
+/// between (longer on a divided site, see [`list_period`]), and sends the shard's ones to `events`, until the stop signal. The first list after an
 /// error is completed from the earlier ones, see [`ServerList::complete`].
 ///
 /// # Errors
@@ -198,6 +131,7 @@
 /// Fails if the thread cannot be started.
 pub(super) fn servers<D: Registry>(
     registry: D,
+    keyspace: Keyspace,
     events: ring::Sender<Event>,
     log: Logger,
     stop: StopSignal,
@@ -207,7 +141,8 @@
         let mut has_failed = false;
         loop {
             match registry.servers() {
-                Ok(servers) => {
+                Ok(mut servers) => {
+                    servers.retain(|info| keyspace.owns(owned_name(info)));
                     match has_failed {
                         true => list.complete(servers),
                         false => list.replace(servers),
@@ -222,13 +157,26 @@
                     warn!(log, "servers not listed"; "error" => %error);
                 }
             }
-            if stop.sleep(SERVER_PERIOD) {
+            if stop.sleep(list_period(SERVER_PERIOD, keyspace)) {
                 return;
             }
         }
     })
 }
 
+/// Returns the pause between two lists of the whole site: longer the more shards read them,
+/// because all share the platform's limit of readings.
+fn list_period(period: Duration, keyspace: Keyspace) -> Duration {
+    let factor = keyspace.sharding().count().div_ceil(FULL_RATE_SHARDS);
+    period * factor.min(MAX_PERIOD_FACTOR)
+}
+
+/// Returns the name that decides to which shard a server belongs: its host's, which it shares
+/// with earlier and later servers there, or its own if the platform names no host.
+fn owned_name(info: &ServerInfo) -> &str {
+    info.host.as_ref().map_or(&info.id.0, |host| &host.0)
+}
+
 /// The servers that count as listed, each with the number of lists in a row that lacked it.
 #[derive(Debug, Default)]
 struct ServerList {
@@ -260,14 +208,15 @@
     }
 }
 
-/// Starts the duty that lists the hosts, with a pause of [`HOST_PERIOD`] in between, and
-/// sends each list to `events`, until the stop signal. A failed listing is only logged.
+/// Starts the duty that lists the hosts, with a pause of [`HOST_PERIOD`] in between (longer
+/// on a divided site, see [`list_period`]), and sends the shard's ones to `events`, until the stop signal. A failed listing is only logged.
 ///
 /// # Errors
 ///
 /// Fails if the thread cannot be started.
 pub(super) fn hosts<H: Hosts>(
     hosts: H,
+    keyspace: Keyspace,
     events: ring::Sender<Event>,
     log: Logger,
     stop: StopSignal,
@@ -275,13 +224,16 @@
     Duty::spawn("hosts", move || {
         while !stop.is_requested() {
             let is_closed = match hosts.hosts() {
-                Ok(list) => !send(&events, Event::HostsListed(list)),
+                Ok(mut list) => {
+                    list.retain(|host| keyspace.owns(&host.id.0));
+                    !send(&events, Event::HostsListed(list))
+                }
                 Err(error) => {
                     warn!(log, "hosts not listed"; "error" => %error);
                     false
                 }
             };
-            if is_closed || stop.sleep(HOST_PERIOD) {
+            if is_closed || stop.sleep(list_period(HOST_PERIOD, keyspace)) {
                 return;
             }
         }
--- a/crates/skylarkwick-planner/src/jobs/writer.rs
+++ b/crates/skylarkwick-planner/src/jobs/writer.rs
@@ -4,6 +4,7 @@
 
 use skylarkwick_connection::store::{
     self, Commit, Row, Store, Transaction,
+    keyspace::Keyspace,
     row::{self, FinalState, JobRow, ProgressRow},
 };
 use skylarkwick_process::{duty::Duty, ring};
@@ -68,6 +69,7 @@
 /// Fails if a thread cannot be started.
 pub(super) fn start<S: Store>(
     store: &S,
+    keyspace: Keyspace,
     events: &ring::Sender<Event>,
     log: &Logger,
 ) -> io::Result<Writers> {
@@ -75,7 +77,8 @@
     let mut update_senders = Vec::with_capacity(WRITERS);
     for _ in 0..WRITERS {
         let (sender, input) = ring::bounded::<Vec<JobUpdate>>(RING_CAPACITY);
-        let writer = Writer { store: store.clone(), events: events.clone(), log: log.clone() };
+        let writer =
+            Writer { store: store.clone(), keyspace, events: events.clone(), log: log.clone() };
         let result_sender = result_sender.clone();
         Duty::spawn("writer", move || {
             while let Some(updates) = input.receive() {
@@ -93,6 +96,7 @@
 /// to the holder.
 struct Writer<S> {
     store: S,
+    keyspace: Keyspace,
     events: ring::Sender<Event>,
     log: Logger,
 }
@@ -156,13 +160,13 @@
         let find = |key| rows.iter().find(|row| row.key == key);
         let (queue, id) = (&update.queue, update.id.as_str());
         let is_changed =
-            find(row::job_key(queue, id)).is_some_and(|row| row.revision != update.revision);
+            find(self.keyspace.job(queue, id)).is_some_and(|row| row.revision != update.revision);
         if is_changed {
             // The job was cancelled, or an earlier write of this holder finished it.
             send(&self.events, Event::JobRemoved(update.id.clone()));
             return ConflictKind::Job;
         }
-        let progress = find(row::progress_key(queue, id))
+        let progress = find(self.keyspace.progress(queue, id))
             .filter(|row| row.revision != update.progress_revision);
         match progress {
             None => ConflictKind::None,
@@ -181,8 +185,8 @@
         let mut transaction = Transaction::default();
         for update in updates {
             let (queue, id) = (&update.queue, update.id.as_str());
-            let job = row::job_key(queue, id);
-            let progress = row::progress_key(queue, id);
+            let job = self.keyspace.job(queue, id);
+            let progress = self.keyspace.progress(queue, id);
             transaction = match &update.change {
                 Change::Progress(known) => {
                     transaction.conditions.push((job, update.revision));
--- a/crates/skylarkwick-request/src/lib.rs
+++ b/crates/skylarkwick-request/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod scheduler;
 pub mod shard;
 pub mod ticket;
+pub mod wave_share;
--- a/crates/skylarkwick-request/src/shard/wave.rs
+++ b/crates/skylarkwick-request/src/shard/wave.rs
@@ -186,7 +186,11 @@
         progress.is_saved = true;
         progress.is_completed = is_completed;
         let time_left = progress.wave.time_left.saturating_sub(now.since(progress.received));
-        let started = progress.wave.started.clone();
+        // Hosts that the platform no longer lists need no maintenance.
+        let started = match is_completed {
+            true => progress.wave.hosts.clone(),
+            false => progress.wave.started.clone(),
+        };
         self.effects.push(Effect::SaveWave { wave: number, started, time_left, is_completed });
     }
 
--- a/crates/skylarkwick-version/src/lib.rs
+++ b/crates/skylarkwick-version/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod resources;
 pub mod revision;
 pub mod shard_lease;
+pub mod sharding;
 pub mod source;
 pub mod wave;
