Withhold rows that the store would refuse for their size

Cause: the row of waiting jobs held all identifiers; with 3,800 and more the store refused it as too long, each 0.7 s anew, and the list grew old.

--- a/crates/skylarkwick-connection/src/store.rs
+++ b/crates/skylarkwick-connection/src/store.rs
@@ -117,7 +117,7 @@
     Compacted,
 }
 
-/// Why the store gave no usable response, and whether a write may have taken effect.
+/// Why the store gave no usable response, or was not asked, and whether a write may have taken effect.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     /// The store did not execute the request, for this reason; nothing was written.
@@ -127,6 +127,17 @@
     /// do so.
     #[error("the store's response was lost: {0}")]
     Unknown(String),
+    /// A row is larger than the store accepts. Nothing was sent, and the same transaction
+    /// would be refused again.
+    #[error("row {name:?} of table {table:?} has {bytes} bytes, more than the store accepts")]
+    TooLarge {
+        /// Table of the row.
+        table: Arc<str>,
+        /// Key of the row within its partition.
+        name: Arc<str>,
+        /// Size of its value.
+        bytes: usize,
+    },
 }
 
 /// Access to the platform's store: transactions, reads, a feed of changes, and the
@@ -348,6 +359,7 @@
             Err(Error::Unknown(error)) => lost = Some(error),
             Err(Error::NotDone(error)) if lost.is_none() => return Outcome::NotDone(error),
             Err(Error::NotDone(error)) => lost = Some(error),
+            Err(error @ Error::TooLarge { .. }) => return Outcome::NotDone(error.to_string()),
         }
     }
     Outcome::Unknown(lost.unwrap_or_default())
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use skylarkwick_request::job::{
-    Job, Schedule, State, Step,
+    self, Job, Schedule, State, Step,
     progress::{Progress, TaskPosition, TaskProgress},
     task::RunId,
 };
@@ -19,6 +19,11 @@
 
 /// Version of the encoding, which is the first byte of each row.
 const ENCODING_VERSION: u8 = 1;
+/// Largest size of the identifiers in a [`BacklogRow`], in bytes; below what the platform
+/// accepts for a row.
+const MAX_BACKLOG_BYTES: usize = 60_000;
+/// Size of the encoded length of an identifier or a list, in bytes, at most.
+const LENGTH_BYTES: usize = 3;
 
 /// Why a row can't be decoded: unsupported version, invalid bytes, or no bytes.
 #[derive(Debug, thiserror::Error)]
@@ -299,6 +304,28 @@
     pub waiting: BTreeMap<String, Vec<String>>,
 }
 
+impl BacklogRow {
+    /// Lists waiting jobs by queue, of each queue at most its equal part of what a row can
+    /// hold, the first ones; `written_ms` is set when the row is saved. A job that is left out
+    /// counts as running for its caller.
+    pub fn new(waiting: BTreeMap<Arc<str>, Vec<job::Id>>) -> BacklogRow {
+        let queues = waiting.values().filter(|ids| !ids.is_empty()).count();
+        let budget = MAX_BACKLOG_BYTES / queues.max(1);
+        let list = |(queue, ids): (Arc<str>, Vec<job::Id>)| {
+            let mut left = budget.saturating_sub(queue.len() + LENGTH_BYTES);
+            let fits = |id: &&job::Id| {
+                let bytes = id.as_str().len() + LENGTH_BYTES;
+                let has_room = bytes <= left;
+                left = left.saturating_sub(bytes);
+                has_room
+            };
+            let listed = ids.iter().take_while(fits).map(|id| id.as_str().to_owned());
+            (queue.to_string(), listed.collect())
+        };
+        BacklogRow { written_ms: 0, waiting: waiting.into_iter().map(list).collect() }
+    }
+}
+
 /// Row of the division of the site into shards; it is written once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardingRow {
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -212,6 +212,10 @@
                     is_in_doubt = true;
                     warn!(self.log, "no answer to store write"; "error" => error);
                 }
+                Err(error @ store::Error::TooLarge { .. }) => {
+                    warn!(self.log, "job not stored"; "error" => %error);
+                    return SubmitOutcome::Invalid(job::Error::Size);
+                }
                 Err(store::Error::NotDone(error)) => {
                     warn!(self.log, "store refused"; "error" => error);
                     if !is_in_doubt {
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -5,7 +5,10 @@
 
 use skylarkwick_connection::{
     control::{Hosts, Orders, PollError, Registry},
-    store::{Store, row::PoolSizesRow},
+    store::{
+        Store,
+        row::{BacklogRow, PoolSizesRow},
+    },
 };
 use skylarkwick_process::{
     clock::{Boot, Clock},
@@ -431,7 +434,7 @@
             return;
         }
         self.backlog_due = now + BACKLOG_PERIOD;
-        let row = saver::backlog_row(self.shard.backlog());
+        let row = BacklogRow::new(self.shard.backlog());
         if self.saver.try_send(SaveRequest::Backlog(row)).is_err() {
             warn!(self.log, "backlog not saved"; "because" => "the saver's ring is full");
         }
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -15,10 +15,7 @@
     duty::{Duty, StopSignal},
     ring,
 };
-use skylarkwick_request::{
-    job,
-    shard::effect::{Batch, JobUpdate},
-};
+use skylarkwick_request::shard::effect::{Batch, JobUpdate};
 use skylarkwick_version::{moment::millis, revision::Revision, sharding::Sharding};
 use slog::{Logger, warn};
 
@@ -256,11 +253,3 @@
         Ok(left.is_empty())
     }
 }
-
-/// Returns the backlog row of the waiting jobs; `written_ms` is set when it is
-/// saved.
-pub(super) fn backlog_row(waiting: BTreeMap<Arc<str>, Vec<job::Id>>) -> BacklogRow {
-    let id_strings = |ids: Vec<job::Id>| ids.iter().map(|id| id.as_str().to_owned()).collect();
-    let waiting = waiting.into_iter().map(|(queue, ids)| (queue.to_string(), id_strings(ids)));
-    BacklogRow { written_ms: 0, waiting: waiting.collect() }
-}
--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -131,6 +131,9 @@
     /// The job has too many occurrences.
     #[error("a job may have at most {MAX_OCCURRENCES} occurrences")]
     Occurrences,
+    /// The job does not fit in a row of the store.
+    #[error("the job is too large to be stored")]
+    Size,
 }
 
 impl Job {
