Check the lease right before each call to a backend server

A process that is paused in between for longer than the lease sends them when it wakes; starts are void by then, stops and paces are not, and the next holder's fence stops them only on servers that it has reached. Ruled out: a time in each order (a renewal that is confirmed meanwhile would not help orders that wait, and a lost lease would not withhold them). Change: the clients of the sending and polling duties share a permission with the holder, which checks the boot-time clock right before each call, is extended by each confirmed renewal and revoked when the lease is lost. A withheld order is reported as not sent. A pause between this check and the call remains; there the servers' fencing tokens and the starts' own deadlines decide.

--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -16,6 +16,7 @@
 mod lease;
 mod load;
 mod operator_changes;
+pub mod permit;
 mod poller;
 mod saver;
 mod strength;
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -20,10 +20,7 @@
     effect::{Effect, LogEntry},
     input::HostOrderResult,
 };
-use skylarkwick_version::{
-    moment::{Moment, millis},
-    shard_lease,
-};
+use skylarkwick_version::moment::{Moment, millis};
 use slog::{Logger, error, info, warn};
 
 use super::{
@@ -35,6 +32,7 @@
     lease::{Acquisition, Lease, Renewal},
     load::{self, LoadedState},
     operator_changes::{self, OperatorSource},
+    permit::{self, Permit},
     poller::{PollRequest, Pollers},
     saver::{self, SaveRequest},
     sweep,
@@ -118,7 +116,9 @@
 /// execute its effects, and when periodic tasks are due. `O` calls backend servers.
 struct Holder<O> {
     shard: Shard,
-    pollers: Pollers<O>,
+    /// Permission of the duties that call backend servers.
+    permit: Permit<Boot>,
+    pollers: Pollers<permit::Client<O, Boot>>,
     dispatch: DispatchHandle,
     saver: ring::Sender<SaveRequest>,
     saver_duty: Duty,
@@ -209,8 +209,11 @@
         let (entry, handover_delay) = (Arc::clone(&config.entry), config.handover_delay);
         let issuer = host_orders::Issuer { entry, keyspace, fencing_token, handover_delay };
         let host_orders = host_orders::start(store, &hosts, issuer, events.clone(), log.clone())?;
+        let permit = Permit::new(Boot, since);
+        let orders = permit::Client::new(orders, permit.clone());
         Ok(Holder {
             shard,
+            permit,
             dispatch: dispatch::start(orders.clone(), events.clone(), log.clone())?,
             pollers: Pollers::new(orders, events.clone(), log.clone()),
             saver,
@@ -293,7 +296,9 @@
             Event::ServersListed(servers) => self.shard.set_servers(now, servers),
             Event::HostsListed(hosts) => self.shard.set_hosts(now, hosts),
             Event::StatusReported(report) => self.shard.handle_status_report(now, *report),
-            Event::PollFailed(_, PollError::Fenced) => self.is_lost = true,
+            Event::PollFailed(_, PollError::Fenced) => {
+                self.lose("a backend server has a later holder")
+            }
             Event::PollFailed(server, PollError::IncarnationMismatch) => {
                 self.shard.handle_server_replaced(&server)
             }
@@ -319,26 +324,30 @@
                 self.shard.handle_wave_saved(wave, is_completed);
             }
             Event::WaveSaveResult { wave, .. } => self.shard.handle_wave_save_failed(wave),
-            Event::LeaseRenewal(Renewal::Confirmed, sent) => self.last_confirmed_renewal = sent,
-            Event::LeaseRenewal(Renewal::Unconfirmed, _) => {}
-            Event::LeaseRenewal(Renewal::Lost, _) => {
-                warn!(self.log, "shard lost"; "because" => "another holder has the lease");
-                self.is_lost = true;
+            Event::LeaseRenewal(Renewal::Confirmed, sent) => {
+                self.last_confirmed_renewal = sent;
+                self.permit.extend(sent);
             }
+            Event::LeaseRenewal(Renewal::Unconfirmed, _) => {}
+            Event::LeaseRenewal(Renewal::Lost, _) => self.lose("another holder has the lease"),
         }
     }
 
+    /// Ends the term: nothing more is decided, and orders that wait are not sent.
+    fn lose(&mut self, because: &'static str) {
+        warn!(self.log, "shard lost"; "because" => because);
+        self.permit.revoke();
+        self.is_lost = true;
+    }
+
     /// Decides and executes the effects, then publishes the backlog and logs its
     /// activity when they are due.
     ///
-    /// Does nothing before a configuration is known, after the lease was lost, and once
-    /// [`shard_lease::MAX_RENEWAL_GAP`] has passed since the last confirmed renewal was
-    /// sent, until another one is confirmed.
+    /// Does nothing before a configuration is known, after the lease was lost, and while the
+    /// permission to act has run out, until another renewal is confirmed.
     fn decide(&mut self) {
         let now = Boot.now();
-        let renewal_gap = now.since(self.last_confirmed_renewal);
-        let may_act = renewal_gap < shard_lease::MAX_RENEWAL_GAP;
-        if self.is_lost || !may_act || self.configuration_version.is_none() {
+        if !self.permit.is_valid() || self.configuration_version.is_none() {
             return;
         }
         let unix_ms = self.wall_clock.unix_ms(now);
@@ -408,8 +417,7 @@
                 None
             }
             Effect::StepDown => {
-                warn!(self.log, "shard lost"; "because" => "a backend server rejected the fencing token");
-                self.is_lost = true;
+                self.lose("a backend server rejected the fencing token");
                 None
             }
         };
