Order hosts by the trend of demand

A host can run its first task about two seconds after its move was decided, and hosts were ordered for the present demand. Ruled out: a lack of hosts (500 servers were idle), the pace of orders (2,407 orders, all answered as done), the window of starts (planned runs were a hundredth of all). Change: the demand of a pool, long-running tasks apart, is forecast two seconds ahead by its rise over a moving mean of one second. It is never below the present one.

--- a/crates/skylarkwick-request/src/shard/allocation.rs
+++ b/crates/skylarkwick-request/src/shard/allocation.rs
@@ -10,7 +10,7 @@
 
 use skylarkwick_version::moment::Moment;
 
-use super::{Shard, fleet::Occupancy, input::HostId};
+use super::{Shard, fleet::Occupancy, input::HostId, trend::Trend};
 
 /// Processor time allocated for tasks that are not long-running, in percent of
 /// what the current jobs need to finish in time; more jobs arrive while a host
@@ -86,7 +86,7 @@
     /// Returns the allocation of each pool that has hosts or a queue: what it
     /// has, needs and keeps in reserve, and its idle hosts. The targets are not
     /// set yet.
-    fn allocations(&self, now: Moment, occupancy: &Occupancy) -> Allocations {
+    fn allocations(&mut self, now: Moment, occupancy: &Occupancy) -> Allocations {
         let mut allocations = Allocations::new();
         for host in self.fleet.hosts.values() {
             let pool = self.fleet.target_pool(host);
@@ -101,8 +101,13 @@
             allocation.reserve = MIN_RESERVE_HOSTS.max(self.initial_size(pool) / RESERVE_DIVISOR);
         }
         let host_millicores = self.mean_host_millicores();
-        for (pool, demand) in self.demand(now) {
-            let batch_millicores = demand.batch_millicores * HEADROOM_PERCENT / 100;
+        let demand = self.demand(now);
+        self.fleet.trends.retain(|pool, _| demand.contains_key(pool));
+        for (pool, demand) in demand {
+            let new_trend = || Trend::new(now, demand.batch_millicores);
+            let trend = self.fleet.trends.entry(Arc::clone(&pool)).or_insert_with(new_trend);
+            let forecast = trend.forecast(now, demand.batch_millicores);
+            let batch_millicores = forecast * HEADROOM_PERCENT / 100;
             let allocation = allocations.entry(pool).or_default();
             let hosts =
                 hosts_for(batch_millicores + demand.long_running_millicores, host_millicores);
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -17,6 +17,7 @@
     effect::Effect,
     input::{Host, HostId, HostOrderResult, HostState},
     server::Server,
+    trend::Trend,
     wave::WaveProgress,
 };
 
@@ -77,13 +78,15 @@
 /// orders for them, the maintenance waves (requests of operators to maintain
 /// some hosts within a given time) and the hosts that drain for these, the spare
 /// pools, whose hosts are powered off, and the time of the last rebalance. For
-/// each pool: its unmet demand in thousandths of a core, the number of hosts
-/// that operators gave it, and its last allocation.
+/// each pool: its unmet demand in thousandths of a core, the trend of its demand,
+/// the number of hosts that operators gave it, and its last allocation.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Fleet {
     /// Processor time that ready tasks lack in each pool, in thousandths of a
     /// core; a pool that lacks none is missing.
     pub(super) unmet_millicores: BTreeMap<Arc<str>, u64>,
+    /// Trend of the demand of each pool that has a queue.
+    pub(super) trends: BTreeMap<Arc<str>, Trend>,
     /// Hosts in the platform's list.
     pub(super) hosts: BTreeMap<HostId, Host>,
     /// Pools whose hosts are powered off.
