Bound numbers of callers and servers before the shard computes with them

Cause: a chain of steps with the largest estimates, or a queue whose stretch is not a number, made the multiplication of a duration panic. A panic ends the planner; the job is stored, so each planner that takes the shard next ends the same way, and the shard stands still. Sums of processor time, clocks and run numbers at their limits wrapped around instead, which gives a wrong order of work. Change: an expected run time counts as at most 30 days, a stretch that is no number as 1, and what is added or multiplied saturates.

--- a/crates/skylarkwick-request/src/job/task.rs
+++ b/crates/skylarkwick-request/src/job/task.rs
@@ -64,12 +64,12 @@
     /// Every run of a later holder is above every run of an earlier one that started at most
     /// 2^24 runs, so a holder need not know which runs its predecessors started.
     pub const fn first_of_term(term: u64) -> RunId {
-        RunId(term.saturating_mul(RunId::RUNS_PER_TERM) + 1)
+        RunId(term.saturating_mul(RunId::RUNS_PER_TERM).saturating_add(1))
     }
 
     /// Returns the run identifier after this one.
     pub const fn next(self) -> RunId {
-        RunId(self.0 + 1)
+        RunId(self.0.saturating_add(1))
     }
 }
 
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -299,7 +299,8 @@
     /// plus its target, the expiry `EXPIRY_FACTOR` (3) times as much.
     pub(super) fn deadlines(&self, queue: &Queue, estimate: Estimate) -> (Moment, Moment) {
         let critical_path = self.critical_path(|_| true, estimate);
-        let objective = critical_path.mul_f64(queue.stretch.clamp(1.0, 100.0)) + queue.target;
+        let stretch = if queue.stretch.is_nan() { 1.0 } else { queue.stretch.clamp(1.0, 100.0) };
+        let objective = critical_path.mul_f64(stretch) + queue.target;
         (self.accepted_at + objective, self.accepted_at + objective * EXPIRY_FACTOR)
     }
 
@@ -342,7 +343,7 @@
         estimate: Estimate,
     ) -> u64 {
         let (objective, expiry) = self.deadlines(queue, estimate);
-        let mut millicores = 0;
+        let mut millicores = 0_u64;
         for occurrence in self.occurrences.values() {
             let critical_path = self.remaining_time(occurrence, estimate).max(MIN_CRITICAL_PATH);
             let span = match now + critical_path {
@@ -350,8 +351,8 @@
                 end if end <= expiry => expiry.since(now).mul_f64(LATE_SHARE),
                 _ => EXPIRED_JOB_SPAN,
             };
-            millicores +=
-                self.remaining_work(occurrence, estimate) / millis(span.max(critical_path));
+            let work = self.remaining_work(occurrence, estimate);
+            millicores = millicores.saturating_add(work / millis(span.max(critical_path)));
         }
         millicores
     }
@@ -390,9 +391,9 @@
         for (tasks, step) in finite_steps.filter(|(_, step)| !step.is_long_running) {
             let left = tasks.iter().filter(|task| task.state != TaskState::Done).count();
             let each = millis(estimate.run_time(step));
-            work += u64::try_from(left).unwrap_or_default()
-                * each
-                * step.reserved_resources().millicores;
+            let left = u64::try_from(left).unwrap_or(u64::MAX);
+            let millicores = step.reserved_resources().millicores;
+            work = work.saturating_add(left.saturating_mul(each).saturating_mul(millicores));
         }
         work
     }
--- a/crates/skylarkwick-request/src/shard/allocation.rs
+++ b/crates/skylarkwick-request/src/shard/allocation.rs
@@ -25,6 +25,8 @@
 /// Shortest time between two rounds of rebalancing, which move hosts towards
 /// the targets of the pools.
 const REBALANCE_PERIOD: Duration = Duration::from_millis(300);
+/// Upper limit of the hosts that count as needed by a pool; more than a shard has.
+const MAX_NEEDED_HOSTS: usize = 100_000;
 /// A round of rebalancing moves at most the number of all hosts divided by
 /// this, or `MIN_REBALANCED_HOSTS` if that is more.
 const REBALANCE_DIVISOR: usize = 16;
@@ -100,17 +102,17 @@
         for (pool, allocation) in &mut allocations {
             allocation.reserve = MIN_RESERVE_HOSTS.max(self.initial_size(pool) / RESERVE_DIVISOR);
         }
-        let host_millicores = self.mean_host_millicores();
+        let host_millicores = self.fleet.mean_capacity().millicores.max(1);
         let demand = self.demand(now);
         self.fleet.trends.retain(|pool, _| demand.contains_key(pool));
         for (pool, demand) in demand {
             let new_trend = || Trend::new(now, demand.batch_millicores);
             let trend = self.fleet.trends.entry(Arc::clone(&pool)).or_insert_with(new_trend);
             let forecast = trend.forecast(now, demand.batch_millicores);
-            let batch_millicores = forecast * HEADROOM_PERCENT / 100;
+            let batch_millicores = forecast.saturating_mul(HEADROOM_PERCENT) / 100;
             let allocation = allocations.entry(pool).or_default();
-            let hosts =
-                hosts_for(batch_millicores + demand.long_running_millicores, host_millicores);
+            let millicores = batch_millicores.saturating_add(demand.long_running_millicores);
+            let hosts = hosts_for(millicores, host_millicores).min(MAX_NEEDED_HOSTS);
             allocation.needed = hosts.max(demand.min_hosts);
         }
         allocations
@@ -121,14 +123,6 @@
         self.fleet.pool_sizes.get(pool).copied().unwrap_or_default()
     }
 
-    /// Returns the mean processor time of all hosts in the platform's list, in
-    /// thousandths of a core and at least 1.
-    fn mean_host_millicores(&self) -> u64 {
-        let all: u64 = self.fleet.hosts.values().map(|host| host.capacity.millicores).sum();
-        let count = u64::try_from(self.fleet.hosts.len()).unwrap_or(u64::MAX);
-        (all / count.max(1)).max(1)
-    }
-
     /// Sets the targets: each pool gets the hosts that its jobs need, and a
     /// share, rounded down, of the hosts that are left, in proportion to how
     /// many more its initial size is than what it needs. Spare pools, whose
--- a/crates/skylarkwick-request/src/shard/demand.rs
+++ b/crates/skylarkwick-request/src/shard/demand.rs
@@ -36,8 +36,11 @@
                 let pool_demand = demand.entry(Arc::clone(&queue.pool)).or_default();
                 pool_demand.min_hosts = pool_demand.min_hosts.max(active.min_hosts());
                 let estimate = self.run_times.estimate(&active.queue);
-                pool_demand.batch_millicores += active.required_millicores(now, queue, estimate);
-                pool_demand.long_running_millicores += self.long_running_millicores(active, host);
+                let batch = active.required_millicores(now, queue, estimate);
+                pool_demand.batch_millicores = pool_demand.batch_millicores.saturating_add(batch);
+                let long_running = self.long_running_millicores(active, host);
+                pool_demand.long_running_millicores =
+                    pool_demand.long_running_millicores.saturating_add(long_running);
             }
         }
         demand
@@ -55,8 +58,8 @@
             .filter(|(step, _)| self.fleet.has_label(step.required_label.as_ref()))
             .map(|(step, tasks)| match step.reserved_resources().count_within(&host) {
                 Some(0) | None => 0,
-                Some(fit) => host.millicores.div_ceil(fit) * tasks,
+                Some(fit) => host.millicores.div_ceil(fit).saturating_mul(tasks),
             })
-            .sum()
+            .fold(0, u64::saturating_add)
     }
 }
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -136,7 +136,8 @@
         let tasks = u64::try_from(tasks).unwrap_or(u64::MAX);
         let missing_millicores = step.resources.millicores.max(1).saturating_mul(tasks);
         let unmet_millicores = self.fleet.unmet_millicores.entry(Arc::clone(pool)).or_default();
-        *unmet_millicores = (*unmet_millicores + missing_millicores).min(MAX_UNMET_MILLICORES);
+        *unmet_millicores =
+            unmet_millicores.saturating_add(missing_millicores).min(MAX_UNMET_MILLICORES);
     }
 
     /// Assigns the waiting tasks of a step one by one, until no server meets
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -98,7 +98,7 @@
         server.is_unreachable = false;
         if !server.is_fenced {
             // An earlier holder may have renewed the lease just before.
-            let granted = report.clock.clock_ms + millis(self.timings.lease_duration);
+            let granted = report.clock.clock_ms.saturating_add(millis(self.timings.lease_duration));
             server.lease_until_ms = server.lease_until_ms.max(granted);
             server.is_fenced = true;
         }
--- a/crates/skylarkwick-request/src/shard/run_time_model.rs
+++ b/crates/skylarkwick-request/src/shard/run_time_model.rs
@@ -11,6 +11,9 @@
 /// Weight of the latest run in the moving mean errors of the callers' estimates
 /// and of the learned run time.
 const ERROR_WEIGHT: f64 = 0.1;
+/// Longest run time that is expected of a task, whatever its caller estimates, so that sums
+/// and multiples of run times stay in range.
+const MAX_RUN_TIME: Duration = Duration::from_secs(30 * 24 * 60 * 60);
 /// Run times and estimates below this count as this, so that their logarithms
 /// stay finite.
 const MIN_RUN_TIME: Duration = Duration::from_millis(1);
@@ -83,9 +86,9 @@
 }
 
 impl Estimate {
-    /// Returns the expected run time of a step's tasks.
+    /// Returns the expected run time of a step's tasks, at most `MAX_RUN_TIME`.
     pub(super) fn run_time(self, step: &Step) -> Duration {
-        self.learned.unwrap_or(step.run_time_estimate)
+        self.learned.unwrap_or(step.run_time_estimate).min(MAX_RUN_TIME)
     }
 }
 
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -248,14 +248,14 @@
     pub(super) fn clock_ms(&self, now: Moment) -> Option<u64> {
         let reading = self.clock_reading?;
         let elapsed = millis(now.since(reading.received));
-        Some(reading.clock_ms + elapsed * MIN_CLOCK_RATE_PER_MILLE / 1000)
+        Some(reading.clock_ms.saturating_add(elapsed * MIN_CLOCK_RATE_PER_MILLE / 1000))
     }
 
     /// Returns the lowest time that the server's clock can show now, plus a
     /// period, in milliseconds: the end of a lease or start window that begins
     /// now. `None` if the clock was never read.
     pub(super) fn deadline_ms(&self, now: Moment, period: Duration) -> Option<u64> {
-        Some(self.clock_ms(now)? + millis(period))
+        Some(self.clock_ms(now)?.saturating_add(millis(period)))
     }
 
     /// Returns whether the server's clock had certainly passed a time in
--- a/crates/skylarkwick-request/src/shard/trend.rs
+++ b/crates/skylarkwick-request/src/shard/trend.rs
@@ -39,7 +39,8 @@
         self.mean_millicores += weight * (present - self.mean_millicores);
         self.updated = now;
         let rise_per_second = (present - self.mean_millicores) / SMOOTHING.as_secs_f64();
-        millicores + (rise_per_second.max(0.0) * LEAD.as_secs_f64()) as u64
+        let rise = rise_per_second.max(0.0) * LEAD.as_secs_f64();
+        millicores.saturating_add(rise as u64)
     }
 }
 
