Begin early with the evacuation of steps that need most of a wave's time

Cause: a job's long-running tasks leave their hosts as few at a time as its step allows. Ruled out: room elsewhere (each task started again within a second), the limit of hosts that may be down (58). Change: a step whose tasks need more than half of the remaining time to leave, at 1.5 s each and as many at once as it allows, always has a host that drains.

--- a/crates/skylarkwick-request/src/shard/drain.rs
+++ b/crates/skylarkwick-request/src/shard/drain.rs
@@ -27,7 +27,7 @@
 const MIN_RUN_TIME_TO_STOP: Duration = Duration::from_millis(1500);
 
 /// Job, occurrence and index of a step.
-type StepKey = (job::Id, u32, usize);
+pub(super) type StepKey = (job::Id, u32, usize);
 
 impl Shard {
     /// Requests the stop of tasks on hosts that a maintenance wave drains and
--- a/crates/skylarkwick-request/src/shard/wave.rs
+++ b/crates/skylarkwick-request/src/shard/wave.rs
@@ -5,12 +5,16 @@
 //! remaining time requires, because a draining host gets no work. See
 //! `docs/DESIGN.md`, section "Hosts and waves".
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use skylarkwick_version::moment::Moment;
 
 use super::{
     Shard,
+    drain::StepKey,
     effect::Effect,
     fleet::{HostAction, Occupancy, RunCounts},
     input::{HostId, HostState, MaintenanceWave},
@@ -28,6 +32,13 @@
 /// one after another.
 const MIN_DRAINING_HOSTS: usize = 2;
 
+/// Time from the stop of a long-running task until it is available again on
+/// another host.
+const EVACUATION_TIME: Duration = Duration::from_millis(1500);
+/// Share of a wave's remaining time above which the evacuation of a step counts
+/// as urgent.
+const URGENT_SHARE: f64 = 0.5;
+
 /// A wave and its progress: when it was received, the hosts whose maintenance
 /// has started (`wave.started`), and whether that is stored.
 #[derive(Clone, Debug)]
@@ -49,6 +60,11 @@
         !self.is_completed && self.wave.hosts.contains(host) && !self.wave.started.contains(host)
     }
 
+    /// Returns the time left until all hosts of the wave are due.
+    fn time_left(&self, now: Moment) -> Duration {
+        self.wave.time_left.saturating_sub(now.since(self.received))
+    }
+
     /// Returns how many hosts should have started maintenance by now: a number
     /// that rises evenly from when the wave was received, to all hosts after
     /// `START_SHARE` of its time.
@@ -146,6 +162,7 @@
         let overdue = progress.expected_started(now).saturating_sub(started);
         let max_down = progress.max_concurrent_idle(self.timings.maintenance_duration).max(overdue);
         let max_unavailable = progress.wave.max_unavailable.max(1);
+        let time_left = progress.time_left(now);
         if due.is_empty() || !progress.is_saved {
             self.save_wave(now, number, due.is_empty());
         }
@@ -154,6 +171,7 @@
         self.maintain_idle_hosts(number, &due, slots, occupancy);
         let draining = overdue.saturating_sub(down).max(MIN_DRAINING_HOSTS).min(max_unavailable);
         self.drain_next(&due, draining, occupancy);
+        self.drain_urgent(&due, time_left, max_unavailable, occupancy);
     }
 
     /// Orders the maintenance of at most `slots` of the hosts in `due` that are
@@ -185,7 +203,7 @@
         };
         progress.is_saved = true;
         progress.is_completed = is_completed;
-        let time_left = progress.wave.time_left.saturating_sub(now.since(progress.received));
+        let time_left = progress.time_left(now);
         // Hosts that the platform no longer lists need no maintenance.
         let started = match is_completed {
             true => progress.wave.hosts.clone(),
@@ -226,4 +244,57 @@
             self.fleet.draining.insert(id);
         }
     }
+
+    /// Drains a host of each step whose evacuation is urgent and that has none
+    /// draining yet, while fewer hosts than `max_unavailable` drain.
+    ///
+    /// A step's long-running tasks leave their hosts a few at a time, so a step
+    /// with many of them must begin early, whatever else runs on its hosts.
+    fn drain_urgent(
+        &mut self,
+        due: &[HostId],
+        time_left: Duration,
+        max_unavailable: usize,
+        occupancy: &Occupancy,
+    ) {
+        let mut draining = due.iter().filter(|id| self.fleet.draining.contains(id)).count();
+        for hosts in self.urgent_steps(due, time_left) {
+            if draining >= max_unavailable {
+                return;
+            }
+            if hosts.iter().any(|id| self.fleet.draining.contains(id)) {
+                continue;
+            }
+            let candidates = hosts.into_iter().filter(|id| !self.fleet.orders.contains_key(id));
+            if let Some(id) = candidates.min_by_key(|id| occupancy.runs(id)) {
+                self.fleet.draining.insert(id);
+                draining += 1;
+            }
+        }
+    }
+
+    /// Returns the hosts in `due` of each step whose long-running tasks need more
+    /// than `URGENT_SHARE` of the remaining time to leave them, as many at once
+    /// as the step allows to be unavailable.
+    fn urgent_steps(&self, due: &[HostId], time_left: Duration) -> Vec<BTreeSet<HostId>> {
+        let due: BTreeSet<&HostId> = due.iter().collect();
+        let mut steps: BTreeMap<StepKey, (Duration, BTreeSet<HostId>)> = BTreeMap::new();
+        for server in self.servers.values() {
+            let Some(host) = server.host().filter(|host| due.contains(host)) else {
+                continue;
+            };
+            for task in server.runs.keys() {
+                let Some(step) = self.step(task).filter(|step| step.is_long_running) else {
+                    continue;
+                };
+                let key = (task.job.clone(), task.occurrence, task.step);
+                let (evacuation_time, hosts) = steps.entry(key).or_default();
+                *evacuation_time += EVACUATION_TIME / step.max_unavailable.max(1);
+                hosts.insert(host.clone());
+            }
+        }
+        let steps = steps.into_values();
+        let urgent = steps.filter(|(time, _)| *time > time_left.mul_f64(URGENT_SHARE));
+        urgent.map(|(_, hosts)| hosts).collect()
+    }
 }
