Never say that a job does not run while the store gives no access

Cause: a submission whose answer was lost is repeated at another entry host. If the store refused that one, or did not answer it, the repeat was answered with 503, which says that the job is not accepted and never runs, though it was stored and ran. Ruled out: a read of the job's row before the refusal (the store refuses that too, and an earlier write may still land after the read).

--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -33,10 +33,10 @@
 
 use self::backlog::Backlog;
 
-/// `Retry-After` of refused requests of the job API.
+/// `Retry-After` of requests that the job API could not carry out.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time since the last response of the store after which the entry host is not ready and
-/// refuses jobs.
+/// stores no jobs.
 const STORE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2200);
 /// End of a caller's deadline that is kept free of retries, for sending the response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
@@ -46,15 +46,15 @@
 /// result is unknown.
 const MAX_CANCEL_ATTEMPTS: u32 = 4;
 
-/// Result of submitting a job: accepted, refused, in doubt or not valid.
+/// Result of submitting a job: accepted, in doubt or not valid.
+///
+/// There is no refusal for a store that gives no access: the caller may have submitted the
+/// job through another entry host before, which stored it without its answer arriving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SubmitOutcome {
     /// The job is stored.
     Accepted,
-    /// The job is not stored and never will be.
-    Refused,
-    /// The job may be stored: the result of a write is unknown, and no later one succeeded
-    /// before the deadline.
+    /// The job may be stored, by this submission or by an earlier one.
     InDoubt,
     /// The job is not valid.
     Invalid(job::Error),
@@ -145,7 +145,7 @@
         self.configuration().map_or(0, |configuration| configuration.max_body_bytes)
     }
 
-    /// Returns the time after which refused callers should retry, for `Retry-After`.
+    /// Returns the time after which callers should retry, for `Retry-After`.
     pub fn retry_after(&self) -> Duration {
         RETRY_AFTER
     }
@@ -175,7 +175,7 @@
     /// `deadline` is the time for which the caller still waits; failed writes are retried
     /// until shortly before.
     ///
-    /// While the store does not respond, the job is refused without a write, so
+    /// While the store does not respond, the answer is given without a write, so
     /// that the caller can try another entry host at once.
     pub fn submit(&self, queue: &str, id: &Id, job: &Job, deadline: Duration) -> SubmitOutcome {
         if let Err(error) = job.validate() {
@@ -184,7 +184,7 @@
         let Some(sharding) = self.sharding().filter(|_| self.is_store_responding()) else {
             info!(self.log, "refused"; "job" => id.as_str(), "queue" => queue,
                 "because" => "the store does not answer");
-            return SubmitOutcome::Refused;
+            return SubmitOutcome::InDoubt;
         };
         let body = JobBody::from(job);
         let row = JobRow::Active { accepted_ms: self.store.clock_ms(), body };
@@ -200,16 +200,17 @@
     /// has passed.
     ///
     /// A conflict means that the row exists already, from an earlier attempt or
-    /// from another entry host, so the job counts as accepted. After an attempt
-    /// whose result is unknown, the job is never reported as refused.
+    /// from another entry host, so the job counts as accepted. A write that the
+    /// store refuses first ends the attempts, so that the caller can try another
+    /// entry host; after one whose result is unknown they go on.
     fn store_job(&self, change: &Transaction, timeout: Duration) -> SubmitOutcome {
         let start = Boot.now();
-        let mut is_in_doubt = false;
+        let mut may_be_written = false;
         loop {
             match self.store.commit(change) {
                 Ok(Commit::Applied(_) | Commit::Conflict(_)) => return SubmitOutcome::Accepted,
                 Err(store::Error::Unknown(error)) => {
-                    is_in_doubt = true;
+                    may_be_written = true;
                     warn!(self.log, "no answer to store write"; "error" => error);
                 }
                 Err(error @ store::Error::TooLarge { .. }) => {
@@ -218,13 +219,13 @@
                 }
                 Err(store::Error::NotDone(error)) => {
                     warn!(self.log, "store refused"; "error" => error);
-                    if !is_in_doubt {
-                        return SubmitOutcome::Refused;
+                    if !may_be_written {
+                        return SubmitOutcome::InDoubt;
                     }
                 }
             }
             if Boot.now().since(start) + RETRY_PAUSE >= timeout {
-                return if is_in_doubt { SubmitOutcome::InDoubt } else { SubmitOutcome::Refused };
+                return SubmitOutcome::InDoubt;
             }
             std::thread::sleep(RETRY_PAUSE);
         }
