Decide in one place how two holders keep their orders for a host apart

The two halves stood in one duty, without a test; they are a module of the version crate now, without I/O. Behaviour is unchanged. A pause between this check and the call remains, and is the platform's to refuse where it checks tokens.

--- a/crates/skylarkwick-planner/src/jobs/host_orders.rs
+++ b/crates/skylarkwick-planner/src/jobs/host_orders.rs
@@ -22,7 +22,11 @@
     ring,
 };
 use skylarkwick_request::shard::input::{HostId, HostOrderResult};
-use skylarkwick_version::{moment::Moment, revision::Revision};
+use skylarkwick_version::{
+    host_order::{self, LastOrder},
+    moment::Moment,
+    revision::Revision,
+};
 use slog::{Logger, info, warn};
 
 use super::event::Event;
@@ -35,11 +39,6 @@
 const MAX_BATCH: usize = 40;
 /// Number of sender duties, and so of concurrent calls to the platform.
 const SENDERS: usize = 6;
-/// Longest time from the start of recording an order to its call. An order that is older by
-/// then is not sent and is reported as busy, because the next holder relies on its never
-/// being sent.
-const MAX_ORDER_AGE: Duration = Duration::from_millis(800);
-
 /// An order for a host, a machine of the fleet: move it to a pool, a named group of hosts,
 /// or begin its maintenance in a wave, which an operator requests for a set of hosts.
 #[derive(Debug)]
@@ -73,22 +72,6 @@
     pub(super) handover_delay: Duration,
 }
 
-impl Issuer {
-    /// Returns why no order may follow `last`, the last one for a host, now: a later holder
-    /// issued it, or an earlier holder did so less than `handover_delay` ago. Returns
-    /// `None` if one may follow. `now_ms` is the store's clock.
-    fn withhold_reason(&self, last: &HostOrderRow, now_ms: u64) -> Option<&'static str> {
-        let age = Duration::from_millis(now_ms.saturating_sub(last.ordered_ms));
-        match () {
-            () if last.fencing > self.fencing_token => Some("a later holder has issued orders"),
-            () if last.fencing < self.fencing_token && age < self.handover_delay => {
-                Some("an order of the previous holder may still arrive")
-            }
-            () => None,
-        }
-    }
-}
-
 /// An order that is recorded in the store, with the authority to send it: the holder's
 /// entry host and, as the fencing token of the order, the revision of the recording
 /// transaction. `recording_began` is the time just before that.
@@ -147,7 +130,7 @@
 }
 
 /// Runs a sender: sends recorded orders to the platform and reports their results. Orders
-/// older than [`MAX_ORDER_AGE`] are not sent and reported as busy.
+/// older than [`host_order::MAX_AGE`] are not sent and reported as busy.
 fn send_orders<H: Hosts>(
     hosts: &H,
     input: &ring::Receiver<RecordedOrder>,
@@ -155,7 +138,7 @@
     log: &Logger,
 ) {
     while let Some(RecordedOrder { order, authority, recording_began }) = input.receive() {
-        let result = match Boot.now().since(recording_began) < MAX_ORDER_AGE {
+        let result = match host_order::may_send(recording_began, Boot.now()) {
             true => send(hosts, &authority, &order),
             false => HostOrderResult::Busy,
         };
@@ -235,12 +218,19 @@
     /// Returns whether the last order for the host allows another one now; if not, logs
     /// why. `now_ms` is the store's clock.
     fn is_allowed(&self, order: &Order, last_orders: &LastOrders, now_ms: u64) -> bool {
-        let last = last_orders.get(order.host()).map(|(_, last)| last);
-        let withhold_reason = last.and_then(|last| self.issuer.withhold_reason(last, now_ms));
-        if let Some(because) = withhold_reason {
-            warn!(self.log, "order withheld"; "order" => ?order, "because" => because);
-        }
-        withhold_reason.is_none()
+        let Some((_, last)) = last_orders.get(order.host()) else {
+            return true;
+        };
+        let last = LastOrder {
+            fencing_token: last.fencing,
+            age: Duration::from_millis(now_ms.saturating_sub(last.ordered_ms)),
+        };
+        let Issuer { fencing_token, handover_delay, .. } = self.issuer;
+        last.allows(fencing_token, handover_delay)
+            .inspect_err(|because| {
+                warn!(self.log, "order withheld"; "order" => ?order, "because" => %because);
+            })
+            .is_ok()
     }
 
     /// Reads the last order of each host of the shard.
--- a/crates/skylarkwick-version/src/lib.rs
+++ b/crates/skylarkwick-version/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod capacity;
 pub mod document;
 pub mod host;
+pub mod host_order;
 pub mod lease;
 pub mod moment;
 pub mod name;
