Test that a server that is silent for less than its lease keeps its work

Operators of similar systems have seen running work started again elsewhere because a machine was only slow to report. Two tests: a server that has left the platform's list and answers its polls, and one that answers no poll for 3.6 s of a lease of 4.6 s, again and again.

--- a/crates/skylarkwick-request/tests/unreachable_server.rs
+++ b/crates/skylarkwick-request/tests/unreachable_server.rs
@@ -3,9 +3,12 @@
 mod harness;
 
 use harness::{Harness, ms, server, starts, step, stops, task};
-use skylarkwick_request::shard::{
-    effect::{Change, Effect},
-    input::{OrderResult, RejectReason},
+use skylarkwick_request::{
+    job::task::RunId,
+    shard::{
+        effect::{Change, Effect},
+        input::{OrderResult, RejectReason},
+    },
 };
 
 /// Starts a task on one of two servers; returns the shard and the server's name.
@@ -156,3 +159,40 @@
     }
     panic!("the lost server stays recorded with the job");
 }
+
+/// A server whose entry in the platform's list has expired, but that answers its polls, keeps
+/// its work.
+#[test]
+fn unlisted_server_keeps_runs() {
+    let (mut harness, name) = with_started_task();
+    let other = other_server(&name);
+    let listed = harness.servers.iter().filter(|info| &*info.id.0 == other).cloned().collect();
+    harness.shard.set_servers(harness.now, listed);
+    let run = RunId::first_of_term(1);
+    for _ in 0..40 {
+        harness.advance(250);
+        harness.report(&name, &[(task("job", 0, 0), run, 50)], &[]);
+        harness.report(other, &[], &[]);
+        let effects = harness.decide();
+        assert!(starts(&effects).is_empty() && stops(&effects).is_empty(), "{effects:?}");
+    }
+}
+
+/// A server that answers again before its lease has expired keeps its work.
+#[test]
+fn silent_server_keeps_runs() {
+    let (mut harness, name) = with_started_task();
+    let other = other_server(&name);
+    let run = RunId::first_of_term(1);
+    for round in 0..40 {
+        harness.advance(250);
+        // A round takes 0.3 s: 3.6 s of silence, shorter than the lease of 4.6 s.
+        match round % 20 < 12 {
+            true => harness.shard.handle_poll_failure(harness.now, &server(&name)),
+            false => harness.report(&name, &[(task("job", 0, 0), run, 50)], &[]),
+        }
+        harness.report(other, &[], &[]);
+        let effects = harness.decide();
+        assert!(starts(&effects).is_empty() && stops(&effects).is_empty(), "{effects:?}");
+    }
+}
