--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -26,6 +26,7 @@
 mod send_window;
 mod server;
 mod shortage;
+mod starts;
 mod trend;
 mod wave;
 
