Drain the usual number of hosts beside those of urgent evacuations

Cause: hosts that drain for urgent steps counted against the number of hosts that drain for a wave, so the others began later. Change: urgent steps get their hosts first, and the usual number drains beside them, within the wave's limit. Test: wave_evacuation::others_drain_too fails before (four hosts drained, five are due).

--- a/crates/skylarkwick-request/src/shard/wave.rs
+++ b/crates/skylarkwick-request/src/shard/wave.rs
@@ -169,9 +169,10 @@
         let down = self.count_down_hosts(number);
         let slots = max_unavailable.min(max_down).saturating_sub(down);
         self.maintain_idle_hosts(number, &due, slots, occupancy);
-        let draining = overdue.saturating_sub(down).max(MIN_DRAINING_HOSTS).min(max_unavailable);
-        self.drain_next(&due, draining, occupancy);
-        self.drain_urgent(&due, time_left, max_unavailable, occupancy);
+        let urgent = self.urgent_steps(&due, time_left);
+        let draining = overdue.saturating_sub(down).max(MIN_DRAINING_HOSTS) + urgent.len();
+        self.drain_urgent(urgent, &due, max_unavailable, occupancy);
+        self.drain_next(&due, draining.min(max_unavailable), occupancy);
     }
 
     /// Orders the maintenance of at most `slots` of the hosts in `due` that are
@@ -246,19 +247,20 @@
     }
 
     /// Drains a host of each step whose evacuation is urgent and that has none
-    /// draining yet, while fewer hosts than `max_unavailable` drain.
+    /// draining yet, while fewer hosts than `max_unavailable` drain. `urgent` are
+    /// the hosts in `due` of each such step.
     ///
     /// A step's long-running tasks leave their hosts a few at a time, so a step
     /// with many of them must begin early, whatever else runs on its hosts.
     fn drain_urgent(
         &mut self,
+        urgent: Vec<BTreeSet<HostId>>,
         due: &[HostId],
-        time_left: Duration,
         max_unavailable: usize,
         occupancy: &Occupancy,
     ) {
         let mut draining = due.iter().filter(|id| self.fleet.draining.contains(id)).count();
-        for hosts in self.urgent_steps(due, time_left) {
+        for hosts in urgent {
             if draining >= max_unavailable {
                 return;
             }
--- a/crates/skylarkwick-request/tests/wave_evacuation.rs
+++ b/crates/skylarkwick-request/tests/wave_evacuation.rs
@@ -57,16 +57,22 @@
         }
     }
 
-    /// Adds a wave over the hosts, and returns the jobs whose tasks are stopped at once.
-    fn stopped_jobs(&mut self, time_left: u64) -> BTreeSet<Id> {
+    /// Adds a wave over these hosts.
+    fn add_wave(&mut self, names: &[&str], time_left: u64) {
         let wave = MaintenanceWave {
             number: 1,
-            hosts: HOSTS.map(host).into(),
+            hosts: names.iter().map(|name| host(name)).collect(),
             time_left: ms(time_left),
             max_unavailable: 6,
             started: BTreeSet::new(),
         };
         self.harness.shard.add_wave(self.harness.now, wave);
+    }
+
+    /// Adds a wave over the hosts with long-running tasks, and returns the jobs whose tasks
+    /// are stopped at once.
+    fn stopped_jobs(&mut self, time_left: u64) -> BTreeSet<Id> {
+        self.add_wave(&HOSTS, time_left);
         let mut effects = self.harness.decide();
         effects.extend(self.harness.decide());
         stops(&effects).into_iter().map(|(_, task, _)| task.job).collect()
@@ -79,6 +85,23 @@
     assert_eq!(Site::new().stopped_jobs(10_000).len(), JOBS.len());
 }
 
+/// Hosts without long-running tasks drain beside those of urgent steps.
+#[test]
+fn others_drain_too() {
+    let mut site = Site::new();
+    site.harness.submit("finite", vec![step(2, 60)]);
+    let effects = site.harness.decide();
+    assert_eq!(site.harness.confirm_starts(&effects).len(), 2, "they run on idle hosts");
+    let finite_hosts = ["x", "y", "z"];
+    let usable = |site: &Site| site.harness.shard.pool_loads(site.harness.now)[POOL].usable;
+    let before = usable(&site);
+    site.add_wave(&[&HOSTS[..], &finite_hosts].concat(), 10_000);
+    site.harness.decide();
+    site.harness.decide();
+    // One host was idle and is maintained at once, and two drain beside the urgent steps'.
+    assert_eq!(before - usable(&site), 1 + JOBS.len() + 2);
+}
+
 /// With much time left, no more than two hosts drain at once.
 #[test]
 fn early_wave_waits() {
