--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -83,7 +83,8 @@
 }
 
 /// State shared by the API and the thread that follows the configuration: the last
-/// configuration received, the division of the site into shards once it is known, when the store last responded, and whether the process stops.
+/// configuration received, the division of the site into shards once it is known, when the
+/// store last responded, and whether the process stops.
 #[derive(Debug, Default)]
 struct SharedState {
     configuration: Mutex<Option<Arc<Configuration>>>,
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -123,8 +123,9 @@
 }
 
 /// Starts the duty that lists the backend servers, with a pause of [`SERVER_PERIOD`] in
-/// between (longer on a divided site, see [`list_period`]), and sends the shard's ones to `events`, until the stop signal. The first list after an
-/// error is completed from the earlier ones, see [`ServerList::complete`].
+/// between (longer on a divided site, see [`list_period`]), and sends those of the shard to
+/// `events`, until the stop signal. The first list after an error is completed from the earlier
+/// ones, see [`ServerList::complete`].
 ///
 /// # Errors
 ///
@@ -209,7 +210,8 @@
 }
 
 /// Starts the duty that lists the hosts, with a pause of [`HOST_PERIOD`] in between (longer
-/// on a divided site, see [`list_period`]), and sends the shard's ones to `events`, until the stop signal. A failed listing is only logged.
+/// on a divided site, see [`list_period`]), and sends those of the shard to `events`, until the
+/// stop signal. A failed listing is only logged.
 ///
 /// # Errors
 ///
--- a/crates/skylarkwick-request/src/shard/allocation.rs
+++ b/crates/skylarkwick-request/src/shard/allocation.rs
@@ -87,7 +87,7 @@
 
     /// Returns the allocation of each pool that has hosts or a queue: what it
     /// has, needs and keeps in reserve, and its idle hosts. The targets are not
-    /// set yet.
+    /// set yet. Takes the present demand of each pool into its trend.
     fn allocations(&mut self, now: Moment, occupancy: &Occupancy) -> Allocations {
         let mut allocations = Allocations::new();
         for host in self.fleet.hosts.values() {
