--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -19,6 +19,7 @@
 pub mod permit;
 mod poller;
 mod saver;
+pub mod status;
 mod strength;
 pub mod sweep;
 mod wall_clock;
