Take only valid jobs from rows

Cause (read, shown by a test): a row of a job that was damaged, or written by a later release, may decode into a job that no entry host would accept, with four billion tasks or a step that depends on a missing one. The holder allocates and indexes by these numbers; each planner that takes the shard would end the same way. Ruled out: a checksum (a later release's row has a right one). Change: the stored form of a job becomes a job through TryFrom, which validates it as an entry host does; an invalid row is skipped and logged as one that can't be decoded. Tests: damaged_rows. invalid_jobs_refused does not hold for the old conversion, which could not fail; the others feed 20,000 damaged forms of each row to the decoders and to the shard, and found nothing else.

--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -141,15 +141,21 @@
     }
 }
 
-impl From<JobBody> for Job {
-    fn from(body: JobBody) -> Job {
+impl TryFrom<JobBody> for Job {
+    type Error = job::Error;
+
+    /// Fails if the job is not valid: a row that was damaged or that a later release has
+    /// written may decode, and sizes of it would be allocated.
+    fn try_from(body: JobBody) -> Result<Job, job::Error> {
         let schedule = body.schedule.map(|(count, first_ms, interval_ms)| Schedule {
             count,
             first_ms,
             interval: Duration::from_millis(interval_ms),
         });
         let steps = body.steps.into_iter().map(Step::from).collect();
-        Job { spec: Arc::from(body.spec), steps, schedule }
+        let job = Job { spec: Arc::from(body.spec), steps, schedule };
+        job.validate()?;
+        Ok(job)
     }
 }
 
--- /dev/null
+++ b/crates/skylarkwick-connection/tests/damaged_rows.rs
@@ -0,0 +1,180 @@
+//! Rows that were damaged, or that a later release has written: none ends the process that
+//! reads it, and none makes the shard allocate more than a valid job may.
+
+use std::{sync::Arc, time::Duration};
+
+use skylarkwick_connection::store::row::{
+    self, BacklogRow, HostOrderRow, JobBody, JobRow, LeaseRow, PoolSizesRow, ProgressRow,
+    ShardingRow, WaveRow,
+};
+use skylarkwick_request::{
+    job::{Id, Job, Schedule, Step, progress::Progress, task::RunId},
+    shard::{Shard, Term, Timings, input::AcceptedJob},
+};
+use skylarkwick_version::{moment::Moment, revision::Revision};
+
+/// Damaged forms of each row.
+const ROUNDS: u64 = 20_000;
+const START: Moment = Moment::from_start(Duration::from_secs(60));
+
+/// A generator of pseudo-random numbers (splitmix64) with a fixed seed.
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn below(&mut self, limit: usize) -> usize {
+        usize::try_from(self.next()).unwrap() % limit
+    }
+
+    /// Changes, removes or inserts up to four bytes.
+    fn damage(&mut self, bytes: &[u8]) -> Vec<u8> {
+        let mut damaged = bytes.to_vec();
+        for _ in 0..=self.below(4) {
+            let at = self.below(damaged.len().max(1));
+            let byte = self.next().to_le_bytes()[0];
+            match self.below(4) {
+                0 if at < damaged.len() => drop(damaged.remove(at)),
+                1 => damaged.insert(at, byte),
+                2 => damaged.insert(at, 0xff),
+                _ if at < damaged.len() => damaged[at] = byte,
+                _ => {}
+            }
+        }
+        damaged
+    }
+}
+
+fn job() -> Job {
+    let first = Step { count: 3, run_time_estimate: Duration::from_millis(400), ..Step::default() };
+    let second = Step { count: 2, depends_on: vec![0], ..Step::default() };
+    let schedule = Schedule { count: 3, first_ms: 1000, interval: Duration::from_secs(2) };
+    Job { spec: Arc::from("text"), steps: vec![first, second], schedule: Some(schedule) }
+}
+
+fn progress() -> Progress {
+    let mut progress = Progress { servers: [Arc::from("a")].into(), ..Progress::default() };
+    let position =
+        skylarkwick_request::job::progress::TaskPosition { occurrence: 1, step: 1, index: 1 };
+    let task = progress.tasks.entry(position).or_default();
+    task.failed_runs = [RunId(4)].into();
+    task.checkpoint = Arc::from("saved");
+    progress
+}
+
+fn shard() -> Shard {
+    let second = Duration::from_secs(1);
+    let timings = Timings {
+        lease_duration: second,
+        start_window: second,
+        takeover_grace: second,
+        outage_threshold: second,
+        maintenance_duration: second,
+    };
+    Shard::new(timings, Term { fencing_token: 1, number: 1, since: START })
+}
+
+/// Gives a job to a shard, which decides about it.
+fn schedule(job: Job, progress: Progress) {
+    let accepted = AcceptedJob {
+        id: Id::new("job"),
+        queue: Arc::from("queue"),
+        job: Arc::new(job),
+        revision: Revision(1),
+        age: Duration::ZERO,
+        progress,
+        progress_revision: Revision(1),
+    };
+    let mut shard = shard();
+    shard.add_job(START, accepted);
+    shard.decide(START, u64::MAX, START);
+}
+
+#[test]
+fn damaged_jobs_skipped() {
+    let bytes = row::encode(&JobRow::Active { accepted_ms: 1, body: JobBody::from(&job()) });
+    let mut random = Random(1);
+    let mut valid = 0;
+    for _ in 0..ROUNDS {
+        let Ok(JobRow::Active { body, .. }) = row::decode(&random.damage(&bytes)) else {
+            continue;
+        };
+        if let Ok(job) = Job::try_from(body) {
+            valid += 1;
+            schedule(job, Progress::default());
+        }
+    }
+    assert!(valid > 0, "some damage leaves a valid job");
+}
+
+#[test]
+fn damaged_progress_skipped() {
+    let bytes = row::encode(&ProgressRow::from(&progress()));
+    let mut random = Random(2);
+    for _ in 0..ROUNDS {
+        if let Ok(row) = row::decode::<ProgressRow>(&random.damage(&bytes)) {
+            schedule(job(), Progress::from(row));
+        }
+    }
+}
+
+#[test]
+fn damaged_others_decode() {
+    let lease = LeaseRow {
+        holder: "entry".to_owned(),
+        incarnation: 1,
+        number: 2,
+        fencing: 3,
+        renewed_ms: 4,
+    };
+    let order = HostOrderRow { holder: "entry".to_owned(), fencing: 3, ordered_ms: 4 };
+    let wave = WaveRow { started: vec!["m-1".to_owned()], due_ms: 9 };
+    let samples = [
+        row::encode(&lease),
+        row::encode(&order),
+        row::encode(&wave),
+        row::encode(&ShardingRow { count: 3, seed: 4 }),
+        row::encode(&PoolSizesRow { hosts: [("pool".to_owned(), 4)].into() }),
+        row::encode(&BacklogRow { written_ms: 1, waiting: [("q".to_owned(), Vec::new())].into() }),
+    ];
+    let mut random = Random(3);
+    for bytes in &samples {
+        for _ in 0..ROUNDS {
+            // Whether it decodes doesn't matter here; no input may panic.
+            let damaged = random.damage(bytes);
+            let _ = row::decode::<LeaseRow>(&damaged);
+            let _ = row::decode::<HostOrderRow>(&damaged);
+            let _ = row::decode::<WaveRow>(&damaged);
+            let _ = row::decode::<ShardingRow>(&damaged);
+            let _ = row::decode::<PoolSizesRow>(&damaged);
+            let _ = row::decode::<BacklogRow>(&damaged);
+        }
+    }
+}
+
+/// Jobs that no entry host accepts are not taken from rows either.
+#[test]
+fn invalid_jobs_refused() {
+    let valid = job();
+    let with_step = |step| Job { steps: vec![step], ..valid.clone() };
+    let invalid = [
+        Job { steps: Vec::new(), ..valid.clone() },
+        with_step(Step { count: u32::MAX, ..Step::default() }),
+        with_step(Step { count: 1, depends_on: vec![7], ..Step::default() }),
+        Job {
+            schedule: valid.schedule.map(|s| Schedule { count: u32::MAX, ..s }),
+            ..valid.clone()
+        },
+    ];
+    for job in invalid {
+        let body = JobBody::from(&job);
+        assert_eq!(Job::try_from(body).err(), job.validate().err());
+        assert!(job.validate().is_err(), "{job:?}");
+    }
+    assert_eq!(Job::try_from(JobBody::from(&valid)), Ok(valid));
+}
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -184,22 +184,26 @@
     let Some(value) = row.value.as_deref() else {
         return Some(StoredJob::Finished(id));
     };
-    match row::decode::<JobRow>(value) {
-        Ok(JobRow::Finished { .. }) => Some(StoredJob::Finished(id)),
-        Ok(JobRow::Active { accepted_ms, body }) => {
-            Some(StoredJob::Active(Box::new(AcceptedJob {
-                id,
-                queue,
-                job: Arc::new(Job::from(body)),
-                revision: row.revision,
-                age: Duration::from_millis(now_ms.saturating_sub(accepted_ms)),
-                progress: Progress::default(),
-                progress_revision: Revision::ABSENT,
-            })))
-        }
+    let (accepted_ms, body) = match row::decode::<JobRow>(value) {
+        Ok(JobRow::Finished { .. }) => return Some(StoredJob::Finished(id)),
+        Ok(JobRow::Active { accepted_ms, body }) => (accepted_ms, body),
         Err(error) => {
             warn!(log, "job row not decoded"; "job" => &*row.key.name, "error" => %error);
-            None
+            return None;
         }
-    }
+    };
+    let job = Job::try_from(body)
+        .inspect_err(|error| {
+            warn!(log, "job row not decoded"; "job" => &*row.key.name, "error" => %error);
+        })
+        .ok()?;
+    Some(StoredJob::Active(Box::new(AcceptedJob {
+        id,
+        queue,
+        job: Arc::new(job),
+        revision: row.revision,
+        age: Duration::from_millis(now_ms.saturating_sub(accepted_ms)),
+        progress: Progress::default(),
+        progress_revision: Revision::ABSENT,
+    })))
 }
