Leave unanswered starts of long-running tasks to the next reports

Cause, by reading and by a test: the result of a start without an answer requested the stop of the run, whatever a report had shown meanwhile, and without counting what else of the step is unavailable. A report that confirms the run makes its task available, so the next task of the step leaves its host; the late result then ends the first one as well.

Ruled out as the way there: a lost answer that ends its connection, as the run is stopped before it is at work.

Change: a result that comes after a report has confirmed the run is ignored. Without a report, the run of a long-running task is unconfirmed until a report shows it, or shows nothing once the deadline of its start has passed (void_start_repeated). Other tasks are stopped as before, so that they soon start again.

Class of fault: a late result overrides what a newer report has shown, and an order outside of the drain takes a task away without a count.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -268,7 +268,8 @@
             pool.idle += usize::from(server.runs.is_empty());
             pool.runs += server.runs.len();
             pool.planned += server.count_stage(|stage| stage == Stage::Planned);
-            pool.starting += server.count_stage(|stage| stage == Stage::Starting);
+            let is_starting = |stage| matches!(stage, Stage::Starting | Stage::Unconfirmed);
+            pool.starting += server.count_stage(is_starting);
             pool.stopping += server.count_stage(|stage| matches!(stage, Stage::Stopping { .. }));
         }
         for (name, unmet_millicores) in &self.fleet.unmet_millicores {
--- a/crates/skylarkwick-request/src/shard/order_results.rs
+++ b/crates/skylarkwick-request/src/shard/order_results.rs
@@ -30,8 +30,12 @@
     /// run. If the start was carried out, the run is in progress, unless its
     /// stop was requested meanwhile. If it was rejected, the run is released
     /// and its task waits again; a server that lacks resources gets no new work
-    /// for `NO_CAPACITY_PAUSE`, and an unavailable one backs off. Without an
-    /// answer the run is stopped, because it may have started.
+    /// for `NO_CAPACITY_PAUSE`, and an unavailable one backs off.
+    ///
+    /// Without an answer the run may have started. Unless a report has shown it
+    /// meanwhile, it is stopped, so that its task can soon start again. One of a
+    /// long-running task is left to the next reports instead: its stop could
+    /// make more tasks of the step unavailable than allowed.
     ///
     /// If the server rejects the fencing token, this holder steps down instead;
     /// if another incarnation or server is at the address, the server is
@@ -72,8 +76,13 @@
                 self.release(id, task, run, false);
                 self.log("start rejected", task, id, reject_reason.as_str());
             }
+            // A report has confirmed the run meanwhile, or its stop is requested.
+            OrderResult::Unknown if active_run.stage != Stage::Starting => {}
             OrderResult::Unknown => {
-                active_run.stage = Stage::Stopping { acknowledged: None, next_try: now };
+                active_run.stage = match active_run.is_long_running {
+                    true => Stage::Unconfirmed,
+                    false => Stage::Stopping { acknowledged: None, next_try: now },
+                };
                 self.log("start in doubt", task, id, "no answer");
             }
         }
@@ -176,7 +185,7 @@
                 self.release(id, task, run, false);
             }
             Stage::Stopping { .. } => {}
-            Stage::Starting | Stage::Running => {
+            Stage::Starting | Stage::Unconfirmed | Stage::Running => {
                 active_run.stage = Stage::Stopping { acknowledged: None, next_try: now };
             }
         }
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -204,7 +204,7 @@
     }
 
     /// Updates a run that a server reports as running: its percentage, tail
-    /// latency and checkpoint; one that was starting is now in progress. If
+    /// latency and checkpoint; one whose start was not answered is now in progress. If
     /// this holder knows no run of the task there, the run is adopted if
     /// `may_adopt` allows it, else stopped; both are logged. A report of a run
     /// older than the known one only marks the job as started.
@@ -218,7 +218,7 @@
             if active_run.id > running.run {
                 return;
             }
-            if active_run.stage == Stage::Starting {
+            if matches!(active_run.stage, Stage::Starting | Stage::Unconfirmed) {
                 active_run.stage = Stage::Running;
                 self.send_window.record_confirmed();
             }
@@ -290,7 +290,7 @@
     /// certainly gone. By `sent_at`, when the poll was sent, the run must have
     /// been in progress, or its stop acknowledged, or, without that, the
     /// deadline of its start passed on the server's clock. Planned runs and
-    /// starts without an answer are kept.
+    /// those whose start may still be answered are kept.
     fn reconcile(&mut self, id: &ServerId, running: &[task::Id], sent_at: Moment) {
         let Some(server) = self.servers.get(id) else {
             return;
@@ -303,7 +303,7 @@
                 Stage::Planned | Stage::Starting => false,
                 Stage::Running => sent_at > active_run.stage_since,
                 Stage::Stopping { acknowledged: Some(acknowledged), .. } => sent_at > acknowledged,
-                Stage::Stopping { acknowledged: None, .. } => {
+                Stage::Unconfirmed | Stage::Stopping { acknowledged: None, .. } => {
                     active_run.start_deadline_ms > 0
                         && server.has_clock_passed(sent_at, active_run.start_deadline_ms)
                 }
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -26,6 +26,7 @@
 const MIN_CLOCK_RATE_PER_MILLE: u64 = 980;
 /// Margin before a time on a server's clock counts as certainly passed.
 const CLOCK_MARGIN: Duration = Duration::from_millis(150);
+
 /// Stage of a run on a server, from the choice of the server to the stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -34,6 +35,9 @@
     Planned,
     /// The start was sent and is not answered.
     Starting,
+    /// The answer to the start was lost. A report shows whether the run is in
+    /// progress; if none has by the deadline of the start, it never will be.
+    Unconfirmed,
     /// The server has started the run.
     Running,
     /// The run has to end; a stop is due or was sent.
