Trust runs of an earlier holder only some time after their first report

Cause, by reading and by a test: TAKEOVER_PAUSE (2.5 s) kept a new holder from stopping tasks that the holder before may just have stopped, but it counted from the acquisition of the lease. Servers reject the earlier holder only after the first poll of the new one, which follows the reading of all rows.

Change: a run of an earlier holder counts as unavailable until it has been reported to this holder for 2.5 s. That holds for each run by itself, also where a server is first reached later.

--- a/crates/skylarkwick-request/src/shard/drain.rs
+++ b/crates/skylarkwick-request/src/shard/drain.rs
@@ -13,13 +13,13 @@
     active::TaskState,
     input::ServerId,
     placement::PlacementRequest,
-    server::{Server, Stage},
+    server::{ActiveRun, Server, Stage},
 };
 use crate::job::{self, Step, progress::TaskPosition, task};
 
-/// Time after a takeover in which no long-running task is stopped: one that is
-/// reported as available may be about to end, because the previous holder has
-/// sent it a stop.
+/// Time after a takeover in which no long-running task is stopped, and after the
+/// first report of a run of an earlier holder in which it counts as unavailable:
+/// that holder may just have sent it a stop, before the server rejects its orders.
 const TAKEOVER_PAUSE: Duration = Duration::from_millis(2500);
 
 /// Time that a task which keeps checkpoints must have run before it is stopped
@@ -65,8 +65,8 @@
     /// On hosts that a wave drains and leaving servers, requests the stop of
     /// long-running tasks that are running and could start on another server
     /// now, each only while fewer other tasks of its step and occurrence are
-    /// unavailable than the step's `max_unavailable` (at least 1). Does nothing
-    /// in the first `TAKEOVER_PAUSE` (2.5 s) of the term.
+    /// unavailable (see `is_available`) than the step's `max_unavailable` (at
+    /// least 1). Does nothing in the first `TAKEOVER_PAUSE` (2.5 s) of the term.
     fn drain_long_running(&mut self, now: Moment) {
         if now.since(self.term.since) < TAKEOVER_PAUSE {
             return;
@@ -82,8 +82,9 @@
                     continue;
                 }
                 let id = (task.job.clone(), task.occurrence, task.step);
-                let count =
-                    *unavailable.entry(id.clone()).or_insert_with(|| self.count_unavailable(task));
+                let count = *unavailable
+                    .entry(id.clone())
+                    .or_insert_with(|| self.count_unavailable(now, task));
                 // A task that was last reported as unavailable may have become
                 // available since, so only the other tasks count against the
                 // limit.
@@ -128,7 +129,7 @@
     /// Counts the tasks of the step and occurrence that `task` belongs to,
     /// itself included, that are not available (see `is_available`), such as
     /// waiting ones; `u32::MAX` if the job or step is unknown.
-    fn count_unavailable(&self, task: &task::Id) -> u32 {
+    fn count_unavailable(&self, now: Moment, task: &task::Id) -> u32 {
         let Some(active) = self.jobs.get(&task.job) else {
             return u32::MAX;
         };
@@ -138,16 +139,16 @@
         let count = usize::try_from(step.count).unwrap_or_default();
         let unavailable = (0..count).filter(|&index| {
             let id = task::Id { index, ..task.clone() };
-            !self.is_available(&id)
+            !self.is_available(now, &id)
         });
         u32::try_from(unavailable.count()).unwrap_or(u32::MAX)
     }
 
     /// Returns whether a task's run is in progress and was reported as fully
     /// available (100 %) in the last report of its server. False if the task
-    /// has no server, its run is starting or being stopped, or the server is
-    /// unreachable.
-    fn is_available(&self, task: &task::Id) -> bool {
+    /// has no server, its run is starting or being stopped, an earlier holder
+    /// may have stopped it (see `is_settled`), or the server is unreachable.
+    fn is_available(&self, now: Moment, task: &task::Id) -> bool {
         let task_status =
             self.jobs.get(&task.job).and_then(|active| active.task(TaskPosition::of(task)));
         let Some(TaskState::Assigned(server)) = task_status.map(|task_status| &task_status.state)
@@ -158,8 +159,15 @@
             .get(server)
             .filter(|server| !server.is_unreachable)
             .and_then(|server| server.runs.get(task))
+            .filter(|active_run| self.is_settled(now, active_run))
             .is_some_and(|active_run| {
                 active_run.stage == Stage::Running && active_run.percent >= 100
             })
     }
+
+    /// Returns whether this holder has started a run, or an earlier one that has
+    /// been reported to this holder for at least `TAKEOVER_PAUSE` (2.5 s).
+    fn is_settled(&self, now: Moment, active_run: &ActiveRun) -> bool {
+        self.is_own_run(active_run.id) || now.since(active_run.stage_since) >= TAKEOVER_PAUSE
+    }
 }
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -279,13 +279,19 @@
         let task = &running.task;
         self.jobs.get(&task.job).is_some_and(|active| {
             active.outcome.is_none()
-                && running.run < task::RunId::first_of_term(self.term.number)
+                && !self.is_own_run(running.run)
                 && active
                     .task(TaskPosition::of(task))
                     .is_some_and(|task| task.state == TaskState::Waiting)
         })
     }
 
+    /// Returns whether a run has a number of this term, so that no earlier holder
+    /// has started it.
+    pub(super) fn is_own_run(&self, run: task::RunId) -> bool {
+        run >= task::RunId::first_of_term(self.term.number)
+    }
+
     /// Releases the runs that a complete report does not list and that are
     /// certainly gone. By `sent_at`, when the poll was sent, the run must have
     /// been in progress, or its stop acknowledged, or, without that, the
