Count a task as available only by a recent report

Cause, by reading and by a test: the drain counted a task as available by the last report of its server, however old: a poll that waits, or a holder that is paused, makes no server unreachable. A task that has been gone for the deployment's notice counts as unavailable to its users.

Change: a report counts until a second before outage_threshold has passed since its poll was sent, and for 2.5 s at least. A stop that is requested by it has then ended its run in time.

--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -80,7 +80,7 @@
     /// fleet), so that a late order of the previous holder has arrived or never will.
     pub handover_delay: Duration,
     /// Time after which a long-running task that is not running counts as
-    /// unavailable; no decision of the shard depends on it.
+    /// unavailable, which older reports can't rule out.
     pub outage_threshold: Duration,
     /// Duration of the maintenance of a host.
     pub maintenance_duration: Duration,
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -61,7 +61,7 @@
 /// Durations that a shard uses for a whole term: the lease and start window of
 /// runs, the grace after a takeover and the time of a maintenance. The planner
 /// sets them when it acquires the shard, from its own constants and the
-/// platform's limits. `outage_threshold` is not used for any decision.
+/// platform's limits.
 #[derive(Clone, Copy, Debug)]
 pub struct Timings {
     /// Lease of every run on a backend server; each poll that renews it lets
@@ -76,7 +76,7 @@
     /// previous holders count as over on servers that have not answered.
     pub takeover_grace: Duration,
     /// Time after which a long-running task that is not running counts as
-    /// unavailable; no decision of the shard depends on it.
+    /// unavailable, which older reports can't rule out.
     pub outage_threshold: Duration,
     /// Time that the maintenance of one host takes.
     pub maintenance_duration: Duration,
--- a/crates/skylarkwick-request/src/shard/drain.rs
+++ b/crates/skylarkwick-request/src/shard/drain.rs
@@ -22,6 +22,12 @@
 /// that holder may just have sent it a stop, before the server rejects its orders.
 const TAKEOVER_PAUSE: Duration = Duration::from_millis(2500);
 
+/// Time until a stop that is requested now has ended its run.
+const STOP_TIME: Duration = Duration::from_millis(1000);
+/// Age up to which a report is trusted however short `outage_threshold` is:
+/// servers that answer are not heard of more often.
+const MIN_TRUSTED_AGE: Duration = Duration::from_millis(2500);
+
 /// Time that a task which keeps checkpoints must have run before it is stopped
 /// on a draining host, to resume elsewhere. Shorter runs may end by themselves.
 const MIN_RUN_TIME_TO_STOP: Duration = Duration::from_millis(1500);
@@ -147,7 +153,8 @@
     /// Returns whether a task's run is in progress and was reported as fully
     /// available (100 %) in the last report of its server. False if the task
     /// has no server, its run is starting or being stopped, an earlier holder
-    /// may have stopped it (see `is_settled`), or the server is unreachable.
+    /// may have stopped it (see `is_settled`), the server is unreachable, or the
+    /// report is too old (see `is_report_current`).
     fn is_available(&self, now: Moment, task: &task::Id) -> bool {
         let task_status =
             self.jobs.get(&task.job).and_then(|active| active.task(TaskPosition::of(task)));
@@ -157,7 +164,7 @@
         };
         self.servers
             .get(server)
-            .filter(|server| !server.is_unreachable)
+            .filter(|server| !server.is_unreachable && self.is_report_current(now, server))
             .and_then(|server| server.runs.get(task))
             .filter(|active_run| self.is_settled(now, active_run))
             .is_some_and(|active_run| {
@@ -170,4 +177,12 @@
     fn is_settled(&self, now: Moment, active_run: &ActiveRun) -> bool {
         self.is_own_run(active_run.id) || now.since(active_run.stage_since) >= TAKEOVER_PAUSE
     }
+
+    /// Returns whether the last report of a server is so recent that a task which
+    /// it shows can't have been gone for `outage_threshold` once a stop that is
+    /// requested now has ended another one.
+    fn is_report_current(&self, now: Moment, server: &Server) -> bool {
+        let max_age = self.timings.outage_threshold.saturating_sub(STOP_TIME);
+        now.since(server.last_report_sent) < max_age.max(MIN_TRUSTED_AGE)
+    }
 }
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -119,6 +119,7 @@
             let delay = if server.awaits_save { MAX_SAVE_WAIT } else { spacing };
             server.next_poll = Some(now + delay);
             server.last_poll = now;
+            server.last_report_sent = sent_at;
         }
     }
 
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -136,6 +136,8 @@
     pub(super) next_poll: Option<Moment>,
     /// When the last poll was answered.
     pub(super) last_poll: Moment,
+    /// When the poll was sent that was answered last; the report is no older.
+    pub(super) last_report_sent: Moment,
     /// Whether the next poll waits for run ends to be stored.
     pub(super) awaits_save: bool,
     /// Whether the last poll had no answer.
@@ -160,6 +162,7 @@
             is_fenced: false,
             next_poll: Some(now),
             last_poll: Moment::ZERO,
+            last_report_sent: Moment::ZERO,
             awaits_save: false,
             is_unreachable: false,
             is_unlisted: false,
--- a/crates/skylarkwick-request/tests/drain_limits.rs
+++ b/crates/skylarkwick-request/tests/drain_limits.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use harness::{Harness, POOL, server_info, step, stops, task};
+use harness::{Harness, POOL, ms, server_info, step, stops, task, timings};
 use skylarkwick_request::{
     job::{Step, task::RunId},
     shard::{effect::Effect, input::AcceptedJob},
@@ -70,3 +70,19 @@
     harness.advance(SETTLING_MS);
     assert_eq!(stops(&decide_reported(&mut harness)).len(), 1);
 }
+
+/// Guards against a stop while the other task may have been unavailable for long, because its
+/// server has not been heard of.
+#[test]
+fn old_report_ignored() {
+    let mut harness = taken_shard(0);
+    decide_reported(&mut harness);
+    // Polls of server b are not answered, nor have they failed yet. A stop takes a second.
+    harness.now = harness.now + timings().outage_threshold - ms(1000);
+    for name in ["a", "c", "d"] {
+        report(&mut harness, name);
+    }
+    assert_eq!(stops(&harness.decide()), []);
+    harness.now = harness.now + ms(100);
+    assert_eq!(stops(&decide_reported(&mut harness)).len(), 1);
+}
