--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -17,7 +17,7 @@
 };
 use skylarkwick_request::shard::{
     Shard, Term,
-    effect::{Effect, LogEntry},
+    effect::{Effect, LogEntry, Unavailable},
     input::HostOrderResult,
 };
 use skylarkwick_version::moment::{Moment, millis};
@@ -334,7 +334,11 @@
     }
 
     /// Ends the term: nothing more is decided, and orders that wait are not sent.
+    /// Does nothing if the term has ended already.
     fn lose(&mut self, because: &'static str) {
+        if self.is_lost {
+            return;
+        }
         warn!(self.log, "shard lost"; "because" => because);
         self.permit.revoke();
         self.is_lost = true;
@@ -411,9 +415,8 @@
                 }
                 None
             }
-            Effect::Log(LogEntry { action, task, server, reason }) => {
-                info!(self.log, "{}", action; "task" => task, "at" => &*server,
-                    "because" => reason);
+            Effect::Log(entry) => {
+                self.log_decision(entry);
                 None
             }
             Effect::StepDown => {
@@ -424,6 +427,17 @@
         self.follow_ups.extend(follow_up);
     }
 
+    /// Logs a decision about a task.
+    fn log_decision(&self, entry: LogEntry) {
+        let LogEntry { action, task, server, reason, unavailable } = entry;
+        match unavailable {
+            Some(Unavailable { others, limit }) => info!(self.log, "{}", action; "task" => task,
+                "at" => &*server, "because" => reason, "unavailable" => others, "limit" => limit),
+            None => info!(self.log, "{}", action; "task" => task, "at" => &*server,
+                "because" => reason),
+        }
+    }
+
     /// Queues an order for a host to be recorded and sent; returns the event that
     /// reports it as not sent if the ring is full.
     fn send_host_order(&mut self, order: host_orders::Order) -> Option<Event> {
--- a/crates/skylarkwick-request/src/shard/drain.rs
+++ b/crates/skylarkwick-request/src/shard/drain.rs
@@ -4,13 +4,14 @@
 //! take long. Long-running tasks are stopped and started elsewhere, as many at
 //! once as their step allows to be unavailable.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use skylarkwick_version::moment::Moment;
 
 use super::{
     Shard,
     active::TaskState,
+    effect::{Effect, LogEntry, Unavailable},
     input::ServerId,
     placement::PlacementRequest,
     server::{ActiveRun, Server, Stage},
@@ -65,7 +66,9 @@
                 }
             }
         }
-        self.stop_for_drain(now, stops);
+        for (server, task) in stops {
+            self.stop_for_drain(now, &server, &task, None);
+        }
     }
 
     /// On hosts that a wave drains and leaving servers, requests the stop of
@@ -77,7 +80,7 @@
         if now.since(self.term.since) < TAKEOVER_PAUSE {
             return;
         }
-        let mut stops: Vec<(ServerId, task::Id)> = Vec::new();
+        let mut stops: Vec<(ServerId, task::Id, Unavailable)> = Vec::new();
         let mut unavailable: BTreeMap<StepKey, u32> = BTreeMap::new();
         for server in self.servers.values().filter(|server| self.must_drain(server)) {
             for (task, active_run) in &server.runs {
@@ -95,28 +98,39 @@
                 // available since, so only the other tasks count against the
                 // limit.
                 let is_unavailable = active_run.percent < 100;
-                let other_unavailable = count.saturating_sub(u32::from(is_unavailable));
-                let may_stop = other_unavailable < step.max_unavailable.max(1);
-                let has_alternative = self.has_alternative(now, server, step, task);
-                if !may_stop || !has_alternative {
+                let others = count.saturating_sub(u32::from(is_unavailable));
+                let limit = step.max_unavailable.max(1);
+                if others >= limit || !self.has_alternative(now, server, step, task) {
                     continue;
                 }
                 if !is_unavailable {
                     unavailable.insert(id, count + 1);
                 }
-                stops.push((server.id().clone(), task.clone()));
+                stops.push((server.id().clone(), task.clone(), Unavailable { others, limit }));
             }
         }
-        self.stop_for_drain(now, stops);
+        for (server, task, unavailable) in stops {
+            self.stop_for_drain(now, &server, &task, Some(unavailable));
+        }
     }
 
-    /// Requests the stop of each task on its server, which `send_due_stops`
-    /// then sends, and logs it.
-    fn stop_for_drain(&mut self, now: Moment, stops: Vec<(ServerId, task::Id)>) {
-        for (server, task) in stops {
-            self.request_stop(now, &server, &task);
-            self.log("task stopped", &task, &server, "its host is being drained");
-        }
+    /// Requests the stop of a task on its server, which `send_due_stops` then
+    /// sends, and logs it.
+    fn stop_for_drain(
+        &mut self,
+        now: Moment,
+        server: &ServerId,
+        task: &task::Id,
+        unavailable: Option<Unavailable>,
+    ) {
+        self.request_stop(now, server, task);
+        self.effects.push(Effect::Log(LogEntry {
+            action: "task stopped",
+            task: task.to_string(),
+            server: Arc::clone(&server.0),
+            reason: "its host is being drained",
+            unavailable,
+        }));
     }
 
     /// Returns whether a task could start on another server of the pool now.
--- a/crates/skylarkwick-request/src/shard/effect.rs
+++ b/crates/skylarkwick-request/src/shard/effect.rs
@@ -177,4 +177,15 @@
     pub server: Arc<str>,
     /// Input that led to the decision.
     pub reason: &'static str,
+    /// For the stop of a long-running task: how many others are unavailable.
+    pub unavailable: Option<Unavailable>,
+}
+
+/// Unavailable tasks of a long-running step when one more is stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unavailable {
+    /// Other tasks of the step and occurrence that count as unavailable.
+    pub others: u32,
+    /// Number of tasks that the step allows to be unavailable.
+    pub limit: u32,
 }
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -398,7 +398,8 @@
         reason: &'static str,
     ) {
         let (task, server) = (task.to_string(), Arc::clone(&server.0));
-        self.effects.push(Effect::Log(LogEntry { action, task, server, reason }));
+        let entry = LogEntry { action, task, server, reason, unavailable: None };
+        self.effects.push(Effect::Log(entry));
     }
 
     /// Records the clock that a server sent with its answer to an order;
