--- a/crates/skylarkwick-planner/src/jobs/activity.rs
+++ b/crates/skylarkwick-planner/src/jobs/activity.rs
@@ -1,8 +1,11 @@
-//! What the holder does in each second, and the load of each pool, for the log.
+//! What the holder decides and does in each second, and the load of each pool, for the log.
 
 use std::time::Duration;
 
-use skylarkwick_request::shard::Shard;
+use skylarkwick_request::shard::{
+    Shard,
+    effect::{LogEntry, Unavailable},
+};
 use skylarkwick_version::moment::{Moment, millis};
 use slog::{Logger, info};
 
@@ -51,3 +54,13 @@
         }
     }
 }
+
+/// Logs a decision about a task.
+pub(super) fn log_decision(entry: &LogEntry, log: &Logger) {
+    let LogEntry { action, task, server, reason, unavailable } = entry;
+    match unavailable {
+        Some(Unavailable { others, limit }) => info!(log, "{}", action; "task" => task,
+            "at" => &**server, "because" => reason, "unavailable" => others, "limit" => limit),
+        None => info!(log, "{}", action; "task" => task, "at" => &**server, "because" => reason),
+    }
+}
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -15,17 +15,13 @@
     duty::{Duty, StopSignal},
     ring,
 };
-use skylarkwick_request::shard::{
-    Shard, Term,
-    effect::{Effect, LogEntry, Unavailable},
-    input::HostOrderResult,
-};
+use skylarkwick_request::shard::{Shard, Term, effect::Effect, input::HostOrderResult};
 use skylarkwick_version::moment::{Moment, millis};
 use slog::{Logger, error, info, warn};
 
 use super::{
     Clients, Config,
-    activity::Activity,
+    activity::{self, Activity},
     dispatch::{self, DispatchHandle},
     event::Event,
     host_orders,
@@ -416,7 +412,7 @@
                 None
             }
             Effect::Log(entry) => {
-                self.log_decision(entry);
+                activity::log_decision(&entry, &self.log);
                 None
             }
             Effect::StepDown => {
@@ -427,17 +423,6 @@
         self.follow_ups.extend(follow_up);
     }
 
-    /// Logs a decision about a task.
-    fn log_decision(&self, entry: LogEntry) {
-        let LogEntry { action, task, server, reason, unavailable } = entry;
-        match unavailable {
-            Some(Unavailable { others, limit }) => info!(self.log, "{}", action; "task" => task,
-                "at" => &*server, "because" => reason, "unavailable" => others, "limit" => limit),
-            None => info!(self.log, "{}", action; "task" => task, "at" => &*server,
-                "because" => reason),
-        }
-    }
-
     /// Queues an order for a host to be recorded and sent; returns the event that
     /// reports it as not sent if the ring is full.
     fn send_host_order(&mut self, order: host_orders::Order) -> Option<Event> {
--- a/crates/skylarkwick-request/tests/unanswered_starts.rs
+++ b/crates/skylarkwick-request/tests/unanswered_starts.rs
@@ -37,6 +37,16 @@
         service
     }
 
+    /// A service whose servers with tasks drain; one task was stopped, and its start on
+    /// another server, which is returned, has no answer yet.
+    fn draining() -> (Service, (ServerId, Start)) {
+        let mut service = Service::new();
+        service.drain();
+        let effects = service.harness.decide();
+        let restarted = service.restart(&effects);
+        (service, restarted)
+    }
+
     /// Reports that the known runs are available, and that no others exist.
     fn report_all(&mut self) {
         for name in ["a", "b", "c", "d"] {
@@ -89,10 +99,7 @@
 /// task of its step is unavailable for maintenance.
 #[test]
 fn reported_start_kept() {
-    let mut service = Service::new();
-    service.drain();
-    let effects = service.harness.decide();
-    let restarted = service.restart(&effects);
+    let (mut service, restarted) = Service::draining();
     service.harness.advance(700);
     service.running.push(restarted.clone());
     service.report_all();
@@ -108,10 +115,7 @@
 /// was lost and its server has not reported since.
 #[test]
 fn unreported_start_kept() {
-    let mut service = Service::new();
-    service.drain();
-    let effects = service.harness.decide();
-    let restarted = service.restart(&effects);
+    let (mut service, restarted) = Service::draining();
     service.harness.advance(800);
     service.lose_answer(&restarted);
     assert_eq!(stops(&service.harness.decide()), [], "the start may have been carried out");
@@ -128,10 +132,7 @@
 /// the start was not carried out.
 #[test]
 fn void_start_repeated() {
-    let mut service = Service::new();
-    service.drain();
-    let effects = service.harness.decide();
-    let restarted = service.restart(&effects);
+    let (mut service, restarted) = Service::draining();
     service.harness.advance(800);
     service.lose_answer(&restarted);
     service.report_all();
