--- a/review/stand-in/src/cases.rs
+++ b/review/stand-in/src/cases.rs
@@ -1,8 +1,6 @@
 //! The cases, and what each of them judges.
 
-use std::{
-    collections::BTreeMap, path::PathBuf, sync::atomic::Ordering, thread, time::Duration,
-};
+use std::{collections::BTreeMap, path::PathBuf, thread, time::Duration};
 
 use crate::{
     json::Json,
@@ -21,7 +19,7 @@
     match name {
         "entry-without-born" => entry_without_born(root, has_trouble, record),
         "entry-without-machine" => entry_without_machine(root, has_trouble, record),
-        "same-id-restart" => same_id_restart(root, has_trouble, record),
+        "restart-in-store-outage" => restart_in_store_outage(root, has_trouble, record),
         _ => Err(format!("no such case: {name}")),
     }
 }
@@ -74,38 +72,30 @@
     Ok(twice(&site.intervals()))
 }
 
-/// A worker is cut off, crashes behind the cut and starts again under its id.
-fn same_id_restart(
+/// A worker crashes and starts again under its id while the store is down.
+fn restart_in_store_outage(
     root: PathBuf,
     has_trouble: bool,
     record: &Record,
 ) -> Result<Vec<String>, String> {
-    let site = Site::start(root, record, 2, &[("r0", 32), ("r1", 32), ("r2", 32)])?;
-    let mut jobs = Vec::new();
-    let worker = &site.workers[0];
-    // A job each 200 ms, whose data is near the worker of rack r0.
-    for number in 0..60_u64 {
-        let id = format!("{:016x}", 0x100 + number);
-        let fields = [("affinity", Json::text("r0")), ("estimate_ms", Json::number(1200))];
-        site.submit(0, &id, "ms=1200 cpu=2000", vec![step(2, 2000, &fields)])?;
-        jobs.push(id);
-        match number {
-            20 if has_trouble => {
-                record.write(&format!("worker {} is cut off", worker.id()));
-                worker.is_cut.store(true, Ordering::Relaxed);
-            }
-            22 if has_trouble => worker.restart(),
-            32 if has_trouble => {
-                record.write(&format!("worker {} is reached again", worker.id()));
-                worker.is_cut.store(false, Ordering::Relaxed);
-            }
-            _ => {}
-        }
-        thread::sleep(millis(200));
+    let racks = ["r0", "r1", "r2", "r3", "r4", "r5", "r6", "r7"];
+    let site = Site::start(root, record, 2, &racks.map(|rack| (rack, 32)))?;
+    let job = "0000000000000001";
+    // A job whose data is near the worker of rack r0.
+    let fields = [("affinity", Json::text("r0")), ("estimate_ms", Json::number(8000))];
+    site.submit(0, job, "ms=8000 cpu=4000", vec![step(6, 4000, &fields)])?;
+    site.wait("all tasks run", millis(8000), || site.running(job).len() == 6)?;
+    thread::sleep(millis(2000));
+    if has_trouble {
+        record.write("the store is down");
+        site.store.set_down(true);
+        thread::sleep(millis(700));
+        site.workers[0].crash(millis(300));
+        thread::sleep(millis(3350));
+        record.write("the store answers again");
+        site.store.set_down(false);
     }
-    site.wait("all jobs are completed", millis(60_000), || {
-        jobs.iter().all(|id| site.is_completed(id))
-    })?;
+    site.wait("the job is completed", millis(60_000), || site.is_completed(job))?;
     thread::sleep(millis(1000));
     Ok(twice(&site.intervals()))
 }
--- a/review/stand-in/src/http.rs
+++ b/review/stand-in/src/http.rs
@@ -2,8 +2,8 @@
 
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
@@ -41,8 +41,28 @@
     Close,
 }
 
+/// Connections of a server, to break them as the end of its process does.
+#[derive(Clone, Default)]
+pub struct Connections(Arc<Mutex<Vec<TcpStream>>>);
+
+impl Connections {
+    pub fn break_all(&self) {
+        for stream in self.0.lock().expect("connections").drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 /// Starts a server on a free port of the loopback address; returns the address.
 pub fn serve<F>(handler: F) -> io::Result<SocketAddr>
+where
+    F: Fn(&Request) -> Answer + Send + Sync + 'static,
+{
+    serve_with(Connections::default(), handler)
+}
+
+/// Starts a server whose connections are kept in `connections`.
+pub fn serve_with<F>(connections: Connections, handler: F) -> io::Result<SocketAddr>
 where
     F: Fn(&Request) -> Answer + Send + Sync + 'static,
 {
@@ -52,6 +72,9 @@
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = Arc::clone(&handler);
+            if let Ok(kept) = stream.try_clone() {
+                connections.0.lock().expect("connections").push(kept);
+            }
             thread::spawn(move || {
                 let _ = serve_connection(stream, &*handler);
             });
--- a/review/stand-in/src/site.rs
+++ b/review/stand-in/src/site.rs
@@ -5,7 +5,10 @@
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU16, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -258,9 +261,17 @@
     }
 }
 
+/// Returns a free address below the ports that the system gives to outgoing connections.
 fn free_address() -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).map_err(|error| error.to_string())?;
-    listener.local_addr().map_err(|error| error.to_string())
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let offset = u16::try_from(std::process::id() % 1000).unwrap_or_default() * 10;
+    for _ in 0..1000 {
+        let port = 20_000 + (offset + NEXT.fetch_add(1, Ordering::Relaxed)) % 10_000;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().map_err(|error| error.to_string());
+        }
+    }
+    Err("no free port".to_owned())
 }
 
 fn configuration() -> Json {
--- a/review/stand-in/src/store.rs
+++ b/review/stand-in/src/store.rs
@@ -62,11 +62,21 @@
 pub struct Store {
     tables: Arc<(Mutex<Tables>, Condvar)>,
     start: Instant,
+    /// Whether all calls get status 503, and nothing is done.
+    is_down: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn new() -> Store {
-        Store { tables: Arc::default(), start: Instant::now() }
+        Store { tables: Arc::default(), start: Instant::now(), is_down: Arc::default() }
+    }
+
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::Relaxed);
+    }
+
+    pub fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::Relaxed)
     }
 
     /// Starts an endpoint for a machine of the system. `addresses` replaces the placeholders of
@@ -116,7 +126,7 @@
     }
 
     fn handle(&self, request: &Request, access: &Access, names: &[(String, String)]) -> Answer {
-        if access.is_refused.load(Ordering::Relaxed) {
+        if access.is_refused.load(Ordering::Relaxed) || self.is_down() {
             return Answer::Reply(503, Json::Null);
         }
         match request.path.as_str() {
@@ -138,7 +148,7 @@
             "/rows-parts" => self.partitions(request),
             "/rows-feed" => {
                 let answer = self.feed(request, names);
-                match access.is_refused.load(Ordering::Relaxed) {
+                match access.is_refused.load(Ordering::Relaxed) || self.is_down() {
                     true => Answer::Reply(503, Json::Null),
                     false => answer,
                 }
--- a/review/stand-in/src/worker.rs
+++ b/review/stand-in/src/worker.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    http::{self, Answer, Request},
+    http::{self, Answer, Connections, Request},
     json::Json,
     record::Record,
     store::Store,
@@ -147,6 +147,7 @@
     pub is_cut: AtomicBool,
     /// The same for one machine of the system each.
     pub is_cut_from: Vec<AtomicBool>,
+    connections: Connections,
     store: Store,
     record: Record,
     ledger: Ledger,
@@ -179,6 +180,7 @@
             changed: Condvar::new(),
             is_cut: AtomicBool::new(false),
             is_cut_from: (0..machines).map(|_| AtomicBool::new(false)).collect(),
+            connections: Connections::default(),
             store: store.clone(),
             record: record.clone(),
             ledger: ledger.clone(),
@@ -186,7 +188,9 @@
         let mut addresses = Vec::new();
         for machine in 0..machines {
             let served = Arc::clone(&worker);
-            addresses.push(http::serve(move |request| served.handle(machine, request))?);
+            let connections = worker.connections.clone();
+            let handler = move |request: &Request| served.handle(machine, request);
+            addresses.push(http::serve_with(connections, handler)?);
         }
         let ticking = Arc::clone(&worker);
         thread::spawn(move || {
@@ -208,18 +212,25 @@
         state.life.as_ref().map(|life| life.id.clone()).unwrap_or_default()
     }
 
-    /// Ends all runs as a crash does, and starts the worker again under its id.
-    pub fn restart(&self) {
+    /// Ends the worker as a crash does; it starts again under its id after `down`.
+    pub fn crash(self: &Arc<Worker>, down: Duration) {
         let mut state = self.state.lock().expect("worker");
         let id = state.life.as_ref().map(|life| life.id.clone()).unwrap_or_default();
+        self.record.write(&format!("worker {id} crashes"));
         self.end_life(&mut state, "crashed");
-        let life = Life::new(id);
-        self.record.write(&format!("worker {} starts again, born {}", life.id, life.born_ms));
-        state.life = Some(life);
-        state.sequence = 0;
-        state.next_beat = Instant::now();
         drop(state);
+        self.connections.break_all();
         self.changed.notify_all();
+        let worker = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(down);
+            let mut state = worker.state.lock().expect("worker");
+            let life = Life::new(id);
+            worker.record.write(&format!("worker {} starts again, born {}", life.id, life.born_ms));
+            state.life = Some(life);
+            state.sequence = 0;
+            state.next_beat = Instant::now();
+        });
     }
 
     fn end_life(&self, state: &mut State, how: &'static str) {
@@ -342,7 +353,7 @@
             return;
         }
         state.next_beat += HEARTBEAT;
-        if !is_cut {
+        if !is_cut && !self.store.is_down() {
             state.sequence += 1;
             state.last_beat = Some(Instant::now());
             self.store.put("servers", &id, &self.entry_of(state).to_string());
