--- a/review/stand-in/src/cases.rs
+++ b/review/stand-in/src/cases.rs
@@ -150,7 +150,9 @@
                 let what = match earlier.end_ms {
                     None => "runs beside",
                     Some(end_ms) if end_ms > later.start_ms => "runs beside",
-                    Some(_) if earlier.how == "done" && earlier.is_noted => "starts after the end (done) of",
+                    Some(_) if earlier.how == "done" && earlier.is_noted => {
+                        "starts after the end (done) of"
+                    }
                     Some(_) => continue,
                 };
                 breaks.push(format!(
@@ -178,9 +180,8 @@
 fn unavailable(intervals: &[Interval], job: &str, may_miss: usize) -> Vec<String> {
     let prefix = format!("{job}.");
     let runs: Vec<&Interval> = intervals.iter().filter(|i| i.task.starts_with(&prefix)).collect();
-    let is_ordered = |run: &Interval| {
-        run.was_at_work && matches!(run.how, "stopped" | "machine ordered away")
-    };
+    let is_ordered =
+        |run: &Interval| run.was_at_work && matches!(run.how, "stopped" | "machine ordered away");
     let mut breaks = Vec::new();
     let mut ended: Vec<(usize, &&Interval)> =
         runs.iter().enumerate().filter(|(_, run)| is_ordered(run)).collect();
--- a/review/stand-in/src/http.rs
+++ b/review/stand-in/src/http.rs
@@ -12,7 +12,6 @@
 
 /// A request that was read in full.
 pub struct Request {
-    pub method: String,
     /// Path without the query.
     pub path: String,
     pub query: Vec<(String, String)>,
@@ -106,8 +105,7 @@
     if input.read_line(&mut line)? == 0 {
         return Ok(None);
     }
-    let mut words = line.split_whitespace();
-    let method = words.next().unwrap_or_default().to_owned();
+    let mut words = line.split_whitespace().skip(1);
     let target = words.next().unwrap_or_default().to_owned();
     let headers = read_headers(input)?;
     let length = headers.iter().find(|(k, _)| k.eq_ignore_ascii_case("content-length"));
@@ -118,7 +116,7 @@
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = query.map(|(k, v)| (decode(k), decode(v))).collect();
     let body = String::from_utf8_lossy(&body).into_owned();
-    Ok(Some(Request { method, path: decode(path), query, headers, body }))
+    Ok(Some(Request { path: decode(path), query, headers, body }))
 }
 
 fn read_headers(input: &mut impl BufRead) -> io::Result<Vec<(String, String)>> {
--- a/review/stand-in/src/site.rs
+++ b/review/stand-in/src/site.rs
@@ -17,7 +17,7 @@
     http,
     json::Json,
     record::Record,
-    store::{Access, Store},
+    store::Store,
     worker::{self, Interval, Ledger, Worker},
 };
 
@@ -30,22 +30,21 @@
 
 /// A machine of the system with its two programs.
 pub struct Machine {
-    pub name: String,
-    pub access: Arc<Access>,
+    name: String,
     callers: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
-    programs: Vec<(&'static str, Child)>,
+    programs: Vec<Child>,
 }
 
 pub struct Site {
     root: PathBuf,
     folder: PathBuf,
     pub store: Store,
-    pub record: Record,
-    pub ledger: Ledger,
+    record: Record,
+    ledger: Ledger,
     pub workers: Vec<Arc<Worker>>,
-    pub machines: Vec<Machine>,
+    machines: Vec<Machine>,
 }
 
 const ENTRY: &str = "skylarkwick-site-entry";
@@ -104,8 +103,7 @@
         list: SocketAddr,
         names: Vec<(String, String)>,
     ) -> Result<(), String> {
-        let access = Arc::new(Access::default());
-        let store = self.store.listen(Arc::clone(&access), names).map_err(|e| e.to_string())?;
+        let store = self.store.listen(names).map_err(|error| error.to_string())?;
         let (callers, ready) = (free_address()?, free_address()?);
         let name = format!("front-{index}");
         // The template deploy/settings.toml, filled in with the bounds of clw-numbering.
@@ -118,12 +116,12 @@
         let settings = self.folder.join(format!("{name}.toml"));
         fs::write(&settings, text).map_err(|error| error.to_string())?;
         let programs = Vec::new();
-        self.machines.push(Machine { name, access, callers, ready, settings, programs });
+        self.machines.push(Machine { name, callers, ready, settings, programs });
         Ok(())
     }
 
     /// Starts a program with the command of the deploy file.
-    pub fn start_program(&mut self, index: usize, program: &'static str) -> Result<(), String> {
+    fn start_program(&mut self, index: usize, program: &'static str) -> Result<(), String> {
         let machine = &mut self.machines[index];
         let path = self.root.join("target/release").join(program);
         let log = self.folder.join(format!("{}-{program}.log", machine.name));
@@ -138,27 +136,10 @@
             .spawn()
             .map_err(|error| format!("{program}: {error}; build it first"))?;
         self.record.write(&format!("{} starts {program}", machine.name));
-        machine.programs.push((program, child));
+        machine.programs.push(child);
         Ok(())
     }
 
-    /// Kills the planner of a machine.
-    pub fn kill_planner(&mut self, index: usize) {
-        let machine = &mut self.machines[index];
-        machine.programs.retain_mut(|(program, child)| {
-            if *program == PLANNER {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
-            *program != PLANNER
-        });
-        self.record.write(&format!("the planner of {} is killed", machine.name));
-    }
-
-    pub fn start_planner(&mut self, index: usize) -> Result<(), String> {
-        self.start_program(index, PLANNER)
-    }
-
     fn wait_until_serving(&self) -> Result<(), String> {
         let is_ready = |machine: &Machine| {
             let answer = http::call(machine.ready, "GET", "/ready", HOST, "", CLIENT_TIMEOUT);
@@ -209,7 +190,7 @@
     }
 
     /// Returns the state of a job as the first entry tells it.
-    pub fn state(&self, id: &str) -> Option<String> {
+    fn state(&self, id: &str) -> Option<String> {
         let path = format!("/q/{id}");
         let callers = self.machines[0].callers;
         let (status, body) = http::call(callers, "GET", &path, HOST, "", CLIENT_TIMEOUT)?;
@@ -217,16 +198,9 @@
         (status == 200).then(|| body.get("state").as_text().unwrap_or_default().to_owned())
     }
 
-    pub fn call(
-        &self,
-        machine: usize,
-        method: &str,
-        id: &str,
-        body: &str,
-    ) -> Option<(u16, String)> {
+    fn call(&self, machine: usize, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
         let callers = self.machines[machine].callers;
-        let answer =
-            http::call(callers, method, &format!("/q/{id}"), HOST, body, CLIENT_TIMEOUT);
+        let answer = http::call(callers, method, &format!("/q/{id}"), HOST, body, CLIENT_TIMEOUT);
         let status = answer.as_ref().map(|(status, _)| *status);
         self.record.write(&format!("client: {method} {id} {body} at front-{machine}: {status:?}"));
         answer
@@ -249,7 +223,7 @@
 impl Drop for Site {
     fn drop(&mut self) {
         for machine in &mut self.machines {
-            for (_, child) in &mut machine.programs {
+            for child in &mut machine.programs {
                 let _ = child.kill();
                 let _ = child.wait();
             }
--- a/review/stand-in/src/worker.rs
+++ b/review/stand-in/src/worker.rs
@@ -4,10 +4,7 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{
-        Arc, Condvar, Mutex,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Condvar, Mutex},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -20,7 +17,7 @@
 };
 
 /// Time between two writes of a worker's entry in the store.
-pub const HEARTBEAT: Duration = Duration::from_millis(1500);
+const HEARTBEAT: Duration = Duration::from_millis(1500);
 /// Silence after which the platform removes a worker's entry.
 const ENTRY_LIFE: Duration = Duration::from_millis(4500);
 /// Longest lease, in milliseconds.
@@ -128,7 +125,7 @@
     /// State in the platform's list of machines.
     machine_state: &'static str,
     sequence: u64,
-    /// When the entry is to be written next; attempts behind a cut fail.
+    /// When the entry is to be written next; attempts while the store is down fail.
     next_beat: Instant,
     /// When the store last got the entry.
     last_beat: Option<Instant>,
@@ -143,10 +140,6 @@
     cpu: u64,
     state: Mutex<State>,
     changed: Condvar,
-    /// Whether nothing reaches the worker and nothing that it sends arrives.
-    pub is_cut: AtomicBool,
-    /// The same for one machine of the system each.
-    pub is_cut_from: Vec<AtomicBool>,
     connections: Connections,
     store: Store,
     record: Record,
@@ -178,8 +171,6 @@
                 waves: Vec::new(),
             }),
             changed: Condvar::new(),
-            is_cut: AtomicBool::new(false),
-            is_cut_from: (0..machines).map(|_| AtomicBool::new(false)).collect(),
             connections: Connections::default(),
             store: store.clone(),
             record: record.clone(),
@@ -302,8 +293,7 @@
     /// Advances the worker's time: its heartbeat, its lease, and the ends of its runs.
     fn tick(&self) {
         let mut state = self.state.lock().expect("worker");
-        let is_cut = self.is_cut.load(Ordering::Relaxed);
-        self.beat(&mut state, is_cut);
+        self.beat(&mut state);
         let Some(life) = state.life.as_mut() else {
             return;
         };
@@ -339,7 +329,7 @@
 
     /// Writes the worker's entry about every heartbeat interval, and removes it after three
     /// intervals of silence, as the platform does.
-    fn beat(&self, state: &mut State, is_cut: bool) {
+    fn beat(&self, state: &mut State) {
         let silence = state.last_beat.map(|at| at.elapsed());
         let Some(id) = state.life.as_ref().map(|life| life.id.clone()) else {
             return;
@@ -353,7 +343,7 @@
             return;
         }
         state.next_beat += HEARTBEAT;
-        if !is_cut && !self.store.is_down() {
+        if !self.store.is_down() {
             state.sequence += 1;
             state.last_beat = Some(Instant::now());
             self.store.put("servers", &id, &self.entry_of(state).to_string());
@@ -361,16 +351,6 @@
     }
 
     fn handle(&self, machine: usize, request: &Request) -> Answer {
-        let is_cut = || {
-            self.is_cut.load(Ordering::Relaxed) || self.is_cut_from[machine].load(Ordering::Relaxed)
-        };
-        if is_cut() {
-            // The caller gets no answer, and what it sent never arrives.
-            while is_cut() {
-                thread::sleep(TICK);
-            }
-            return Answer::Close;
-        }
         let body = request.json();
         let mut state = self.state.lock().expect("worker");
         let Some(life) = state.life.as_mut() else {
@@ -403,9 +383,9 @@
                 };
                 let (state, _) =
                     self.changed.wait_timeout_while(state, wait, has_nothing).expect("worker");
-                match (&state.life, is_cut()) {
-                    (Some(life), false) => Answer::Reply(200, report(life)),
-                    _ => Answer::Close,
+                match &state.life {
+                    Some(life) => Answer::Reply(200, report(life)),
+                    None => Answer::Close,
                 }
             }
             _ => Answer::Reply(404, Json::Null),
@@ -552,8 +532,7 @@
         let reply = match (request.path.as_str(), worker) {
             ("/machines", _) => {
                 let rows = workers.iter().map(|worker| worker.machine_row()).collect();
-                let fields =
-                    [("machines", Json::List(rows)), ("next_page_token", Json::Null)];
+                let fields = [("machines", Json::List(rows)), ("next_page_token", Json::Null)];
                 return Answer::Reply(200, Json::object(&fields));
             }
             (_, None) => (400, Json::Null),
