--- a/review/stand-in/src/cases.rs
+++ b/review/stand-in/src/cases.rs
@@ -1,6 +1,11 @@
 //! The cases, and what each of them judges.
 
-use std::{collections::BTreeMap, path::PathBuf, thread, time::Duration};
+use std::{
+    collections::BTreeMap,
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
 
 use crate::{
     json::Json,
@@ -20,6 +25,7 @@
         "entry-without-born" => entry_without_born(root, has_trouble, record),
         "entry-without-machine" => entry_without_machine(root, has_trouble, record),
         "restart-in-store-outage" => restart_in_store_outage(root, has_trouble, record),
+        "silent-restart" => silent_restart(root, has_trouble, record),
         _ => Err(format!("no such case: {name}")),
     }
 }
@@ -90,7 +96,7 @@
         record.write("the store is down");
         site.store.set_down(true);
         thread::sleep(millis(700));
-        site.workers[0].crash(millis(300));
+        site.workers[0].crash(millis(300), false);
         thread::sleep(millis(3350));
         record.write("the store answers again");
         site.store.set_down(false);
@@ -100,6 +106,34 @@
     Ok(twice(&site.intervals()))
 }
 
+/// A worker falls silent, and starts again under its id half a second later.
+fn silent_restart(
+    root: PathBuf,
+    has_trouble: bool,
+    record: &Record,
+) -> Result<Vec<String>, String> {
+    let racks = ["r0", "r1", "r2", "r3", "r4", "r5", "r6", "r7"];
+    let site = Site::start(root, record, 2, &racks.map(|rack| (rack, 32)))?;
+    let mut jobs = Vec::new();
+    let start = Instant::now();
+    // A job each 100 ms, whose data is near the worker of rack r0.
+    for number in 0..80_u64 {
+        let id = format!("{:016x}", 0x100 + number);
+        let fields = [("affinity", Json::text("r0")), ("estimate_ms", Json::number(1000))];
+        site.submit(0, &id, "ms=1000 cpu=2000", vec![step(1, 2000, &fields)])?;
+        jobs.push(id);
+        if has_trouble && number == 40 {
+            site.workers[0].crash(millis(500), true);
+        }
+        thread::sleep(millis(100 * (number + 1)).saturating_sub(start.elapsed()));
+    }
+    site.wait("all jobs are completed", millis(60_000), || {
+        jobs.iter().all(|id| site.is_completed(id))
+    })?;
+    thread::sleep(millis(1000));
+    Ok(twice(&site.intervals()))
+}
+
 /// Another writer stores an entry without `machine` in place of that of a worker whose machine
 /// is due for upkeep.
 fn entry_without_machine(
--- a/review/stand-in/src/http.rs
+++ b/review/stand-in/src/http.rs
@@ -5,7 +5,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::json::Json;
@@ -17,6 +17,8 @@
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
     pub body: String,
+    /// When its connection was accepted.
+    pub accepted: Instant,
 }
 
 impl Request {
@@ -86,7 +88,8 @@
     stream.set_nodelay(true)?;
     let mut output = stream.try_clone()?;
     let mut input = BufReader::new(stream);
-    while let Some(request) = read_request(&mut input)? {
+    let accepted = Instant::now();
+    while let Some(request) = read_request(&mut input, accepted)? {
         let Answer::Reply(status, body) = handler(&request) else {
             return Ok(());
         };
@@ -100,7 +103,7 @@
     Ok(())
 }
 
-fn read_request(input: &mut impl BufRead) -> io::Result<Option<Request>> {
+fn read_request(input: &mut impl BufRead, accepted: Instant) -> io::Result<Option<Request>> {
     let mut line = String::new();
     if input.read_line(&mut line)? == 0 {
         return Ok(None);
@@ -116,7 +119,7 @@
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = query.map(|(k, v)| (decode(k), decode(v))).collect();
     let body = String::from_utf8_lossy(&body).into_owned();
-    Ok(Some(Request { path: decode(path), query, headers, body }))
+    Ok(Some(Request { path: decode(path), query, headers, body, accepted }))
 }
 
 fn read_headers(input: &mut impl BufRead) -> io::Result<Vec<(String, String)>> {
--- a/review/stand-in/src/worker.rs
+++ b/review/stand-in/src/worker.rs
@@ -26,6 +26,8 @@
 const STOP_TIME: Duration = Duration::from_millis(100);
 /// Time after its start at which a task that lasts is at work.
 const STARTUP_TIME: Duration = Duration::from_millis(500);
+/// Time for which a silent connection stays open; callers give up before.
+const SILENCE: Duration = Duration::from_secs(10);
 /// Step of the workers' own time.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -130,6 +132,8 @@
     /// When the store last got the entry.
     last_beat: Option<Instant>,
     next_life: u64,
+    /// Whether connections of an earlier life stay open and deliver nothing.
+    is_silent: bool,
     /// Waves for which the machine has had its upkeep.
     waves: Vec<u64>,
 }
@@ -168,6 +172,7 @@
                 next_beat: Instant::now(),
                 last_beat: None,
                 next_life: 1,
+                is_silent: false,
                 waves: Vec::new(),
             }),
             changed: Condvar::new(),
@@ -203,14 +208,18 @@
         state.life.as_ref().map(|life| life.id.clone()).unwrap_or_default()
     }
 
-    /// Ends the worker as a crash does; it starts again under its id after `down`.
-    pub fn crash(self: &Arc<Worker>, down: Duration) {
+    /// Ends the worker as a crash does; it starts again under its id after `down`. If it is
+    /// silent, its connections stay open and deliver nothing more.
+    pub fn crash(self: &Arc<Worker>, down: Duration, is_silent: bool) {
         let mut state = self.state.lock().expect("worker");
         let id = state.life.as_ref().map(|life| life.id.clone()).unwrap_or_default();
-        self.record.write(&format!("worker {id} crashes"));
+        self.record.write(&format!("worker {id} crashes, silent: {is_silent}"));
         self.end_life(&mut state, "crashed");
+        state.is_silent = is_silent;
         drop(state);
-        self.connections.break_all();
+        if !is_silent {
+            self.connections.break_all();
+        }
         self.changed.notify_all();
         let worker = Arc::clone(self);
         thread::spawn(move || {
@@ -353,8 +362,11 @@
     fn handle(&self, machine: usize, request: &Request) -> Answer {
         let body = request.json();
         let mut state = self.state.lock().expect("worker");
-        let Some(life) = state.life.as_mut() else {
-            return Answer::Close;
+        let is_silent = state.is_silent;
+        let is_of_earlier_life = |life: &&mut Life| request.accepted < life.origin;
+        let Some(life) = state.life.as_mut().filter(|life| !is_of_earlier_life(life)) else {
+            drop(state);
+            return self.leave_unanswered(is_silent);
         };
         if request.header("X-Expect-Instance").is_some_and(|expected| expected != life.id) {
             return Answer::Reply(421, Json::Null);
@@ -384,14 +396,28 @@
                 let (state, _) =
                     self.changed.wait_timeout_while(state, wait, has_nothing).expect("worker");
                 match &state.life {
-                    Some(life) => Answer::Reply(200, report(life)),
-                    None => Answer::Close,
+                    Some(life) if request.accepted >= life.origin => {
+                        Answer::Reply(200, report(life))
+                    }
+                    _ => {
+                        let is_silent = state.is_silent;
+                        drop(state);
+                        self.leave_unanswered(is_silent)
+                    }
                 }
             }
             _ => Answer::Reply(404, Json::Null),
         }
     }
 
+    /// Closes the connection of a request of an earlier life, or keeps it open in silence.
+    fn leave_unanswered(&self, is_silent: bool) -> Answer {
+        if is_silent {
+            thread::sleep(SILENCE);
+        }
+        Answer::Close
+    }
+
     fn start_run(&self, life: &mut Life, machine: usize, body: &Json) -> Answer {
         let task = body.get("task").as_text().unwrap_or_default().to_owned();
         let run = body.get("run").as_u64().unwrap_or_default();
