--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 root="$(cd "$folder/../.." && pwd)"
 player="$root/target/review/release/review-stand-in"
 [ -x "$player" ] || { echo "run review/build.sh first"; exit 2; }
-exec "$player" entry-without-machine "$root" "$folder/record.txt"
+exec "$player" restart-in-store-outage "$root" "$folder/record.txt"
