--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,7 @@
 root="$(cd "$folder/../.." && pwd)"
 player="$root/target/review/release/review-stand-in"
 [ -x "$player" ] || { echo "run review/build.sh first"; exit 2; }
-exec "$player" silent-restart "$root" "$folder/record.txt"
+"$player" silent-restart "$root" "$folder/record.txt"
+status=$?
+[ "$status" -le 2 ] || status=2
+exit "$status"
