A holder's overlap with earlier ones is kept in the lease row

The holder is cut off with it, another planner takes the shard over, is killed and starts again within a second, and starts the tasks of the cut data centre anew 5.2 s later, while the first holder still renews their leases.

Cause: the time for which an earlier holder may still act was known only to the process that took over, and only for the holder directly before it. An acquisition from the own entry host counted as one without any overlap. Ruled out: the fence (the cut servers can't be reached to be fenced), the permit of the first holder (it ended on time).

Change: the lease row says until when, on the store's clock, a holder before the one in it may act. Each acquisition carries that on: after a take-over, a restart, a planned hand-over, and when the answer to the own write was lost. The last was open as well: the row is then found with the own entry host in it. Rows of the release before lack the field and count as just taken over; that release reads the new rows.

--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
 use skylarkwick_request::job::{
     self, Job, Schedule, State, Step,
     progress::{Progress, TaskPosition, TaskProgress},
@@ -272,8 +272,8 @@
     }
 }
 
-/// Row of a shard's lease: its holder, the holder's number and fencing token, and the
-/// time of the last renewal.
+/// Row of a shard's lease: its holder, the holder's number and fencing token, the time of
+/// the last renewal, and until when holders before this one may act.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
     /// The entry host of the holder; empty if the lease was released.
@@ -287,6 +287,20 @@
     pub fencing: u64,
     /// Time of the last renewal on the store's clock, in milliseconds.
     pub renewed_ms: u64,
+    /// Time on the store's clock, in milliseconds, until which a holder before this one may
+    /// act; `None` in a row of an earlier release, which ends before this field.
+    #[serde(deserialize_with = "decode_last_field")]
+    pub earlier_until_ms: Option<u64>,
+}
+
+/// Decodes the last field of a row; `None` if the row ends before it.
+///
+/// # Errors
+///
+/// Never fails: an encoding by position does not tell a row that ends early from a damaged
+/// one, and for both the field is unknown.
+fn decode_last_field<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    Ok(Option::deserialize(deserializer).unwrap_or_default())
 }
 
 impl From<&LeaseRow> for Record {
@@ -296,6 +310,7 @@
             entry: (!row.holder.is_empty()).then(|| row.holder.clone()),
             incarnation: Incarnation(row.incarnation),
             renewed_ms: row.renewed_ms,
+            earlier_until_ms: row.earlier_until_ms,
         }
     }
 }
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -34,7 +34,6 @@
 };
 use skylarkwick_process::duty::StopSignal;
 use skylarkwick_request::shard::Timings;
-use skylarkwick_version::shard_lease;
 use slog::Logger;
 
 use self::candidate::Candidate;
@@ -109,15 +108,10 @@
 
 /// Returns the durations that the shard uses in a term, the time of one holder. The run
 /// lease is [`RUN_LEASE`], or 90 % of the platform's limit if that is shorter. The takeover
-/// grace is 103 % of the run lease plus [`TAKEOVER_MARGIN`]; if `is_takeover`, so that the
-/// previous holder may still be active, the time for which that holder may continue after
-/// its lease has expired is added.
-fn timings(config: &Config, is_takeover: bool) -> Timings {
+/// grace is 103 % of the run lease plus [`TAKEOVER_MARGIN`], after `overlap`, the time for
+/// which earlier holders may still act and renew the leases of their runs.
+fn timings(config: &Config, overlap: Duration) -> Timings {
     let lease_duration = RUN_LEASE.min(config.max_run_lease.mul_f64(0.9));
-    let overlap = match is_takeover {
-        true => shard_lease::HOLDER_OVERLAP,
-        false => Duration::ZERO,
-    };
     Timings {
         lease_duration,
         start_window: START_WINDOW,
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -140,7 +140,7 @@
 impl<O: Orders> Holder<O> {
     /// Reads the stored jobs into a new shard and starts the other duties of the term, which
     /// send their events to `events`. `acquisition` gives the fencing token of the term, the
-    /// number of its holder, its start, and whether it is a takeover.
+    /// number of its holder, its start, and for how long earlier holders may still act.
     ///
     /// The duties that watch the servers, operator changes, hosts and jobs, and the sweep, end
     /// at `term_end`. The saver, the pollers, the dispatch duty and the duty that sends host
@@ -160,8 +160,8 @@
         stop: &StopSignal,
     ) -> io::Result<Holder<O>> {
         let Clients { store, orders, hosts, registry } = clients.clone();
-        let Acquisition { keyspace, fencing_token, number, since, is_takeover } = acquisition;
-        let timings = super::timings(config, is_takeover);
+        let Acquisition { keyspace, fencing_token, number, since, overlap } = acquisition;
+        let timings = super::timings(config, overlap);
         let mut shard = Shard::new(timings, Term { fencing_token, number, since });
         let duty_context = || (events.clone(), log.clone(), term_end.clone());
         let (duty_events, duty_log, duty_stop) = duty_context();
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -10,7 +10,7 @@
 use skylarkwick_process::clock::{Boot, Clock};
 use skylarkwick_version::{
     lease::Incarnation,
-    moment::Moment,
+    moment::{Moment, millis},
     revision::Revision,
     shard_lease::{self, Decision, Observation, Record},
     sharding::ShardId,
@@ -20,8 +20,8 @@
 use super::Config;
 
 /// An acquisition of a shard, which begins a term, the time of one holder: the shard, the holder's
-/// fencing token, the number of the term, when it began, and whether the previous holder
-/// may still be active.
+/// fencing token, the number of the term, when it began, and for how long earlier holders
+/// may still act.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Acquisition {
     /// Rows of the shard.
@@ -32,8 +32,8 @@
     pub(super) number: u64,
     /// Time just before the lease was written, on the boot-time clock.
     pub(super) since: Moment,
-    /// Whether the previous holder may still be active.
-    pub(super) is_takeover: bool,
+    /// Time from `since` for which earlier holders may still act.
+    pub(super) overlap: Duration,
 }
 
 /// A shard that is free to acquire.
@@ -71,9 +71,8 @@
     log: Logger,
     /// The row and its revision; `None` while this process does not hold the lease.
     held: Option<(Revision, LeaseRow)>,
-    /// When the shard may be released: once the holder before this one has certainly
-    /// stopped, because the next one takes a released shard as one without a holder that
-    /// still acts.
+    /// When the shard may be released: once earlier holders have certainly stopped, so that
+    /// the next one need not wait for them.
     releasable_from: Moment,
     /// When this process first found the shard free to acquire; `None` after a read that
     /// found it held by another process.
@@ -138,10 +137,13 @@
 
     /// Acquires the lease if its row is still as it was read for [`Self::observe`]. The same
     /// transaction writes the fence row, so that writes of earlier holders that require its
-    /// old revision conflict. Returns `None` if the write isn't confirmed.
+    /// old revision conflict. Returns `None` if the shard is not free, or the write isn't
+    /// confirmed.
     pub(super) fn acquire(&mut self, stored: &Row, now_ms: u64) -> Option<Acquisition> {
         let current = self.decode(stored);
-        let decision = self.decision(current.as_ref(), now_ms);
+        let Decision::Acquire { overlap } = self.decision(current.as_ref(), now_ms) else {
+            return None;
+        };
         let since = Boot.now();
         let next = LeaseRow {
             holder: self.entry.to_string(),
@@ -149,6 +151,7 @@
             number: current.as_ref().map_or(0, |current| current.number) + 1,
             fencing: 0,
             renewed_ms: now_ms,
+            earlier_until_ms: Some(now_ms.saturating_add(millis(overlap))),
         };
         let transaction = self.lease_transaction(stored.revision, &next);
         let fence = row::encode(&self.entry.to_string());
@@ -156,19 +159,16 @@
         let revision = self.commit(&transaction)?;
         let number = next.number;
         info!(self.log, "shard taken"; "shard" => %self.shard(), "fencing" => revision.0,
-            "number" => number, "step" => ?decision,
+            "number" => number, "step" => step(overlap), "overlap_ms" => millis(overlap),
             "before" => current.map(|current| current.holder).unwrap_or_default());
         self.held = Some((revision, LeaseRow { fencing: revision.0, ..next }));
-        let is_takeover = decision == Decision::TakeOver;
-        if is_takeover {
-            self.releasable_from = Boot.now() + shard_lease::HOLDER_OVERLAP;
-        }
+        self.releasable_from = Boot.now() + overlap;
         Some(Acquisition {
             keyspace: self.keyspace,
             fencing_token: revision.0,
             number,
             since,
-            is_takeover,
+            overlap,
         })
     }
 
@@ -251,3 +251,12 @@
         }
     }
 }
+
+/// Returns the word by which the log tells an acquisition while an earlier holder may still act
+/// from one after all have stopped.
+fn step(overlap: Duration) -> &'static str {
+    match overlap.is_zero() {
+        true => "Succeed",
+        false => "TakeOver",
+    }
+}
--- a/crates/skylarkwick-version/src/shard_lease.rs
+++ b/crates/skylarkwick-version/src/shard_lease.rs
@@ -7,7 +7,11 @@
 
 use std::time::Duration;
 
-use crate::{lease::Incarnation, moment::Moment, revision::Revision};
+use crate::{
+    lease::Incarnation,
+    moment::{Moment, millis},
+    revision::Revision,
+};
 
 /// Time since the last renewal, on the store's clock, after which another process may
 /// acquire the shard.
@@ -26,12 +30,12 @@
 /// holder stops acting for the shard. The store may be unavailable to every process, and
 /// then none can have taken over.
 pub const MAX_RENEWAL_GAP: Duration = Duration::from_millis(7000);
-/// Time after a takeover for which the previous holder may still act: it continues this long
-/// after its lease has expired.
+/// Longest time after an acquisition for which an earlier holder may still act: it continues
+/// this long after its lease has expired.
 pub const HOLDER_OVERLAP: Duration = MAX_RENEWAL_GAP.saturating_sub(LEASE_DURATION);
 
 /// Lease row of a shard, as far as it matters for acquiring the shard: its holder, if any,
-/// and the time of the last renewal.
+/// the time of the last renewal, and until when holders before that one may act.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
     /// Entry host of the holder; none if the shard was released.
@@ -40,21 +44,37 @@
     pub incarnation: Incarnation,
     /// Time of the last renewal on the store's clock, in milliseconds.
     pub renewed_ms: u64,
+    /// Time on the store's clock, in milliseconds, until which a holder before this one may
+    /// act; none if an earlier release has written the row, which does not tell.
+    pub earlier_until_ms: Option<u64>,
 }
 
-/// What a process does about a shard that it does not hold, see [`decide`]: acquire it
-/// from a holder that may still be running or from one that has ended, or wait.
+/// What a process does about a shard that it does not hold, see [`decide`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// Acquire the shard; the last holder may still be running.
-    TakeOver,
-    /// Acquire the shard; it never had a holder, or the last one has released it or
-    /// ended.
-    Succeed,
+    /// Acquire the shard. Earlier holders, the last one or those before it, may still act
+    /// for this long.
+    Acquire {
+        /// At most [`HOLDER_OVERLAP`]; zero if all earlier holders have certainly stopped.
+        overlap: Duration,
+    },
     /// Leave the shard to its holder.
     Wait,
 }
 
+impl Record {
+    /// Returns for how long a holder before the one in the row may still act.
+    ///
+    /// Without that time in the row, its holder may have taken over as late as with its last
+    /// renewal.
+    fn earlier_overlap(&self, now_ms: u64) -> Duration {
+        let until_ms = self
+            .earlier_until_ms
+            .unwrap_or_else(|| self.renewed_ms.saturating_add(millis(HOLDER_OVERLAP)));
+        Duration::from_millis(until_ms.saturating_sub(now_ms)).min(HOLDER_OVERLAP)
+    }
+}
+
 /// Consecutive reads of a shard's row at the same revision: that revision and the times
 /// of the first and last read, on the observer's clock.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -86,7 +106,8 @@
 /// Decides what a process does about a shard that it does not hold. It takes over from
 /// another entry host only after [`LEASE_DURATION`] without a renewal and
 /// [`MIN_OBSERVATION`] of an unchanged row. A holder on its own entry host was an earlier
-/// process there and has ended.
+/// process there and has ended, or was this process, whose write was applied although the
+/// answer was lost; the holders before it may still act.
 ///
 /// `record` is the row, or none if it was never written. `own_entry` is the entry
 /// host of this process, and `now_ms` the store's clock in milliseconds.
@@ -97,14 +118,16 @@
     now_ms: u64,
 ) -> Decision {
     let Some(record) = record else {
-        return Decision::Succeed;
+        return Decision::Acquire { overlap: Duration::ZERO };
     };
     let since_renewal = Duration::from_millis(now_ms.saturating_sub(record.renewed_ms));
     match &record.entry {
-        None => Decision::Succeed,
-        Some(entry) if entry == own_entry => Decision::Succeed,
+        None => Decision::Acquire { overlap: record.earlier_overlap(now_ms) },
+        Some(entry) if entry == own_entry => {
+            Decision::Acquire { overlap: record.earlier_overlap(now_ms) }
+        }
         Some(_) if since_renewal >= LEASE_DURATION && observation.duration() >= MIN_OBSERVATION => {
-            Decision::TakeOver
+            Decision::Acquire { overlap: HOLDER_OVERLAP }
         }
         Some(_) => Decision::Wait,
     }
--- /dev/null
+++ b/crates/skylarkwick-version/tests/lease_overlap.rs
@@ -0,0 +1,89 @@
+//! Overlap of holders: whoever acquires a shard knows for how long any earlier holder may act.
+
+use std::time::Duration;
+
+use skylarkwick_version::{
+    lease::Incarnation,
+    moment::Moment,
+    revision::Revision,
+    shard_lease::{
+        Decision, HOLDER_OVERLAP, LEASE_DURATION, MIN_OBSERVATION, Observation, Record, decide,
+    },
+};
+
+const OWN_ENTRY: &str = "entry-1";
+const NOW_MS: u64 = 60_000;
+
+fn ms(time: u64) -> Duration {
+    Duration::from_millis(time)
+}
+
+/// A lease that was renewed just now, whose row has `earlier_until_ms`.
+fn record(entry: Option<&str>, earlier_until_ms: Option<u64>) -> Record {
+    Record {
+        entry: entry.map(str::to_owned),
+        incarnation: Incarnation(1),
+        renewed_ms: NOW_MS,
+        earlier_until_ms,
+    }
+}
+
+fn acquire(record: &Record) -> Decision {
+    decide(Some(record), Observation::default(), OWN_ENTRY, NOW_MS)
+}
+
+/// Guards against a holder that took over, restarts, and starts tasks anew which the holder
+/// before it still keeps running.
+#[test]
+fn restart_keeps_overlap() {
+    let record = record(Some(OWN_ENTRY), Some(NOW_MS + 3300));
+    assert_eq!(acquire(&record), Decision::Acquire { overlap: ms(3300) });
+}
+
+/// Guards against the same after a planned hand-over.
+#[test]
+fn release_keeps_overlap() {
+    let record = record(None, Some(NOW_MS + 3300));
+    assert_eq!(acquire(&record), Decision::Acquire { overlap: ms(3300) });
+}
+
+#[test]
+fn past_overlap_over() {
+    for entry in [Some(OWN_ENTRY), None] {
+        let record = record(entry, Some(NOW_MS - 1));
+        assert_eq!(acquire(&record), Decision::Acquire { overlap: Duration::ZERO });
+    }
+}
+
+#[test]
+fn takeover_overlaps_fully() {
+    let at = |time| Moment::from_start(time);
+    let observation = Observation::default().update(Revision(7), at(ms(1000)));
+    let observation = observation.update(Revision(7), at(ms(1000) + MIN_OBSERVATION));
+    let taken = Record {
+        renewed_ms: NOW_MS - u64::try_from(LEASE_DURATION.as_millis()).unwrap(),
+        ..record(Some("entry-2"), Some(0))
+    };
+    let decision = decide(Some(&taken), observation, OWN_ENTRY, NOW_MS);
+    assert_eq!(decision, Decision::Acquire { overlap: HOLDER_OVERLAP });
+}
+
+/// A row of an earlier release does not tell whether its holder had taken over.
+#[test]
+fn unknown_overlap_assumed() {
+    let record = record(Some(OWN_ENTRY), None);
+    assert_eq!(acquire(&record), Decision::Acquire { overlap: HOLDER_OVERLAP });
+}
+
+/// Guards against a shard that starts nothing, because its row was damaged.
+#[test]
+fn overlap_is_bounded() {
+    let record = record(None, Some(u64::MAX));
+    assert_eq!(acquire(&record), Decision::Acquire { overlap: HOLDER_OVERLAP });
+}
+
+#[test]
+fn first_holder_alone() {
+    let decision = decide(None, Observation::default(), OWN_ENTRY, NOW_MS);
+    assert_eq!(decision, Decision::Acquire { overlap: Duration::ZERO });
+}
