A restart ends only the runs that the earlier incarnation has reported

Cause: a later incarnation of a server, in the list or in a report, was taken as proof that every known run on it is over. A start names the server, not its incarnation, so one that is sent before the restart is known (up to a quarter of a second here) reaches the new life, which accepts it. Ruled out: a late order (it was answered at once), the fence (one holder).

Change: each run carries what ties it to an incarnation (Attribution), and one function decides what news proves about a run (shard::fate): reports without the run, a restart, another server at the address, the end of all leases. After a restart, runs that the earlier incarnation has reported are given up; the others move to the later one, are logged as in doubt, and wait for its report, an acknowledged stop or the longest lease that the platform allows: orders by the clock of the earlier incarnation may have extended the new lease that far. Readings of the earlier clock in late answers are ignored, and a start without an answer has no deadline on the new clock, so it is stopped. Which servers are known moves from shard::polling to shard::membership.

--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -114,6 +114,7 @@
     let lease_duration = RUN_LEASE.min(config.max_run_lease.mul_f64(0.9));
     Timings {
         lease_duration,
+        max_lease: config.max_run_lease,
         start_window: START_WINDOW,
         // Leases of runs count as 3 % longer here than they were granted.
         takeover_grace: overlap + lease_duration.mul_f64(1.03) + TAKEOVER_MARGIN,
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -11,9 +11,11 @@
 mod allocation;
 mod demand;
 mod drain;
+mod fate;
 mod fleet;
 mod gang;
 mod health;
+mod membership;
 mod order_results;
 mod pace;
 mod persistence;
@@ -67,6 +69,8 @@
     /// Lease of every run on a backend server; each poll that renews it lets
     /// the server keep its runs for this long.
     pub lease_duration: Duration,
+    /// Longest lease that a backend server grants, whatever a poll or start asks for.
+    pub max_lease: Duration,
     /// Longest time between sending a start and the server carrying it out; the
     /// server rejects the start after that.
     pub start_window: Duration,
--- /dev/null
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -0,0 +1,127 @@
+//! Membership of backend servers: which are known, in which incarnation, and when the
+//! runs on them are given up.
+
+use std::collections::BTreeSet;
+
+use skylarkwick_version::moment::Moment;
+
+use super::{
+    Shard, Timings,
+    effect::Effect,
+    fate::{Fate, News},
+    input::{ServerId, ServerInfo},
+    server::Server,
+};
+use crate::job::task;
+
+/// Reason with which the log tells of runs whose server has restarted.
+const RESTARTED: &str = "the server restarted or changed its address";
+
+impl Shard {
+    /// Replaces the platform's list of servers. A later incarnation (start of the
+    /// server process) replaces a known server, see `restart_server`.
+    ///
+    /// A server that is not listed gets no new work; its runs are given up only
+    /// when its lease has expired.
+    pub fn set_servers(&mut self, now: Moment, servers: Vec<ServerInfo>) {
+        let listed: BTreeSet<ServerId> = servers.iter().map(|info| info.id.clone()).collect();
+        for server in self.servers.values_mut() {
+            server.is_unlisted = !listed.contains(server.id());
+        }
+        for info in servers {
+            match self.servers.get_mut(&info.id) {
+                None => {
+                    self.servers.insert(info.id.clone(), Server::new(info, now));
+                }
+                Some(server) if info.incarnation_ms > server.info.incarnation_ms => {
+                    self.restart_server(now, info);
+                }
+                Some(server) => server.info = info,
+            }
+        }
+    }
+
+    /// Replaces a server by a later incarnation of it, `info`. Runs that are
+    /// certainly over are given up. The others may be in progress there, since
+    /// their starts may have reached it; they stay, and its reports decide. It is
+    /// polled at once. Does nothing if the server is unknown.
+    pub(super) fn restart_server(&mut self, now: Moment, info: ServerInfo) {
+        let id = info.id.clone();
+        self.give_up_runs(&id, News::Restarted, RESTARTED);
+        let Some(earlier) = self.servers.remove(&id) else {
+            return;
+        };
+        let server = earlier.restarted(info, now);
+        for task in server.runs.keys() {
+            self.log("run in doubt", task, &id, "its start may have reached the restarted server");
+        }
+        self.servers.insert(id.clone(), server);
+        self.effects.push(Effect::RemoveServer(id));
+    }
+
+    /// Handles the replacement of a server: another incarnation or server is at
+    /// its address, so the runs on it are gone. The server is removed until the
+    /// platform's next list names it.
+    pub fn handle_server_replaced(&mut self, id: &ServerId) {
+        self.unrecord_server(id);
+        self.remove_server(id, News::Replaced, "another incarnation or server is at the address");
+    }
+
+    /// Gives up the runs on servers whose leases have certainly expired, and
+    /// removes those of these servers that the platform does not list. A server
+    /// whose clock was never read counts as expired after `is_silence_over`.
+    pub(super) fn expire_leases(&mut self, now: Moment) {
+        let expired: Vec<ServerId> = self
+            .servers
+            .values()
+            .filter(|server| match server.clock_reading {
+                Some(_) => server.have_leases_expired(now),
+                None => self.is_silence_over(now, server),
+            })
+            .filter(|server| server.is_unlisted || !server.runs.is_empty())
+            .map(|server| server.id().clone())
+            .collect();
+        for id in expired {
+            self.unrecord_server(&id);
+            let is_unlisted = self.servers.get(&id).is_some_and(|server| server.is_unlisted);
+            if is_unlisted {
+                self.remove_server(&id, News::LeaseExpired, "left the list and its lease lapsed");
+            } else {
+                self.give_up_runs(&id, News::LeaseExpired, "lease expired");
+            }
+        }
+    }
+
+    /// Returns whether all runs are over on a server whose clock was never read:
+    /// those of earlier holders after the takeover grace, and those that moved to
+    /// it with a restart after the longest lease.
+    fn is_silence_over(&self, now: Moment, server: &Server) -> bool {
+        let Timings { start_window, max_lease, .. } = self.timings;
+        let is_lease_over = now.since(server.since) > start_window + max_lease.mul_f64(1.03);
+        self.is_takeover_grace_over(now) && (!server.is_restarted || is_lease_over)
+    }
+
+    /// Releases the runs on a server that are over after this news, logs each
+    /// with the reason, and makes their tasks avoid the server.
+    fn give_up_runs(&mut self, id: &ServerId, news: News, reason: &'static str) {
+        let Some(server) = self.servers.get(id) else {
+            return;
+        };
+        let over = server.runs.iter().filter(|(_, run)| server.fate(run, news) == Fate::Over);
+        let runs: Vec<(task::Id, task::RunId)> =
+            over.map(|(task, active_run)| (task.clone(), active_run.id)).collect();
+        for (task, run) in runs {
+            self.release(id, &task, run, true);
+            self.log("run given up", &task, id, reason);
+        }
+    }
+
+    /// Gives up the runs on a server, all of which are over after this news, for
+    /// the logged reason, forgets the server and stops polling it.
+    fn remove_server(&mut self, id: &ServerId, news: News, reason: &'static str) {
+        self.give_up_runs(id, news, reason);
+        if self.servers.remove(id).is_some() {
+            self.effects.push(Effect::RemoveServer(id.clone()));
+        }
+    }
+}
--- a/crates/skylarkwick-request/src/shard/order_results.rs
+++ b/crates/skylarkwick-request/src/shard/order_results.rs
@@ -35,7 +35,8 @@
     /// Without an answer the run may have started. Unless a report has shown it
     /// meanwhile, it is stopped, so that its task can soon start again. One of a
     /// long-running task is left to the next reports instead: its stop could
-    /// make more tasks of the step unavailable than allowed.
+    /// make more tasks of the step unavailable than allowed. If the server has
+    /// restarted since, the start has no deadline there and is stopped all the same.
     ///
     /// If the server rejects the fencing token, this holder steps down instead;
     /// if another incarnation or server is at the address, the server is
@@ -79,7 +80,8 @@
             // A report has confirmed the run meanwhile, or its stop is requested.
             OrderResult::Unknown if active_run.stage != Stage::Starting => {}
             OrderResult::Unknown => {
-                active_run.stage = match active_run.is_long_running {
+                let has_deadline = active_run.start_deadline_ms.is_some();
+                active_run.stage = match active_run.is_long_running && has_deadline {
                     true => Stage::Unconfirmed,
                     false => Stage::Stopping { acknowledged: None, next_try: now },
                 };
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -1,4 +1,4 @@
-//! Polling of backend servers: status reports, leases and unreachable servers.
+//! Polling of backend servers: status reports and lease renewals.
 
 use std::{sync::Arc, time::Duration};
 
@@ -8,8 +8,9 @@
     Shard,
     active::TaskState,
     effect::{Effect, LogEntry},
+    fate::{Fate, News},
     input::{ClockReading, RunStatus, ServerId, ServerInfo, StatusReport},
-    server::{ActiveRun, Server, Stage},
+    server::{ActiveRun, Attribution, Stage},
 };
 use crate::job::{progress::TaskPosition, task};
 
@@ -35,73 +36,36 @@
 }
 
 impl Shard {
-    /// Replaces the platform's list of servers. A server with a later
-    /// incarnation (start of the server process) or another address is added
-    /// anew, and its earlier runs are given up.
-    ///
-    /// A server that is not listed gets no new work; its runs are given up only
-    /// when its lease has expired.
-    pub fn set_servers(&mut self, now: Moment, servers: Vec<ServerInfo>) {
-        let listed: std::collections::BTreeSet<ServerId> =
-            servers.iter().map(|info| info.id.clone()).collect();
-        for server in self.servers.values_mut() {
-            server.is_unlisted = !listed.contains(server.id());
-        }
-        for info in servers {
-            let id = info.id.clone();
-            let is_new_incarnation = self.servers.get(&id).is_some_and(|server| {
-                server.info.incarnation_ms < info.incarnation_ms
-                    || server.info.address != info.address
-            });
-            if is_new_incarnation {
-                self.remove_server(&id, "the server restarted or changed its address");
-            }
-            match self.servers.get_mut(&id) {
-                Some(server) => server.info = info,
-                None => {
-                    self.servers.insert(id, Server::new(info, now));
-                }
-            }
-        }
-    }
-
     /// Handles a server's answer to a poll: its clock is read, run ends are
     /// handled, reported runs are updated, adopted or stopped, runs that a
     /// complete report lacks are released if they are certainly gone, and the
     /// next poll is scheduled. The server is fenced from then on: it rejects
     /// orders of earlier holders.
     ///
-    /// A report of another incarnation is ignored, except that a later one
-    /// replaces the server, as in `set_servers`; so is that of an unknown
-    /// server.
+    /// The report of an unknown server or of an earlier incarnation is ignored. A
+    /// later incarnation replaces the server, as in `set_servers`, and is polled
+    /// at once.
     pub fn handle_status_report(&mut self, now: Moment, report: StatusReport) {
         let id = report.server.clone();
         let Some(server) = self.servers.get_mut(&id) else {
             return;
         };
-        if report
-            .incarnation_ms
-            .is_some_and(|incarnation_ms| incarnation_ms != server.info.incarnation_ms)
-        {
-            // Either the list or the answer is from before the server's last
-            // restart.
-            server.next_poll = Some(now + POLL_RETRY_DELAY);
-            if report.incarnation_ms > Some(server.info.incarnation_ms) {
-                let mut info = server.info.clone();
-                info.incarnation_ms = report.incarnation_ms.unwrap_or_default();
-                self.remove_server(&id, "the server restarted or changed its address");
-                self.servers.insert(id, Server::new(info, now));
+        match report.incarnation_ms {
+            Some(incarnation_ms) if incarnation_ms > server.info.incarnation_ms => {
+                let info = ServerInfo { incarnation_ms, ..server.info.clone() };
+                self.restart_server(now, info);
+                return;
             }
-            return;
+            Some(incarnation_ms) if incarnation_ms < server.info.incarnation_ms => {
+                server.next_poll = Some(now + POLL_RETRY_DELAY);
+                return;
+            }
+            _ => {}
         }
         server.record_clock(report.clock);
         server.is_unreachable = false;
-        // An earlier holder may have renewed the lease just before. What runs after its lease
-        // has a longer one than is known here, or the server's clock has jumped.
-        let has_outlived_lease =
-            !report.running.is_empty() && report.clock.clock_ms > server.lease_until_ms;
-        if !server.is_fenced || has_outlived_lease {
-            let granted = report.clock.clock_ms.saturating_add(millis(self.timings.lease_duration));
+        if let Some(lease) = server.unknown_lease(&report, &self.timings) {
+            let granted = report.clock.clock_ms.saturating_add(millis(lease));
             server.lease_until_ms = server.lease_until_ms.max(granted);
         }
         server.is_fenced = true;
@@ -137,40 +101,6 @@
         }
     }
 
-    /// Handles the replacement of a server: another incarnation or server is at
-    /// its address, so the runs on it are gone. The server is removed until the
-    /// platform's next list names it.
-    pub fn handle_server_replaced(&mut self, id: &ServerId) {
-        self.unrecord_server(id);
-        self.remove_server(id, "another incarnation or server is at the address");
-    }
-
-    /// Gives up the runs on servers whose leases have certainly expired, and
-    /// removes those of these servers that the platform does not list. A server
-    /// whose clock was never read counts as expired once the takeover grace is
-    /// over.
-    pub(super) fn expire_leases(&mut self, now: Moment) {
-        let expired: Vec<ServerId> = self
-            .servers
-            .values()
-            .filter(|server| match server.clock_reading {
-                Some(_) => server.have_leases_expired(now),
-                None => self.is_takeover_grace_over(now),
-            })
-            .filter(|server| server.is_unlisted || !server.runs.is_empty())
-            .map(|server| server.id().clone())
-            .collect();
-        for id in expired {
-            self.unrecord_server(&id);
-            let is_unlisted = self.servers.get(&id).is_some_and(|server| server.is_unlisted);
-            if is_unlisted {
-                self.remove_server(&id, "left the list and its lease lapsed");
-            } else {
-                self.release_runs(&id, "lease expired");
-            }
-        }
-    }
-
     /// Returns the normal delay between the answer to a poll and the next poll
     /// of that server. It grows with the number of servers, which limits the
     /// total rate of polls; run ends accumulate in between.
@@ -222,6 +152,7 @@
             if active_run.id > running.run {
                 return;
             }
+            active_run.attribution = Attribution::Reported;
             if matches!(active_run.stage, Stage::Starting | Stage::Unconfirmed) {
                 active_run.stage = Stage::Running;
                 self.send_window.record_confirmed();
@@ -240,6 +171,7 @@
             false => Stage::Stopping { acknowledged: None, next_try: now },
         };
         let mut active_run = ActiveRun::new(running.run, stage, self.step(&running.task), now);
+        active_run.attribution = Attribution::Reported;
         active_run.percent = running.percent;
         if let Some(server) = self.servers.get_mut(id) {
             server.add(running.task.clone(), active_run);
@@ -297,27 +229,17 @@
     }
 
     /// Releases the runs that a complete report does not list and that are
-    /// certainly gone. By `sent_at`, when the poll was sent, the run must have
-    /// been in progress, or its stop acknowledged, or, without that, the
-    /// deadline of its start passed on the server's clock. Planned runs and
-    /// those whose start may still be answered are kept.
-    fn reconcile(&mut self, id: &ServerId, running: &[task::Id], sent_at: Moment) {
+    /// certainly over, see [`Server::fate`]. `polled` is when the poll was sent.
+    fn reconcile(&mut self, id: &ServerId, running: &[task::Id], polled: Moment) {
         let Some(server) = self.servers.get(id) else {
             return;
         };
+        let is_over =
+            |active_run| server.fate(active_run, News::NotReported { polled }) == Fate::Over;
         let missing: Vec<(task::Id, task::RunId)> = server
             .runs
             .iter()
-            .filter(|(task, _)| !running.contains(task))
-            .filter(|(_, active_run)| match active_run.stage {
-                Stage::Planned | Stage::Starting => false,
-                Stage::Running => sent_at > active_run.stage_since,
-                Stage::Stopping { acknowledged: Some(acknowledged), .. } => sent_at > acknowledged,
-                Stage::Unconfirmed | Stage::Stopping { acknowledged: None, .. } => {
-                    active_run.start_deadline_ms > 0
-                        && server.has_clock_passed(sent_at, active_run.start_deadline_ms)
-                }
-            })
+            .filter(|(task, active_run)| !running.contains(task) && is_over(active_run))
             .map(|(task, active_run)| (task.clone(), active_run.id))
             .collect();
         for (task, run) in missing {
@@ -360,29 +282,6 @@
         }
     }
 
-    /// Releases all runs on a server, logs each with the reason, and makes
-    /// their tasks avoid the server.
-    fn release_runs(&mut self, id: &ServerId, reason: &'static str) {
-        let Some(server) = self.servers.get(id) else {
-            return;
-        };
-        let runs: Vec<(task::Id, task::RunId)> =
-            server.runs.iter().map(|(task, active_run)| (task.clone(), active_run.id)).collect();
-        for (task, run) in runs {
-            self.release(id, &task, run, true);
-            self.log("run given up", &task, id, reason);
-        }
-    }
-
-    /// Gives up the runs on a server, for the logged reason, forgets the server
-    /// and stops polling it.
-    pub(super) fn remove_server(&mut self, id: &ServerId, reason: &'static str) {
-        self.release_runs(id, reason);
-        if self.servers.remove(id).is_some() {
-            self.effects.push(Effect::RemoveServer(id.clone()));
-        }
-    }
-
     /// Returns whether a task belongs to a long-running step; false if its job
     /// is unknown.
     pub(super) fn is_long_running(&self, task: &task::Id) -> bool {
@@ -406,9 +305,13 @@
     }
 
     /// Records the clock that a server sent with its answer to an order;
-    /// ignored if the server is unknown or a later reading is known.
+    /// ignored if the server is unknown, a later reading is known, or the order
+    /// was sent before the server's incarnation was known: an earlier one, whose
+    /// clock was another, may have answered.
     pub fn update_clock(&mut self, id: &ServerId, reading: ClockReading) {
-        if let Some(server) = self.servers.get_mut(id) {
+        if let Some(server) = self.servers.get_mut(id)
+            && reading.sent >= server.since
+        {
             server.record_clock(reading);
         }
     }
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -12,9 +12,10 @@
 };
 
 use super::{
+    Timings,
     effect::Target,
     health::Health,
-    input::{ClockReading, HostId, ServerId, ServerInfo},
+    input::{ClockReading, HostId, ServerId, ServerInfo, StatusReport},
 };
 use crate::job::{self, Step, task};
 
@@ -49,12 +50,26 @@
     },
 }
 
+/// What ties a run to an incarnation of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Attribution {
+    /// Its start was sent before the known incarnation was; an earlier one may
+    /// have received it.
+    Earlier,
+    /// Its start was sent to the known incarnation; a later one may have
+    /// received it.
+    Sent,
+    /// The known incarnation has reported it as running.
+    Reported,
+}
+
 /// A run on a server, planned, in progress or being stopped: its stage, its
-/// reserved resources, and what the server last reported.
+/// incarnation, its reserved resources, and what the server last reported.
 #[derive(Clone, Debug)]
 pub(super) struct ActiveRun {
     pub(super) id: task::RunId,
     pub(super) stage: Stage,
+    pub(super) attribution: Attribution,
     /// Reserved resources; zero for runs of unknown jobs.
     pub(super) resources: Resources,
     pub(super) is_long_running: bool,
@@ -66,8 +81,9 @@
     /// reported. A stop does not change it.
     pub(super) stage_since: Moment,
     /// Time on the server's clock, in milliseconds, until which an unanswered
-    /// start may still be carried out; 0 if this holder sent none.
-    pub(super) start_deadline_ms: u64,
+    /// start may still be carried out; `None` if this holder sent none, or sent
+    /// it by the clock of an earlier incarnation.
+    pub(super) start_deadline_ms: Option<u64>,
     /// Percentage that the server last reported, see `RunStatus`.
     pub(super) percent: u32,
     /// When the reported percentage or the pace last changed.
@@ -92,26 +108,47 @@
         ActiveRun {
             id: run,
             stage,
+            attribution: Attribution::Sent,
             resources: step.map(Step::reserved_resources).unwrap_or_default(),
             is_long_running: step.is_some_and(|step| step.is_long_running),
             is_best_effort: step.is_some_and(|step| step.is_best_effort),
             target_latency: step.and_then(|step| step.target_latency),
             stage_since: now,
-            start_deadline_ms: 0,
+            start_deadline_ms: None,
             percent: 0,
             last_percent_or_pace_change: now,
             tail_latency_ms: None,
             pace: 100,
         }
     }
+
+    /// Returns the run as it stands once a later incarnation of its server is
+    /// known, which may have it. One whose start has no answer is stopped, since
+    /// its deadline is not one on the later clock; a call in progress still
+    /// brings its result.
+    fn after_restart(self, now: Moment) -> ActiveRun {
+        let stage = match self.stage {
+            Stage::Unconfirmed | Stage::Stopping { .. } => {
+                Stage::Stopping { acknowledged: None, next_try: now }
+            }
+            stage => stage,
+        };
+        let attribution = Attribution::Earlier;
+        ActiveRun { stage, attribution, start_deadline_ms: None, ..self }
+    }
 }
 
-/// A backend server: its entry in the platform's list, its runs, the last
-/// reading of its clock, the end of its leases, the state of its polls, which
+/// A backend server: its entry in the platform's list, since when its incarnation
+/// is known, its runs, the last reading of its clock, the end of its leases, the state of its polls, which
 /// run ends were handled and stored, and its health.
 #[derive(Clone, Debug)]
 pub(super) struct Server {
     pub(super) info: ServerInfo,
+    /// When this incarnation became known. What was sent before may have been
+    /// answered by an earlier one.
+    pub(super) since: Moment,
+    /// Whether an earlier incarnation was known.
+    pub(super) is_restarted: bool,
     pub(super) runs: BTreeMap<task::Id, ActiveRun>,
     /// Resources that all runs reserve together.
     reserved: Resources,
@@ -152,6 +189,8 @@
     pub(super) fn new(info: ServerInfo, now: Moment) -> Server {
         Server {
             info,
+            since: now,
+            is_restarted: false,
             runs: BTreeMap::new(),
             reserved: Resources::default(),
             clock_reading: None,
@@ -170,6 +209,38 @@
         }
     }
 
+    /// Returns the later incarnation `info` of this server, to be polled at once.
+    /// The runs stay, as ones that it may have.
+    pub(super) fn restarted(self, info: ServerInfo, now: Moment) -> Server {
+        let mut server = Server { is_restarted: true, ..Server::new(info, now) };
+        for (task, active_run) in self.runs {
+            server.add(task, active_run.after_restart(now));
+        }
+        server
+    }
+
+    /// Returns how long the lease may be from a report on, if it may be longer
+    /// than is known here. An earlier holder may have renewed it just before the
+    /// first report, and what runs beyond its lease has a longer one, or the clock
+    /// has jumped. Orders that were sent by the clock of an earlier incarnation
+    /// extend it as far as the platform allows.
+    pub(super) fn unknown_lease(
+        &self,
+        report: &StatusReport,
+        timings: &Timings,
+    ) -> Option<Duration> {
+        let has_outlived_lease =
+            !report.running.is_empty() && report.clock.clock_ms > self.lease_until_ms;
+        let is_earlier = |run: &ActiveRun| run.attribution == Attribution::Earlier;
+        let has_earlier_orders =
+            !self.is_fenced || report.clock.sent < self.since || self.runs.values().any(is_earlier);
+        match () {
+            () if self.is_restarted && has_earlier_orders => Some(timings.max_lease),
+            () if !self.is_fenced || has_outlived_lease => Some(timings.lease_duration),
+            () => None,
+        }
+    }
+
     /// Returns the destination of orders to this server; `fencing_token` is the
     /// holder's, by which the server rejects earlier holders.
     pub(super) fn target(&self, fencing_token: u64) -> Target {
