The known incarnation of a server never goes down

Cause: the entry in the list replaced the known one whatever its incarnation, so a list that lags behind set a later incarnation back to the earlier one. The next report of the server then counted as a restart, and its own runs as over.

Change: an entry of an earlier incarnation is ignored. A server whose known incarnation isn't listed gets no new work: the entry that is listed may name another pool, kind or state than it has since its restart.

Tests: older_lists::older_entry_ignored and own_entry_awaited fail on the commit before.

--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -1,7 +1,7 @@
 //! Membership of backend servers: which are known, in which incarnation, and when the
 //! runs on them are given up.
 
-use std::collections::BTreeSet;
+use std::cmp::Ordering;
 
 use skylarkwick_version::moment::Moment;
 
@@ -19,24 +19,30 @@
 
 impl Shard {
     /// Replaces the platform's list of servers. A later incarnation (start of the
-    /// server process) replaces a known server, see `restart_server`.
+    /// server process) replaces a known server, see `restart_server`. An entry of
+    /// an earlier one is from before the server's last restart and is ignored: the
+    /// list may lag behind what the server itself has reported.
     ///
-    /// A server that is not listed gets no new work; its runs are given up only
-    /// when its lease has expired.
+    /// A server whose known incarnation is not listed gets no new work, because its
+    /// pool or resources may have changed with its restart; its runs are given up
+    /// only when its lease has expired.
     pub fn set_servers(&mut self, now: Moment, servers: Vec<ServerInfo>) {
-        let listed: BTreeSet<ServerId> = servers.iter().map(|info| info.id.clone()).collect();
         for server in self.servers.values_mut() {
-            server.is_unlisted = !listed.contains(server.id());
+            server.is_unlisted = true;
         }
         for info in servers {
-            match self.servers.get_mut(&info.id) {
+            let known = self.servers.get_mut(&info.id);
+            match known.map(|server| (info.incarnation_ms.cmp(&server.info.incarnation_ms), server))
+            {
                 None => {
                     self.servers.insert(info.id.clone(), Server::new(info, now));
                 }
-                Some(server) if info.incarnation_ms > server.info.incarnation_ms => {
-                    self.restart_server(now, info);
+                Some((Ordering::Less, _)) => {}
+                Some((Ordering::Equal, server)) => {
+                    server.info = info;
+                    server.is_unlisted = false;
                 }
-                Some(server) => server.info = info,
+                Some((Ordering::Greater, _)) => self.restart_server(now, info),
             }
         }
     }
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -44,7 +44,7 @@
     ///
     /// The report of an unknown server or of an earlier incarnation is ignored. A
     /// later incarnation replaces the server, as in `set_servers`, and is polled
-    /// at once.
+    /// at once; it counts as unlisted until the list has an entry of it.
     pub fn handle_status_report(&mut self, now: Moment, report: StatusReport) {
         let id = report.server.clone();
         let Some(server) = self.servers.get_mut(&id) else {
@@ -54,6 +54,9 @@
             Some(incarnation_ms) if incarnation_ms > server.info.incarnation_ms => {
                 let info = ServerInfo { incarnation_ms, ..server.info.clone() };
                 self.restart_server(now, info);
+                if let Some(server) = self.servers.get_mut(&id) {
+                    server.is_unlisted = true;
+                }
                 return;
             }
             Some(incarnation_ms) if incarnation_ms < server.info.incarnation_ms => {
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -179,7 +179,7 @@
     pub(super) awaits_save: bool,
     /// Whether the last poll had no answer.
     pub(super) is_unreachable: bool,
-    /// Whether it is missing from the platform's list.
+    /// Whether the platform's list has no entry of this incarnation.
     pub(super) is_unlisted: bool,
     pub(super) health: Health,
 }
