Late results of calls to an earlier incarnation of a server are ignored

A server that restarts at another address lost the runs of its new life to a late answer from the old address, and their tasks started a second time; a late time-out kept work and lease renewals from it until its next report.

Change: calls carry the incarnation that was known when they were sent, and their failures count only for that one. A late rejection of a start ends that start alone.

Tests: server_restart::late_replacement_ignored, late_rejection_ignored and late_failure_ignored fail with the three conditions taken out. Tests that pass a failure in now name the incarnation that they mean.

--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -5,7 +5,7 @@
 use skylarkwick_request::{
     job::{self, progress::Progress, task},
     shard::{
-        effect::{Batch, JobUpdate},
+        effect::{Batch, JobUpdate, Target},
         input::{
             AcceptedJob, Host, HostId, HostOrderResult, MaintenanceWave, OrderResult, ServerId,
             ServerInfo, StatusReport,
@@ -36,7 +36,7 @@
     StatusReported(Box<StatusReport>),
     /// A poll of a backend server failed, or was not sent because its poller was busy or
     /// could not be started.
-    PollFailed(ServerId, PollError),
+    PollFailed(Target, PollError),
     /// Result of the order to start this run of a task on this server; a rejection if it
     /// was not sent.
     StartResult(ServerId, task::Id, task::RunId, OrderResult),
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -295,11 +295,11 @@
             Event::PollFailed(_, PollError::Fenced) => {
                 self.lose("a backend server has a later holder")
             }
-            Event::PollFailed(server, PollError::IncarnationMismatch) => {
-                self.shard.handle_server_replaced(&server)
+            Event::PollFailed(target, PollError::IncarnationMismatch) => {
+                self.shard.handle_server_replaced(&target)
             }
-            Event::PollFailed(server, PollError::NoResponse(_)) => {
-                self.shard.handle_poll_failure(now, &server)
+            Event::PollFailed(target, PollError::NoResponse(_)) => {
+                self.shard.handle_poll_failure(now, &target)
             }
             Event::StartResult(server, task, run, result) => {
                 self.shard.handle_start_result(now, &server, &task, run, result);
--- a/crates/skylarkwick-planner/src/jobs/poller.rs
+++ b/crates/skylarkwick-planner/src/jobs/poller.rs
@@ -52,12 +52,12 @@
     /// once. Returns the event that reports the poll as failed if another one waits
     /// already or the duty can't be started.
     pub(super) fn poll(&mut self, request: PollRequest) -> Option<Event> {
-        let server = request.target.server.clone();
-        let sent = self.sender(&server).map(|sender| sender.try_send(request));
+        let target = request.target.clone();
+        let sent = self.sender(&target.server).map(|sender| sender.try_send(request));
         match sent {
             Ok(Ok(())) => None,
             Ok(Err(_)) | Err(_) => Some(Event::PollFailed(
-                server,
+                target,
                 PollError::NoResponse("its poller is busy or was not started".to_owned()),
             )),
         }
@@ -104,7 +104,7 @@
             Ok(report) => Event::StatusReported(Box::new(report)),
             Err(error) => {
                 debug!(log, "status poll failed"; "server" => %target.server, "error" => %error);
-                Event::PollFailed(target.server, error)
+                Event::PollFailed(target, error)
             }
         };
         if events.send(event).is_err() {
--- a/crates/skylarkwick-planner/tests/expired_permits.rs
+++ b/crates/skylarkwick-planner/tests/expired_permits.rs
@@ -68,7 +68,8 @@
 /// Makes each of the four calls.
 fn call_all(client: &Client<Recorder, Manual>) -> [OrderResult; 3] {
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    let target = Target { server: ServerId(Arc::from("a")), address, fencing_token: 1 };
+    let target =
+        Target { server: ServerId(Arc::from("a")), incarnation_ms: 7, address, fencing_token: 1 };
     let job = job::Id::new("00000000000000aa");
     let task = task::Id { job, occurrence: 0, step: 0, index: 0 };
     let run = task::RunId::first_of_term(1);
--- a/crates/skylarkwick-request/src/shard/effect.rs
+++ b/crates/skylarkwick-request/src/shard/effect.rs
@@ -12,12 +12,14 @@
 use super::input::{HostId, ServerId};
 use crate::job::{self, State, progress::Progress, task};
 
-/// Destination of an order: the server, its address, and the fencing token that
-/// the server checks.
+/// Destination of an order: the server, its known incarnation and address, and the
+/// fencing token that the server checks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
     /// Server that must receive the order.
     pub server: ServerId,
+    /// Incarnation of the server that is known; a later one may receive the order.
+    pub incarnation_ms: u64,
     /// Address of the server.
     pub address: SocketAddr,
     /// Fencing token of the shard's holder.
--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Shard, Timings,
-    effect::Effect,
+    effect::{Effect, Target},
     fate::{Fate, News},
     input::{ServerId, ServerInfo},
     server::Server,
@@ -67,10 +67,19 @@
 
     /// Handles the replacement of a server: another incarnation or server is at
     /// its address, so the runs on it are gone. The server is removed until the
-    /// platform's next list names it.
-    pub fn handle_server_replaced(&mut self, id: &ServerId) {
-        self.unrecord_server(id);
-        self.remove_server(id, News::Replaced, "another incarnation or server is at the address");
+    /// platform's next list names it. A call to an earlier incarnation, whose
+    /// address may have been another, is ignored.
+    pub fn handle_server_replaced(&mut self, target: &Target) {
+        let id = &target.server;
+        let known = self.servers.get(id).map(|server| server.info.incarnation_ms);
+        if known.is_none_or(|known| known == target.incarnation_ms) {
+            self.unrecord_server(id);
+            self.remove_server(
+                id,
+                News::Replaced,
+                "another incarnation or server is at the address",
+            );
+        }
     }
 
     /// Gives up the runs on servers whose leases have certainly expired, and
--- a/crates/skylarkwick-request/src/shard/order_results.rs
+++ b/crates/skylarkwick-request/src/shard/order_results.rs
@@ -8,7 +8,7 @@
     Shard,
     effect::Effect,
     input::{OrderResult, RejectReason, ServerId},
-    server::Stage,
+    server::{Attribution, Stage},
 };
 use crate::job::task;
 
@@ -91,10 +91,10 @@
     }
 
     /// Handles the result of a stop; ignored if the server no longer has this
-    /// run. A stop without an answer, one that an unavailable server rejected or
-    /// one that was not sent is sent again after `STOP_RETRY_DELAY`. Any other counts as
-    /// acknowledged and is sent again only if the run has not ended within
-    /// `STOP_END_TIMEOUT`.
+    /// run. A stop without an answer, one that an unavailable or another server
+    /// rejected or one that was not sent is sent again after `STOP_RETRY_DELAY`. Any
+    /// other counts as acknowledged and is sent again only if the run has not ended
+    /// within `STOP_END_TIMEOUT`.
     ///
     /// If the server rejects the fencing token, this holder steps down instead;
     /// if another incarnation or server is at the address, the server is
@@ -118,7 +118,12 @@
         };
         match result {
             OrderResult::Unknown
-            | OrderResult::Refused(RejectReason::Unavailable | RejectReason::NotSent, _) => {
+            | OrderResult::Refused(
+                RejectReason::Unavailable
+                | RejectReason::NotSent
+                | RejectReason::IncarnationMismatch,
+                _,
+            ) => {
                 active_run.stage =
                     Stage::Stopping { acknowledged: None, next_try: now + STOP_RETRY_DELAY };
             }
@@ -134,6 +139,9 @@
     /// requests that the holder steps down if the server rejects its fencing
     /// token. Returns whether the result still has to be applied to its run. If
     /// the server no longer has this run, it returns false and applies nothing.
+    ///
+    /// An order for a run whose start was sent to an earlier incarnation may have
+    /// gone to another address, so it does not tell that the server was replaced.
     fn apply_common_result(
         &mut self,
         id: &ServerId,
@@ -141,17 +149,25 @@
         run: task::RunId,
         result: OrderResult,
     ) -> bool {
-        let known = self.servers.get(id).and_then(|server| server.runs.get(task));
-        if known.is_none_or(|active_run| active_run.id != run) {
+        let Some(server) = self.servers.get(id) else {
             return false;
-        }
+        };
+        let Some(known) = server.runs.get(task).filter(|active_run| active_run.id == run) else {
+            return false;
+        };
         match result {
+            OrderResult::Refused(RejectReason::IncarnationMismatch, _)
+                if known.attribution == Attribution::Earlier =>
+            {
+                true
+            }
             OrderResult::Refused(RejectReason::Fenced, _) => {
                 self.effects.push(Effect::StepDown);
                 false
             }
             OrderResult::Refused(RejectReason::IncarnationMismatch, _) => {
-                self.handle_server_replaced(id);
+                let target = server.target(self.term.fencing_token);
+                self.handle_server_replaced(&target);
                 false
             }
             OrderResult::Done(reading) | OrderResult::Refused(_, Some(reading)) => {
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -7,7 +7,7 @@
 use super::{
     Shard,
     active::TaskState,
-    effect::{Effect, LogEntry},
+    effect::{Effect, LogEntry, Target},
     fate::{Fate, News},
     input::{ClockReading, RunStatus, ServerId, ServerInfo, StatusReport},
     server::{ActiveRun, Attribution, Stage},
@@ -60,7 +60,11 @@
                 return;
             }
             Some(incarnation_ms) if incarnation_ms < server.info.incarnation_ms => {
-                server.next_poll = Some(now + POLL_RETRY_DELAY);
+                // The answer to a poll of that incarnation, or the list names a start that
+                // the server does not know of.
+                if report.clock.sent >= server.since {
+                    server.next_poll = Some(now + POLL_RETRY_DELAY);
+                }
                 return;
             }
             _ => {}
@@ -95,9 +99,12 @@
 
     /// Handles a poll without an answer: until the server answers a poll, it
     /// counts as unreachable and gets no new work and no lease renewal. It is
-    /// polled again after `POLL_RETRY_DELAY`.
-    pub fn handle_poll_failure(&mut self, now: Moment, id: &ServerId) {
-        if let Some(server) = self.servers.get_mut(id) {
+    /// polled again after `POLL_RETRY_DELAY`. A poll of an earlier incarnation is
+    /// ignored.
+    pub fn handle_poll_failure(&mut self, now: Moment, target: &Target) {
+        if let Some(server) = self.servers.get_mut(&target.server)
+            && server.info.incarnation_ms == target.incarnation_ms
+        {
             server.next_poll = Some(now + POLL_RETRY_DELAY);
             server.awaits_save = false;
             server.is_unreachable = true;
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -244,7 +244,12 @@
     /// Returns the destination of orders to this server; `fencing_token` is the
     /// holder's, by which the server rejects earlier holders.
     pub(super) fn target(&self, fencing_token: u64) -> Target {
-        Target { server: self.info.id.clone(), address: self.info.address, fencing_token }
+        Target {
+            server: self.info.id.clone(),
+            incarnation_ms: self.info.incarnation_ms,
+            address: self.info.address,
+            fencing_token,
+        }
     }
 
     /// Returns the host that the server runs on; `None` if the platform names
--- a/crates/skylarkwick-request/tests/harness/mod.rs
+++ b/crates/skylarkwick-request/tests/harness/mod.rs
@@ -13,7 +13,7 @@
     job::{Id, Job, Step, progress::Progress, task},
     shard::{
         Shard, Term, Timings,
-        effect::{Batch, Effect, Start},
+        effect::{Batch, Effect, Start, Target},
         input::{
             AcceptedJob, ClockReading, FinishedRun, Host, HostId, HostState, OrderResult, Queue,
             RunStatus, ServerId, ServerInfo, StatusReport,
@@ -243,6 +243,17 @@
         self.shard.handle_status_report(self.now, report);
     }
 
+    /// Returns the destination of calls to an incarnation of a server.
+    pub(crate) fn target(name: &str, incarnation_ms: u64) -> Target {
+        let ServerInfo { id, address, .. } = server_info(name, POOL, name);
+        Target { server: id, incarnation_ms, address, fencing_token: 1 }
+    }
+
+    /// Leaves a poll of the first incarnation of a server without an answer.
+    pub(crate) fn fail_poll(&mut self, name: &str) {
+        self.shard.handle_poll_failure(self.now, &Harness::target(name, 1));
+    }
+
     /// Answers every start with success; returns the starts.
     pub(crate) fn confirm_starts(&mut self, effects: &[Effect]) -> Vec<(ServerId, Start)> {
         let started = starts(effects);
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -186,7 +186,7 @@
     }
     harness.set_servers(&["a", "b", "c"]);
     harness.report("c", &[], &[]);
-    harness.shard.handle_poll_failure(harness.now, &started[0].0);
+    harness.fail_poll(&started[0].0.0);
     harness.shard.add_wave(harness.now, wave(&[&started[1].0.0], 1));
     harness.decide();
     assert!(harness::stops(&harness.decide()).is_empty(), "the other task may not run any more");
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -137,7 +137,7 @@
     harness.set_servers(&["a", "b"]);
     harness.report("a", &[], &[]);
     harness.report("b", &[], &[]);
-    harness.shard.handle_server_replaced(&harness::server("a"));
+    harness.shard.handle_server_replaced(&Harness::target("a", 1));
     assert_eq!(starts(&harness.decide()).len(), 2, "the runs on server a are known to be over");
 }
 
@@ -338,7 +338,7 @@
     harness.shard.add_job(harness.now, earlier_job_on_a());
     harness.set_servers(&["a", "b"]);
     harness.report("b", &[], &[]);
-    harness.shard.handle_server_replaced(&harness::server("a"));
+    harness.shard.handle_server_replaced(&Harness::target("a", 1));
     assert!(starts(&harness.decide()).is_empty(), "server a may run the tasks");
     harness.set_servers(&["a", "b"]);
     assert!(starts(&harness.decide()).is_empty(), "server a has not answered");
--- a/crates/skylarkwick-request/tests/server_restart.rs
+++ b/crates/skylarkwick-request/tests/server_restart.rs
@@ -8,7 +8,7 @@
     job::{Step, task::RunId},
     shard::{
         effect::Start,
-        input::{ClockReading, OrderResult},
+        input::{ClockReading, OrderResult, RejectReason},
     },
 };
 
@@ -175,11 +175,52 @@
     assert_eq!(again, task("job", 0, 0));
 }
 
+/// Guards against the runs of the later incarnation being given up because another server
+/// is at the address of the earlier one and answers late.
+#[test]
+fn late_replacement_ignored() {
+    let (mut harness, start) = with_answered_start();
+    harness.report_incarnation("a", LATER, &running(&start), &[]);
+    harness.shard.handle_server_replaced(&Harness::target("a", 1));
+    assert_kept(&mut harness);
+    harness.shard.handle_server_replaced(&Harness::target("a", LATER));
+    assert_eq!(starts(&harness.decide()).len(), 1);
+}
+
+/// The same by the late answer to the start: only this start is rejected.
+#[test]
+fn late_rejection_ignored() {
+    let (mut harness, start) = with_sent_start(step(2, 4));
+    harness.list_incarnation("a", LATER);
+    let kept = task("job", 0, 1 - start.task.index);
+    let kept_run = RunId(start.run.0 + 1);
+    harness.report_incarnation("a", LATER, &[(kept, kept_run, 10)], &[]);
+    let mismatch = OrderResult::Refused(RejectReason::IncarnationMismatch, None);
+    answer(&mut harness, &start, mismatch);
+    let again = starts(&harness.decide());
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1.task, start.task);
+}
+
+/// Guards against a later incarnation that gets no new work because a poll of the earlier one
+/// had no answer.
+#[test]
+fn late_failure_ignored() {
+    let (mut harness, start) = with_answered_start();
+    harness.report_incarnation("a", LATER, &running(&start), &[]);
+    harness.fail_poll("a");
+    harness.fail_poll("b");
+    harness.submit("new", vec![step(1, 4)]);
+    let started = starts(&harness.decide());
+    assert_eq!(started.len(), 1, "server a accepts work");
+    assert_eq!(started[0].0, server("a"));
+}
+
 /// Waits until a task starts elsewhere while server a does not answer; returns the task.
 fn await_start(harness: &mut Harness) -> skylarkwick_request::job::task::Id {
     for _ in 0..80 {
         harness.advance(100);
-        harness.shard.handle_poll_failure(harness.now, &server("a"));
+        harness.shard.handle_poll_failure(harness.now, &Harness::target("a", LATER));
         harness.report("b", &[], &[]);
         if let [(id, start)] = &starts(&harness.decide())[..] {
             assert_eq!(*id, server("b"));
--- a/crates/skylarkwick-request/tests/unreachable_server.rs
+++ b/crates/skylarkwick-request/tests/unreachable_server.rs
@@ -30,7 +30,7 @@
     let (mut harness, name) = with_started_task();
     for _ in 0..24 {
         harness.advance(250);
-        harness.shard.handle_poll_failure(harness.now, &server(&name));
+        harness.fail_poll(&name);
         harness.report(other_server(&name), &[], &[]);
         let effects = harness.decide();
         if let [(server_id, start)] = &starts(&effects)[..] {
@@ -46,7 +46,7 @@
 fn valid_lease_kept() {
     let (mut harness, name) = with_started_task();
     harness.advance(4000);
-    harness.shard.handle_poll_failure(harness.now, &server(&name));
+    harness.fail_poll(&name);
     harness.report(other_server(&name), &[], &[]);
     assert!(starts(&harness.decide()).is_empty());
 }
@@ -55,7 +55,7 @@
 fn unconfirmed_releases_nothing() {
     let (mut harness, name) = with_started_task();
     harness.advance(8000);
-    harness.shard.handle_poll_failure(harness.now, &server(&name));
+    harness.fail_poll(&name);
     harness.report(other_server(&name), &[], &[]);
     assert!(starts(&harness.decide_unconfirmed()).is_empty(), "another holder may renew the lease");
     assert_eq!(starts(&harness.decide()).len(), 1);
@@ -65,7 +65,7 @@
 fn unreachable_not_renewed() {
     let (mut harness, name) = with_started_task();
     harness.advance(1000);
-    harness.shard.handle_poll_failure(harness.now, &server(&name));
+    harness.fail_poll(&name);
     harness.now = harness.now + ms(300);
     let renewed = harness.decide().into_iter().any(|effect| match effect {
         Effect::Poll { target, lease_until_ms, .. } => {
@@ -132,7 +132,7 @@
     harness.set_servers(&["b"]);
     for _ in 0..40 {
         harness.advance(250);
-        harness.shard.handle_poll_failure(harness.now, &server("a"));
+        harness.fail_poll("a");
         harness.report("b", std::slice::from_ref(&run), &[]);
         let effects = harness.decide();
         let servers = harness::batches(&effects).into_iter().find_map(|batch| {
@@ -177,7 +177,7 @@
         harness.advance(250);
         // A round takes 0.3 s: 3.6 s of silence, shorter than the lease of 4.6 s.
         match round % 20 < 12 {
-            true => harness.shard.handle_poll_failure(harness.now, &server(&name)),
+            true => harness.fail_poll(&name),
             false => harness.report(&name, &[(task("job", 0, 0), run, 50)], &[]),
         }
         harness.report(other, &[], &[]);
