A poll after one without an answer acknowledges no ends

Found by asking what a call may mean to a later incarnation: it counts the ends of its runs from 1 again, so a poll with the number of an earlier one's end acknowledges ends that nobody has read. A task that was done there would run again after its end was taken note of (TWICE), or its result be lost.

Change: like the renewal of the lease, the acknowledgement is left out while the server counts as unreachable, and follows with the poll after its next report. A crash ends the poll that is almost always in progress, so the next one carries none.

Test: server_restart::earlier_ends_withheld fails on the commit before (1 acknowledged in place of 0).

--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -122,7 +122,7 @@
     /// is due early once they are, but not before `poll_spacing` has passed. A
     /// poll renews the server's lease for `lease_duration`, unless the server
     /// is unreachable or its clock is unknown, and acknowledges the run ends
-    /// that are stored.
+    /// that are stored, unless it is unreachable.
     pub(super) fn send_due_polls(&mut self, now: Moment) {
         let spacing = self.poll_spacing();
         for server in self.servers.values_mut() {
@@ -141,7 +141,8 @@
             self.effects.push(Effect::Poll {
                 target: server.target(self.term.fencing_token),
                 lease_until_ms,
-                acknowledged: server.last_saved_end,
+                // The server may have restarted since, and counts its ends anew.
+                acknowledged: if server.is_unreachable { 0 } else { server.last_saved_end },
                 max_wait: if server.is_fenced { POLL_MAX_WAIT } else { Duration::ZERO },
             });
         }
--- a/crates/skylarkwick-request/tests/server_restart.rs
+++ b/crates/skylarkwick-request/tests/server_restart.rs
@@ -5,9 +5,12 @@
 
 use harness::{Harness, ms, server, starts, step, stops, task, timings};
 use skylarkwick_request::{
-    job::{Step, task::RunId},
+    job::{
+        Step,
+        task::{RunId, RunOutcome},
+    },
     shard::{
-        effect::Start,
+        effect::{Effect, Start},
         input::{ClockReading, OrderResult, RejectReason},
     },
 };
@@ -216,6 +219,33 @@
     assert_eq!(started[0].0, server("a"));
 }
 
+/// Guards against ends of the later incarnation that are acknowledged unread, by a poll with
+/// the number of an end of the earlier one, so that a task that is done runs again.
+#[test]
+fn earlier_ends_withheld() {
+    let (mut harness, start) = with_sent_start(step(1, 4));
+    let done = harness::finished_run(1, start.task.clone(), start.run, RunOutcome::Done);
+    harness.report("a", &[], &[done]);
+    assert_eq!(acknowledged(&harness.decide()), [1]);
+    harness.fail_poll("a");
+    harness.advance(300);
+    assert_eq!(acknowledged(&harness.decide()), [0], "server a may have restarted");
+    harness.report("a", &[], &[]);
+    harness.advance(500);
+    assert_eq!(acknowledged(&harness.decide()), [1]);
+}
+
+/// Returns the numbers of ends that polls of server a acknowledge.
+fn acknowledged(effects: &[Effect]) -> Vec<u64> {
+    let number = |effect: &Effect| match effect {
+        Effect::Poll { target, acknowledged, .. } if target.server == server("a") => {
+            Some(*acknowledged)
+        }
+        _ => None,
+    };
+    effects.iter().filter_map(number).collect()
+}
+
 /// Waits until a task starts elsewhere while server a does not answer; returns the task.
 fn await_start(harness: &mut Harness) -> skylarkwick_request::job::task::Id {
     for _ in 0..80 {
