A report that names no incarnation counts only if it was polled since the restart

Found by asking of each piece of news which incarnation it speaks of: a report may lack the start of its server (an earlier contract does not name it), and was then taken for one of the known incarnation. After a restart, a late report of the earlier one would have ended runs of the later one.

Test: server_restart::unnamed_report_ignored fails on the commit before.

--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -67,6 +67,8 @@
                 }
                 return;
             }
+            // An earlier incarnation may have answered.
+            None if report.clock.sent < server.since => return,
             _ => {}
         }
         server.record_clock(report.clock);
--- a/crates/skylarkwick-request/tests/server_restart.rs
+++ b/crates/skylarkwick-request/tests/server_restart.rs
@@ -11,7 +11,7 @@
     },
     shard::{
         effect::{Effect, Start},
-        input::{ClockReading, OrderResult, RejectReason},
+        input::{ClockReading, OrderResult, RejectReason, StatusReport},
     },
 };
 
@@ -219,6 +219,27 @@
     assert_eq!(started[0].0, server("a"));
 }
 
+/// Guards against runs of the later incarnation that are given up by a late report of the
+/// earlier one, which does not say whose it is.
+#[test]
+fn unnamed_report_ignored() {
+    let (mut harness, start) = with_answered_start();
+    let polled = harness.now - ms(5);
+    harness.report_incarnation("a", LATER, &running(&start), &[]);
+    harness.advance(10);
+    let clock = ClockReading { sent: polled, ..harness.reading() };
+    let report = StatusReport {
+        server: server("a"),
+        incarnation_ms: None,
+        clock,
+        running: Vec::new(),
+        finished: vec![harness::finished_run(1, start.task, start.run, RunOutcome::Failed)],
+        is_partial: false,
+    };
+    harness.shard.handle_status_report(harness.now, report);
+    assert_kept(&mut harness);
+}
+
 /// Guards against ends of the later incarnation that are acknowledged unread, by a poll with
 /// the number of an end of the earlier one, so that a task that is done runs again.
 #[test]
