The lease of an acquired shard counts from its write

A process that is paused between the read and the write, while nobody else acquires the shard, counts its exclusive window from the write, and the others its lease from the read, so they may take it over within that window.

--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -13,7 +13,7 @@
 mod event;
 mod holder;
 mod host_orders;
-mod lease;
+pub mod lease;
 mod load;
 mod operator_changes;
 pub mod permit;
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -23,32 +23,32 @@
 /// fencing token, the number of the term, when it began, and for how long earlier holders
 /// may still act.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Acquisition {
+pub struct Acquisition {
     /// Rows of the shard.
-    pub(super) keyspace: Keyspace,
+    pub keyspace: Keyspace,
     /// Revision of the write that acquired the lease; a later holder has a higher token.
-    pub(super) fencing_token: u64,
+    pub fencing_token: u64,
     /// Number of terms so far, this one included.
-    pub(super) number: u64,
+    pub number: u64,
     /// Time just before the lease was written, on the boot-time clock.
-    pub(super) since: Moment,
+    pub since: Moment,
     /// Time from `since` for which earlier holders may still act.
-    pub(super) overlap: Duration,
+    pub overlap: Duration,
 }
 
 /// A shard that is free to acquire.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Vacancy {
+pub struct Vacancy {
     /// Time since this process first found it so.
-    pub(super) duration: Duration,
+    pub duration: Duration,
     /// Whether the shard never had a holder, or its row is invalid.
-    pub(super) is_first: bool,
+    pub is_first: bool,
 }
 
 /// Result of a lease renewal: confirmed by the store, unconfirmed, after which the shard
 /// may still be held, or lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Renewal {
+pub enum Renewal {
     /// The store has confirmed the renewal.
     Confirmed,
     /// The store is unavailable, the outcome is unknown, or the row holds an
@@ -63,7 +63,7 @@
 /// lease, it keeps the row as last written or, after a conflict with a late renewal of its
 /// own, as read. A clone starts from the same state and is then independent.
 #[derive(Clone, Debug)]
-pub(super) struct Lease<S> {
+pub struct Lease<S> {
     store: S,
     keyspace: Keyspace,
     entry: Arc<str>,
@@ -84,7 +84,7 @@
 impl<S: Store> Lease<S> {
     /// Creates a lease that is not held; reads and writes nothing yet. `incarnation`
     /// identifies this process in the row.
-    pub(super) fn new(
+    pub fn new(
         store: S,
         keyspace: Keyspace,
         config: &Config,
@@ -107,7 +107,7 @@
     }
 
     /// Returns the shard.
-    pub(super) fn shard(&self) -> ShardId {
+    pub fn shard(&self) -> ShardId {
         self.keyspace.shard()
     }
 
@@ -115,7 +115,7 @@
     /// holder, its lease has expired, or it belongs to an earlier process of this entry host.
     /// `None` if it is not free. `stored` is its lease row, `now_ms` the store's clock when it
     /// was read. The process does not hold the shard any more.
-    pub(super) fn observe(&mut self, stored: &Row, now_ms: u64) -> Option<Vacancy> {
+    pub fn observe(&mut self, stored: &Row, now_ms: u64) -> Option<Vacancy> {
         self.held = None;
         let current = self.decode(stored);
         self.observation = self.observation.update(stored.revision, Boot.now());
@@ -139,7 +139,10 @@
     /// transaction writes the fence row, so that writes of earlier holders that require its
     /// old revision conflict. Returns `None` if the shard is not free, or the write isn't
     /// confirmed.
-    pub(super) fn acquire(&mut self, stored: &Row, now_ms: u64) -> Option<Acquisition> {
+    ///
+    /// `now_ms` is the store's clock when the row was read. The lease counts from the write,
+    /// because this process may have been paused in between.
+    pub fn acquire(&mut self, stored: &Row, now_ms: u64) -> Option<Acquisition> {
         let current = self.decode(stored);
         let Decision::Acquire { overlap } = self.decision(current.as_ref(), now_ms) else {
             return None;
@@ -150,7 +153,7 @@
             incarnation: self.incarnation.0,
             number: current.as_ref().map_or(0, |current| current.number) + 1,
             fencing: 0,
-            renewed_ms: now_ms,
+            renewed_ms: self.store.clock_ms(),
             earlier_until_ms: Some(now_ms.saturating_add(millis(overlap))),
         };
         let transaction = self.lease_transaction(stored.revision, &next);
@@ -200,7 +203,7 @@
 
     /// Renews the lease by a write of its row, which is conditional on the row as last
     /// written by this process.
-    pub(super) fn renew(&mut self) -> Renewal {
+    pub fn renew(&mut self) -> Renewal {
         let Some((revision, held)) = self.held.clone() else {
             return Renewal::Lost;
         };
@@ -237,7 +240,7 @@
     /// Releases the shard, so that another process need not wait until the lease
     /// expires. Does nothing if it is not held; after a failed write the lease expires, and
     /// so it does while the holder that this process replaced may still act.
-    pub(super) fn release(&mut self) {
+    pub fn release(&mut self) {
         let Some((revision, held)) = self.held.take() else {
             return;
         };
