Leases of a restarted server are unknown until its first report

Cause: the end of the leases of a server that has not reported stood at 0, a valid value. An order that was answered before the first report read the clock, and the clock had passed 0.

Change: it is None until the first report; until then the silence of the server decides, and polls renew nothing.

--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -84,14 +84,14 @@
 
     /// Gives up the runs on servers whose leases have certainly expired, and
     /// removes those of these servers that the platform does not list. A server
-    /// whose clock was never read counts as expired after `is_silence_over`.
+    /// that has not reported yet counts as expired after `is_silence_over`.
     pub(super) fn expire_leases(&mut self, now: Moment) {
         let expired: Vec<ServerId> = self
             .servers
             .values()
-            .filter(|server| match server.clock_reading {
-                Some(_) => server.have_leases_expired(now),
-                None => self.is_silence_over(now, server),
+            .filter(|server| {
+                let have_expired = server.have_leases_expired(now);
+                have_expired.unwrap_or_else(|| self.is_silence_over(now, server))
             })
             .filter(|server| server.is_unlisted || !server.runs.is_empty())
             .map(|server| server.id().clone())
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Returns whether all runs are over on a server whose clock was never read:
+    /// Returns whether all runs are over on a server that has not reported yet:
     /// those of earlier holders after the takeover grace, and those that moved to
     /// it with a restart after the longest lease.
     fn is_silence_over(&self, now: Moment, server: &Server) -> bool {
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -75,7 +75,7 @@
         server.is_unreachable = false;
         if let Some(lease) = server.unknown_lease(&report, &self.timings) {
             let granted = report.clock.clock_ms.saturating_add(millis(lease));
-            server.lease_until_ms = server.lease_until_ms.max(granted);
+            server.lease_until_ms = server.lease_until_ms.max(Some(granted));
         }
         server.is_fenced = true;
         for finished in report.finished {
@@ -137,8 +137,9 @@
             // A poll without an answer may have renewed the lease, so further
             // polls don't renew it until the server answers.
             let renewed_until_ms = server.deadline_ms(now, self.timings.lease_duration);
-            let lease_until_ms = renewed_until_ms.filter(|_| !server.is_unreachable);
-            server.lease_until_ms = server.lease_until_ms.max(lease_until_ms.unwrap_or_default());
+            let lease_until_ms =
+                renewed_until_ms.filter(|_| server.is_fenced && !server.is_unreachable);
+            server.lease_until_ms = server.lease_until_ms.max(lease_until_ms);
             server.next_poll = None;
             self.effects.push(Effect::Poll {
                 target: server.target(self.term.fencing_token),
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -156,8 +156,8 @@
     pub(super) clock_reading: Option<ClockReading>,
     /// Latest time, on the server's clock in milliseconds, at which a lease can
     /// end or a start be carried out, including a lease that an earlier holder
-    /// may have granted.
-    pub(super) lease_until_ms: u64,
+    /// may have granted; `None` until the first report.
+    pub(super) lease_until_ms: Option<u64>,
     /// Number of the last run end that was handled; ends of this incarnation
     /// are numbered in order.
     pub(super) last_seen_end: u64,
@@ -194,7 +194,7 @@
             runs: BTreeMap::new(),
             reserved: Resources::default(),
             clock_reading: None,
-            lease_until_ms: 0,
+            lease_until_ms: None,
             last_seen_end: 0,
             last_saved_end: 0,
             unsaved_ends: VecDeque::new(),
@@ -230,7 +230,7 @@
         timings: &Timings,
     ) -> Option<Duration> {
         let has_outlived_lease =
-            !report.running.is_empty() && report.clock.clock_ms > self.lease_until_ms;
+            !report.running.is_empty() && Some(report.clock.clock_ms) > self.lease_until_ms;
         let is_earlier = |run: &ActiveRun| run.attribution == Attribution::Earlier;
         let has_earlier_orders =
             !self.is_fenced || report.clock.sent < self.since || self.runs.values().any(is_earlier);
@@ -349,8 +349,8 @@
     }
 
     /// Returns whether every lease granted to the server, and every start sent
-    /// to it, has certainly expired; false if its clock was never read.
-    pub(super) fn have_leases_expired(&self, now: Moment) -> bool {
-        self.has_clock_passed(now, self.lease_until_ms)
+    /// to it, has certainly expired; `None` until the first report.
+    pub(super) fn have_leases_expired(&self, now: Moment) -> Option<bool> {
+        Some(self.has_clock_passed(now, self.lease_until_ms?))
     }
 }
--- a/crates/skylarkwick-request/src/shard/starts.rs
+++ b/crates/skylarkwick-request/src/shard/starts.rs
@@ -69,7 +69,7 @@
         active_run.stage = Stage::Starting;
         active_run.stage_since = now;
         active_run.start_deadline_ms = Some(until_ms);
-        server.lease_until_ms = server.lease_until_ms.max(until_ms);
+        server.lease_until_ms = server.lease_until_ms.max(Some(until_ms));
         let Some(active) = self.jobs.get(&task.job) else {
             return;
         };
--- a/crates/skylarkwick-request/tests/server_restart.rs
+++ b/crates/skylarkwick-request/tests/server_restart.rs
@@ -256,6 +256,20 @@
     assert_eq!(acknowledged(&harness.decide()), [1]);
 }
 
+/// Guards against runs in doubt that are given up because an order has read the clock of the
+/// later incarnation before a report has told how long its leases may be.
+#[test]
+fn unknown_lease_awaited() {
+    let (mut harness, start) = with_sent_start(step(1, 4));
+    harness.list_incarnation("a", LATER);
+    harness.advance(10);
+    let done = OrderResult::Done(harness.reading());
+    answer(&mut harness, &start, done);
+    harness.advance(500);
+    harness.report("b", &[], &[]);
+    assert_kept(&mut harness);
+}
+
 /// Returns the numbers of ends that polls of server a acknowledge.
 fn acknowledged(effects: &[Effect]) -> Vec<u64> {
     let number = |effect: &Effect| match effect {
