A report that another one has overtaken gives up no run

Two polls of a server overlap after its restart, when the earlier poller still waits for its answer.

Cause: a run that a report confirms kept the time at which its start was sent as that of its confirmation, so any report polled since then ended it.

Change: the confirmation counts from the report, as it does from the answer to the start; and a report that was polled before the last one is ignored, since the last one had all that it tells.

Test: server_restart::overtaken_report_kept fails on the commit before.

--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -42,7 +42,8 @@
     /// next poll is scheduled. The server is fenced from then on: it rejects
     /// orders of earlier holders.
     ///
-    /// The report of an unknown server or of an earlier incarnation is ignored. A
+    /// The report of an unknown server or of an earlier incarnation is ignored, as is
+    /// one that was polled before the last report. A
     /// later incarnation replaces the server, as in `set_servers`, and is polled
     /// at once; it counts as unlisted until the list has an entry of it.
     pub fn handle_status_report(&mut self, now: Moment, report: StatusReport) {
@@ -71,6 +72,10 @@
             None if report.clock.sent < server.since => return,
             _ => {}
         }
+        // A later report has come first; it had all that this one tells.
+        if report.clock.sent < server.last_report_sent {
+            return;
+        }
         server.record_clock(report.clock);
         server.is_unreachable = false;
         if let Some(lease) = server.unknown_lease(&report, &self.timings) {
@@ -169,6 +174,7 @@
             active_run.attribution = Attribution::Reported;
             if matches!(active_run.stage, Stage::Starting | Stage::Unconfirmed) {
                 active_run.stage = Stage::Running;
+                active_run.stage_since = now;
                 self.send_window.record_confirmed();
             }
             if active_run.percent != running.percent {
--- a/crates/skylarkwick-request/tests/server_restart.rs
+++ b/crates/skylarkwick-request/tests/server_restart.rs
@@ -256,6 +256,29 @@
     assert_eq!(acknowledged(&harness.decide()), [1]);
 }
 
+/// Guards against a run that is given up by a report that was polled before the server got the
+/// start, and arrives after one that shows the run.
+#[test]
+fn overtaken_report_kept() {
+    let (mut harness, start) = with_sent_start(step(1, 4));
+    let polled = harness.now + ms(10);
+    harness.advance(100);
+    harness.report("a", &running(&start), &[]);
+    for sent in [polled, harness.now - ms(1)] {
+        harness.advance(50);
+        let report = StatusReport {
+            server: server("a"),
+            incarnation_ms: Some(1),
+            clock: ClockReading { sent, ..harness.reading() },
+            running: Vec::new(),
+            finished: Vec::new(),
+            is_partial: false,
+        };
+        harness.shard.handle_status_report(harness.now, report);
+        assert_kept(&mut harness);
+    }
+}
+
 /// Guards against runs in doubt that are given up because an order has read the clock of the
 /// later incarnation before a report has told how long its leases may be.
 #[test]
