Ends are acknowledged only soon after a report, and once

Change: an acknowledgement goes with a poll only within 150 ms after a report, far less than a server takes to restart and to end a run; later, a poll without one that asks for an answer at once goes first. One that was answered is not sent again.

--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -14,9 +14,6 @@
 };
 use crate::job::{progress::TaskPosition, task};
 
-/// How long a server may wait for a run to end before it answers a poll. Until
-/// a server has answered this holder once, its polls ask for an answer at once.
-const POLL_MAX_WAIT: Duration = Duration::from_millis(900);
 /// Delay between the answer to a poll and the next poll of that server, for
 /// each server that the shard knows; see `poll_spacing`.
 const POLL_SPACING_PER_SERVER: Duration = Duration::from_micros(400);
@@ -77,6 +74,7 @@
             return;
         }
         server.record_clock(report.clock);
+        server.record_poll_answered();
         server.is_unreachable = false;
         if let Some(lease) = server.unknown_lease(&report, &self.timings) {
             let granted = report.clock.clock_ms.saturating_add(millis(lease));
@@ -128,8 +126,8 @@
     /// Sends the polls that are due. One that waits for run ends to be stored
     /// is due early once they are, but not before `poll_spacing` has passed. A
     /// poll renews the server's lease for `lease_duration`, unless the server
-    /// is unreachable or its clock is unknown, and acknowledges the run ends
-    /// that are stored, unless it is unreachable.
+    /// is unreachable or its clock is unknown, and acknowledges run ends that
+    /// are stored, see [`Server::next_acknowledgement`].
     pub(super) fn send_due_polls(&mut self, now: Moment) {
         let spacing = self.poll_spacing();
         for server in self.servers.values_mut() {
@@ -149,9 +147,8 @@
             self.effects.push(Effect::Poll {
                 target: server.target(self.term.fencing_token),
                 lease_until_ms,
-                // The server may have restarted since, and counts its ends anew.
-                acknowledged: if server.is_unreachable { 0 } else { server.last_saved_end },
-                max_wait: if server.is_fenced { POLL_MAX_WAIT } else { Duration::ZERO },
+                acknowledged: server.next_acknowledgement(now),
+                max_wait: server.poll_wait(),
             });
         }
     }
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -19,6 +19,9 @@
 };
 use crate::job::{self, Step, task};
 
+/// How long a server may wait for a run to end before it answers a poll. Until
+/// a server has answered this holder once, its polls ask for an answer at once.
+const POLL_MAX_WAIT: Duration = Duration::from_millis(900);
 /// Time since a server's last answer with a reading of its clock, to a poll or
 /// an order, after which it gets no new work.
 const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(2500);
@@ -28,6 +31,10 @@
 /// Margin before a time on a server's clock counts as certainly passed.
 const CLOCK_MARGIN: Duration = Duration::from_millis(150);
 
+/// Longest time since the last report in which a poll acknowledges run ends; far less
+/// than a server takes to restart and to end a run.
+const ACKNOWLEDGE_WITHIN: Duration = Duration::from_millis(150);
+
 /// Stage of a run on a server, from the choice of the server to the stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -163,6 +170,11 @@
     pub(super) last_seen_end: u64,
     /// Number of the last run end that is stored and may be acknowledged.
     pub(super) last_saved_end: u64,
+    /// Number of the last run end that the last poll has acknowledged; 0 if it
+    /// acknowledged none.
+    polled_end: u64,
+    /// Number of the last run end whose acknowledgement was answered.
+    acknowledged_end: u64,
     /// Handled run ends after that, oldest first: their numbers, and the jobs that
     /// they change.
     pub(super) unsaved_ends: VecDeque<(u64, job::Id)>,
@@ -197,6 +209,8 @@
             lease_until_ms: None,
             last_seen_end: 0,
             last_saved_end: 0,
+            polled_end: 0,
+            acknowledged_end: 0,
             unsaved_ends: VecDeque::new(),
             is_fenced: false,
             next_poll: Some(now),
@@ -288,6 +302,39 @@
         }
     }
 
+    /// Returns the number of the last run end that a poll sent now acknowledges, 0
+    /// for none.
+    ///
+    /// The server may have restarted since, and then counts its ends anew, so the
+    /// number would acknowledge ends of the later incarnation unread. So it is sent
+    /// only soon after a report, and not again once it was answered.
+    pub(super) fn next_acknowledgement(&mut self, now: Moment) -> u64 {
+        let is_recent = now.since(self.last_poll) < ACKNOWLEDGE_WITHIN && !self.is_unreachable;
+        self.polled_end = match self.has_unacknowledged_ends() && is_recent {
+            true => self.last_saved_end,
+            false => 0,
+        };
+        self.polled_end
+    }
+
+    /// Returns whether run ends are stored whose acknowledgement was not answered.
+    fn has_unacknowledged_ends(&self) -> bool {
+        self.last_saved_end > self.acknowledged_end
+    }
+
+    /// Returns how long the server may wait for a run to end before it answers the
+    /// poll that [`Self::next_acknowledgement`] was called for: not at all if this is
+    /// its first poll, or one that precedes an acknowledgement.
+    pub(super) fn poll_wait(&self) -> Duration {
+        let is_awaited = self.has_unacknowledged_ends() && self.polled_end == 0;
+        if self.is_fenced && !is_awaited { POLL_MAX_WAIT } else { Duration::ZERO }
+    }
+
+    /// Records that the last poll was answered, and with it what it acknowledged.
+    pub(super) fn record_poll_answered(&mut self) {
+        self.acknowledged_end = self.acknowledged_end.max(self.polled_end);
+    }
+
     /// Records that the run ends up to this number are stored and may be acknowledged.
     pub(super) fn mark_ends_saved(&mut self, number: u64) {
         self.last_saved_end = self.last_saved_end.max(number);
--- a/crates/skylarkwick-request/tests/server_restart.rs
+++ b/crates/skylarkwick-request/tests/server_restart.rs
@@ -252,7 +252,22 @@
     harness.advance(300);
     assert_eq!(acknowledged(&harness.decide()), [0], "server a may have restarted");
     harness.report("a", &[], &[]);
-    harness.advance(500);
+    assert_eq!(acknowledged(&harness.decide()), [1]);
+    harness.report("a", &[], &[]);
+    assert_eq!(acknowledged(&harness.decide()), [0], "the acknowledgement was answered");
+}
+
+/// Guards against the same by a poll that has waited for a slow write of the ends.
+#[test]
+fn late_ends_withheld() {
+    let (mut harness, start) = with_sent_start(step(1, 4));
+    let done = harness::finished_run(1, start.task.clone(), start.run, RunOutcome::Done);
+    harness.report("a", &[], &[done]);
+    let batch = harness::batches(&harness.decide_unsaved()).remove(0);
+    harness.advance(300);
+    harness.shard.handle_batch_saved(harness.now, &batch);
+    assert_eq!(acknowledged(&harness.decide()), [0], "server a may have restarted");
+    harness.report("a", &[], &[]);
     assert_eq!(acknowledged(&harness.decide()), [1]);
 }
 
