--- a/crates/skylarkwick-request/tests/restart_soak.rs
+++ b/crates/skylarkwick-request/tests/restart_soak.rs
@@ -3,10 +3,12 @@
 //! starts again after its end was acknowledged, and all finish once the trouble is over.
 
 mod harness;
+mod simulation;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use harness::{Harness, ms, server_info, step, timings};
+use harness::{Harness, ms, server_info, step};
+use simulation::{Life, Machine, Random};
 use skylarkwick_request::{
     job::{
         Id, Step,
@@ -14,10 +16,7 @@
     },
     shard::{
         effect::{Batch, Change, Effect, Start, Target},
-        input::{
-            ClockReading, FinishedRun, OrderResult, RejectReason, RunStatus, ServerInfo,
-            StatusReport,
-        },
+        input::{ClockReading, OrderResult, RejectReason, RunStatus, ServerInfo, StatusReport},
     },
 };
 use skylarkwick_version::moment::Moment;
@@ -30,72 +29,9 @@
 const CALM_MS: u64 = 25_000;
 const STEP_MS: u64 = 10;
 const ORDER_TIMEOUT_MS: u64 = 800;
-const HEARTBEAT_MS: u64 = 1500;
 const LIST_PERIOD_MS: u64 = 250;
 const RENEWAL_PERIOD_MS: u64 = 500;
 const JOB_PERIOD_MS: u64 = 150;
-/// Largest clock that a server starts with, in milliseconds.
-const MAX_CLOCK_START_MS: u64 = 8_000_000;
-
-/// Pseudo-random numbers by a seed (xorshift).
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, limit: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % limit
-    }
-
-    fn is_one_in(&mut self, count: u64) -> bool {
-        self.below(count) == 0
-    }
-}
-
-/// An incarnation of a server; nothing of it outlasts a crash.
-struct Life {
-    born_ms: u64,
-    since_ms: u64,
-    clock_start_ms: u64,
-    lease_until_ms: u64,
-    /// Runs in progress with the time at which they end.
-    runs: BTreeMap<(task::Id, RunId), u64>,
-    ended: Vec<FinishedRun>,
-    next_end: u64,
-    /// Highest run of each task that was stopped or has ended here.
-    over: BTreeMap<task::Id, RunId>,
-}
-
-impl Life {
-    fn clock_ms(&self, now_ms: u64) -> u64 {
-        self.clock_start_ms + now_ms - self.since_ms
-    }
-
-    fn extend_lease(&mut self, now_ms: u64, until_ms: u64) {
-        let longest =
-            self.clock_ms(now_ms) + u64::try_from(timings().max_lease.as_millis()).unwrap();
-        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(longest));
-    }
-
-    fn end(&mut self, task: task::Id, run: RunId, outcome: RunOutcome) {
-        self.runs.remove(&(task.clone(), run));
-        let over = self.over.entry(task.clone()).or_insert(run);
-        *over = run.max(*over);
-        self.ended.push(harness::finished_run(self.next_end, task, run, outcome));
-        self.next_end += 1;
-    }
-}
-
-/// A machine: the incarnation on it, when the next one starts, and its entry in the list.
-#[derive(Default)]
-struct Machine {
-    life: Option<Life>,
-    starts_at_ms: u64,
-    next_beat_ms: u64,
-    /// Incarnation in the entry, and when it was written.
-    entry: Option<(u64, u64)>,
-}
 
 /// A call on its way: when it was sent, and the incarnation to which its connection was
 /// made. Without one it is not sent: a server that starts later could be reached by a second
@@ -128,6 +64,7 @@
 }
 
 struct World {
+    seed: u64,
     random: Random,
     harness: Harness,
     start: Moment,
@@ -154,6 +91,7 @@
         let start = harness.now;
         let machines = SERVERS.map(|name| (name, Machine::default())).into();
         World {
+            seed,
             random: Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
             harness,
             start,
@@ -207,7 +145,7 @@
         }
         let unfinished: Vec<&Id> =
             self.run_times.keys().filter(|id| !self.finished.contains(*id)).collect();
-        assert!(unfinished.is_empty(), "unfinished: {unfinished:?}");
+        assert!(unfinished.is_empty(), "seed {}, unfinished: {unfinished:?}", self.seed);
     }
 
     fn make_trouble(&mut self) {
@@ -222,53 +160,16 @@
         for name in SERVERS {
             let machine = self.machines.get_mut(name).unwrap();
             if machine.life.is_some() && self.random.is_one_in(300) {
-                machine.life = None;
-                machine.starts_at_ms = self.now_ms + 20 + self.random.below(1200);
+                machine.crash(self.now_ms + 20 + self.random.below(1200));
             }
         }
     }
 
     fn advance_machines(&mut self) {
-        let (now_ms, is_store_up) = (self.now_ms, self.is_store_up);
         for machine in self.machines.values_mut() {
-            if machine.life.is_none() && machine.starts_at_ms <= now_ms {
-                machine.next_beat_ms = now_ms + self.random.below(60);
-                machine.life = Some(Life {
-                    born_ms: now_ms + 1,
-                    since_ms: now_ms,
-                    clock_start_ms: self.random.below(MAX_CLOCK_START_MS),
-                    lease_until_ms: 0,
-                    runs: BTreeMap::new(),
-                    ended: Vec::new(),
-                    next_end: 1,
-                    over: BTreeMap::new(),
-                });
-            }
-            if machine.entry.is_some_and(|(_, at)| now_ms - at > 3 * HEARTBEAT_MS) {
-                machine.entry = None;
-            }
-            let Some(life) = &mut machine.life else {
-                continue;
-            };
-            if machine.next_beat_ms <= now_ms {
-                machine.next_beat_ms += HEARTBEAT_MS;
-                if is_store_up {
-                    machine.entry = Some((life.born_ms, now_ms));
-                }
-            }
-            let has_lapsed = life.clock_ms(now_ms) > life.lease_until_ms;
-            let over: Vec<(task::Id, RunId)> = life
-                .runs
-                .iter()
-                .filter(|(_, end_ms)| has_lapsed || **end_ms <= now_ms)
-                .map(|((task, run), _)| (task.clone(), *run))
-                .collect();
-            for (task, run) in over {
-                let outcome = if has_lapsed { RunOutcome::Stopped } else { RunOutcome::Done };
-                if outcome == RunOutcome::Done {
-                    self.done.insert((task.clone(), run));
-                }
-                life.end(task, run, outcome);
+            machine.advance(self.now_ms, self.is_store_up, &mut self.random);
+            if let Some(life) = &mut machine.life {
+                self.done.extend(life.advance(self.now_ms));
             }
         }
     }
@@ -531,9 +432,10 @@
             }
         }
         let twice: Vec<_> = running.iter().filter(|(_, runs)| **runs > 1).collect();
-        assert!(twice.is_empty(), "at {} ms two runs of one task: {twice:?}", self.now_ms);
+        let (seed, now_ms) = (self.seed, self.now_ms);
+        assert!(twice.is_empty(), "seed {seed}, at {now_ms} ms two runs of one task: {twice:?}");
         let again: Vec<_> = self.acknowledged.intersection(&self.repeated).collect();
-        assert!(again.is_empty(), "at {} ms started after its end: {again:?}", self.now_ms);
+        assert!(again.is_empty(), "seed {seed}, at {now_ms} ms started after its end: {again:?}");
     }
 }
 
@@ -543,7 +445,6 @@
 fn seeds_keep_rules() {
     let seeds = std::env::var("SOAK_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
     for seed in 1..=seeds.unwrap_or(SEEDS) {
-        println!("seed {seed}");
         World::new(seed).run();
     }
 }
