--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -14,6 +14,9 @@
 };
 use crate::job::task;
 
+/// Factor by which a lease may last longer than granted, on a server whose clock is
+/// slow.
+const MAX_LEASE_STRETCH: f64 = 1.03;
 /// Reason with which the log tells of runs whose server has restarted.
 const RESTARTED: &str = "the server restarted or changed its address";
 
@@ -112,7 +115,8 @@
     /// it with a restart after the longest lease.
     fn is_silence_over(&self, now: Moment, server: &Server) -> bool {
         let Timings { start_window, max_lease, .. } = self.timings;
-        let is_lease_over = now.since(server.since) > start_window + max_lease.mul_f64(1.03);
+        let longest = start_window + max_lease.mul_f64(MAX_LEASE_STRETCH);
+        let is_lease_over = now.since(server.since) > longest;
         self.is_takeover_grace_over(now) && (!server.is_restarted || is_lease_over)
     }
 
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -40,9 +40,9 @@
     /// orders of earlier holders.
     ///
     /// The report of an unknown server or of an earlier incarnation is ignored, as is
-    /// one that was polled before the last report. A
-    /// later incarnation replaces the server, as in `set_servers`, and is polled
-    /// at once; it counts as unlisted until the list has an entry of it.
+    /// one that was polled before the last report. A later incarnation replaces the
+    /// server, as in `set_servers`, and is polled at once; it counts as unlisted until
+    /// the list has an entry of it.
     pub fn handle_status_report(&mut self, now: Moment, report: StatusReport) {
         let id = report.server.clone();
         let Some(server) = self.servers.get_mut(&id) else {
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -146,8 +146,9 @@
 }
 
 /// A backend server: its entry in the platform's list, since when its incarnation
-/// is known, its runs, the last reading of its clock, the end of its leases, the state of its polls, which
-/// run ends were handled and stored, and its health.
+/// is known, its runs, the last reading of its clock, the end of its leases, the
+/// state of its polls, which run ends were handled, stored and acknowledged, and
+/// its health.
 #[derive(Clone, Debug)]
 pub(super) struct Server {
     pub(super) info: ServerInfo,
