--- a/crates/skylarkwick-request/src/shard/fate.rs
+++ b/crates/skylarkwick-request/src/shard/liveness.rs
@@ -1,16 +1,16 @@
-//! What news about a backend server proves about the runs on it.
+//! Whether a run can still be in progress, by what is known of its backend server.
 //!
-//! News comes from the platform's list, reports, results of calls, and silence. Whenever a
+//! The platform's list, reports, results of calls and silence tell of a server. Whenever a
 //! run may be given up although its server has neither rejected it nor told how it ended,
-//! [`Server::fate`] decides. See `docs/DESIGN.md`, section "Jobs".
+//! [`Server::liveness`] decides. See `docs/DESIGN.md`, section "Jobs".
 
 use skylarkwick_version::moment::Moment;
 
 use super::server::{ActiveRun, Attribution, Server, Stage};
 
-/// News about a server after which runs on it may be over.
+/// Evidence about a server by which runs on it may be over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum News {
+pub(super) enum Evidence {
     /// A complete report of the known incarnation lacks the run.
     NotReported {
         /// When the poll was sent.
@@ -24,42 +24,42 @@
     LeaseExpired,
 }
 
-/// What is known of a run after news about its server.
+/// Whether a run can still be in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Fate {
+pub(super) enum Liveness {
     /// It has ended, or it did not begin and never will.
-    Over,
+    Ended,
     /// It may be in progress, or may still begin.
-    Open,
+    Possible,
 }
 
 impl Server {
-    /// Decides what news about this server proves about one of its runs.
+    /// Decides what the evidence proves about a run on this server.
     ///
     /// A restart ends only what an earlier incarnation has reported: a start names the
     /// server, not its incarnation, so one that was sent before the restart was known may
     /// have reached the later incarnation, also if it was answered.
-    pub(super) fn fate(&self, active_run: &ActiveRun, news: News) -> Fate {
-        let is_over = match (news, active_run.stage) {
-            (News::Replaced | News::LeaseExpired, _) => true,
-            (News::Restarted, Stage::Planned) => true,
-            (News::Restarted, _) => active_run.attribution == Attribution::Reported,
-            (News::NotReported { .. }, Stage::Planned | Stage::Starting) => false,
-            (News::NotReported { polled }, Stage::Running) => polled > active_run.stage_since,
+    pub(super) fn liveness(&self, active_run: &ActiveRun, evidence: Evidence) -> Liveness {
+        let is_over = match (evidence, active_run.stage) {
+            (Evidence::Replaced | Evidence::LeaseExpired, _) => true,
+            (Evidence::Restarted, Stage::Planned) => true,
+            (Evidence::Restarted, _) => active_run.attribution == Attribution::Reported,
+            (Evidence::NotReported { .. }, Stage::Planned | Stage::Starting) => false,
+            (Evidence::NotReported { polled }, Stage::Running) => polled > active_run.stage_since,
             (
-                News::NotReported { polled },
+                Evidence::NotReported { polled },
                 Stage::Stopping { acknowledged: Some(acknowledged), .. },
             ) => polled > acknowledged,
             (
-                News::NotReported { polled },
+                Evidence::NotReported { polled },
                 Stage::Unconfirmed | Stage::Stopping { acknowledged: None, .. },
             ) => active_run
                 .start_deadline_ms
                 .is_some_and(|deadline_ms| self.has_clock_passed(polled, deadline_ms)),
         };
         match is_over {
-            true => Fate::Over,
-            false => Fate::Open,
+            true => Liveness::Ended,
+            false => Liveness::Possible,
         }
     }
 }
--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -8,8 +8,8 @@
 use super::{
     Shard, Timings,
     effect::{Effect, Target},
-    fate::{Fate, News},
     input::{ServerId, ServerInfo},
+    liveness::{Evidence, Liveness},
     server::Server,
 };
 use crate::job::task;
@@ -56,7 +56,7 @@
     /// polled at once. Does nothing if the server is unknown.
     pub(super) fn restart_server(&mut self, now: Moment, info: ServerInfo) {
         let id = info.id.clone();
-        self.give_up_runs(&id, News::Restarted, RESTARTED);
+        self.give_up_runs(&id, Evidence::Restarted, RESTARTED);
         let Some(earlier) = self.servers.remove(&id) else {
             return;
         };
@@ -79,7 +79,7 @@
             self.unrecord_server(id);
             self.remove_server(
                 id,
-                News::Replaced,
+                Evidence::Replaced,
                 "another incarnation or server is at the address",
             );
         }
@@ -103,9 +103,13 @@
             self.unrecord_server(&id);
             let is_unlisted = self.servers.get(&id).is_some_and(|server| server.is_unlisted);
             if is_unlisted {
-                self.remove_server(&id, News::LeaseExpired, "left the list and its lease lapsed");
+                self.remove_server(
+                    &id,
+                    Evidence::LeaseExpired,
+                    "left the list and its lease lapsed",
+                );
             } else {
-                self.give_up_runs(&id, News::LeaseExpired, "lease expired");
+                self.give_up_runs(&id, Evidence::LeaseExpired, "lease expired");
             }
         }
     }
@@ -120,13 +124,14 @@
         self.is_takeover_grace_over(now) && (!server.is_restarted || is_lease_over)
     }
 
-    /// Releases the runs on a server that are over after this news, logs each
+    /// Releases the runs on a server that are over by this evidence, logs each
     /// with the reason, and makes their tasks avoid the server.
-    fn give_up_runs(&mut self, id: &ServerId, news: News, reason: &'static str) {
+    fn give_up_runs(&mut self, id: &ServerId, evidence: Evidence, reason: &'static str) {
         let Some(server) = self.servers.get(id) else {
             return;
         };
-        let over = server.runs.iter().filter(|(_, run)| server.fate(run, news) == Fate::Over);
+        let over =
+            server.runs.iter().filter(|(_, run)| server.liveness(run, evidence) == Liveness::Ended);
         let runs: Vec<(task::Id, task::RunId)> =
             over.map(|(task, active_run)| (task.clone(), active_run.id)).collect();
         for (task, run) in runs {
@@ -135,10 +140,10 @@
         }
     }
 
-    /// Gives up the runs on a server, all of which are over after this news, for
+    /// Gives up the runs on a server, all of which are over by this evidence, for
     /// the logged reason, forgets the server and stops polling it.
-    fn remove_server(&mut self, id: &ServerId, news: News, reason: &'static str) {
-        self.give_up_runs(id, news, reason);
+    fn remove_server(&mut self, id: &ServerId, evidence: Evidence, reason: &'static str) {
+        self.give_up_runs(id, evidence, reason);
         if self.servers.remove(id).is_some() {
             self.effects.push(Effect::RemoveServer(id.clone()));
         }
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -8,8 +8,8 @@
     Shard,
     active::TaskState,
     effect::{Effect, LogEntry, Target},
-    fate::{Fate, News},
     input::{ClockReading, RunStatus, ServerId, ServerInfo, StatusReport},
+    liveness::{Evidence, Liveness},
     server::{ActiveRun, Attribution, Stage},
 };
 use crate::job::{progress::TaskPosition, task};
@@ -246,13 +246,14 @@
     }
 
     /// Releases the runs that a complete report does not list and that are
-    /// certainly over, see [`Server::fate`]. `polled` is when the poll was sent.
+    /// certainly over, see [`Server::liveness`]. `polled` is when the poll was sent.
     fn reconcile(&mut self, id: &ServerId, running: &[task::Id], polled: Moment) {
         let Some(server) = self.servers.get(id) else {
             return;
         };
-        let is_over =
-            |active_run| server.fate(active_run, News::NotReported { polled }) == Fate::Over;
+        let is_over = |active_run| {
+            server.liveness(active_run, Evidence::NotReported { polled }) == Liveness::Ended
+        };
         let missing: Vec<(task::Id, task::RunId)> = server
             .runs
             .iter()
