--- a/review/stand-in-2/src/cases/large_job.rs
+++ b/review/stand-in-2/src/cases/large_job.rs
@@ -1,18 +1,18 @@
-//! A job with many tasks, and small jobs of the same queue after it.
+//! A job with many tasks, and small jobs of the same and of another queue after it.
 
 use std::{path::Path, thread, time::Duration};
 
 use super::{Outcome, Setup, configure, job_id, step};
 use crate::site::Work;
 
-const POOL: &str = "batch";
-const MACHINES: usize = 8;
-/// Tasks of the first step of the large job, with and without the disruption; its second step
-/// has two, which take longer than the case.
-const TASKS: u64 = 8_000;
-const FEW_TASKS: u64 = 800;
-const TAIL_MS: u64 = 600_000;
-const SMALL_JOBS: u64 = 10;
+/// Pool of the large job's queue, and the pool of another queue.
+const BATCH: &str = "batch";
+const DESK: &str = "desk";
+const MACHINES: usize = 4;
+/// Tasks of the steps of the large job, with and without the disruption.
+const TASKS: [u64; 2] = [6_500, 9_000];
+const FEW_TASKS: [u64; 2] = [650, 900];
+const SMALL_JOBS: u64 = 8;
 /// Time given to the large job before the small ones come.
 const HEAD_START: Duration = Duration::from_secs(12);
 /// `finish_s` of the site file, in which the small jobs have room all the while.
@@ -22,48 +22,47 @@
 
 pub fn run(mut setup: Setup, folder: &Path) -> Outcome {
     let site = setup.site.clone();
-    configure(&site, &[POOL], 3);
+    configure(&site, &[BATCH, DESK], 3);
     for number in 0..MACHINES {
-        site.add_machine(&format!("m{number}"), POOL, &["a", "r1"], 64_000);
+        site.add_machine(&format!("b{number}"), BATCH, &["a", "r1"], 64_000);
+        site.add_machine(&format!("d{number}"), DESK, &["a", "r2"], 64_000);
     }
     if !setup.start_hosts(3, folder) {
         return Outcome::NotRun;
     }
-    let probe = job_id(1, 0);
-    let work = Work::new(500, 40);
-    if !setup.submit(POOL, &probe, &[step(4, &work, "")])
-        || !setup.wait_state(POOL, &probe, "completed", Duration::from_secs(15))
-    {
-        return Outcome::NotRun;
+    for (number, pool) in [BATCH, DESK].into_iter().enumerate() {
+        let probe = job_id(1, 10 + number as u64);
+        if !setup.submit(pool, &probe, &[step(4, &Work::new(500, 40), "")])
+            || !setup.wait_state(pool, &probe, "completed", Duration::from_secs(15))
+        {
+            return Outcome::NotRun;
+        }
     }
     let large = job_id(1, 1);
     let tasks = if setup.has_trouble { TASKS } else { FEW_TASKS };
-    let tail = Work::new(500, TAIL_MS);
-    let steps = [step(tasks, &work, ""), step(2, &tail, ",\"after\":[0]")];
-    let is_accepted = setup.submit(POOL, &large, &steps);
-    site.note(&format!(
-        "large job {large} with {tasks} tasks and two long ones: accepted {is_accepted}"
-    ));
-    if !is_accepted {
+    let (short, long) = (Work::new(100, 40), Work::new(10, 1000));
+    let steps = [step(tasks[0], &short, ""), step(tasks[1], &long, ",\"after\":[0]")];
+    if !setup.submit(BATCH, &large, &steps) {
         return Outcome::Held;
     }
     for _ in 0..HEAD_START.as_secs() / 2 {
         thread::sleep(Duration::from_secs(2));
         let done = site.events_of(&large).iter().filter(|event| event.what == "done").count();
         let (runs, ends) = site.counts();
+        let state = setup.state(BATCH, &large);
         site.note(&format!(
-            "large job: {done} tasks done; {runs} runs, {ends} ends not taken note of"
+            "large job: {state}, {done} of {} tasks done; {runs} runs, {ends} ends not taken note of",
+            tasks.iter().sum::<u64>()
         ));
-        if setup.state(POOL, &large) == "completed" {
-            break;
-        }
     }
-    let small: Vec<String> = (0..SMALL_JOBS).map(|number| job_id(2, number)).collect();
-    for id in &small {
-        let is_accepted = setup.submit(POOL, id, &[step(2, &Work::new(500, 300), "")]);
-        site.note(&format!("small job {id}: accepted {is_accepted}"));
-        if !is_accepted {
-            return Outcome::NotRun;
+    let mut small = Vec::new();
+    for number in 0..SMALL_JOBS {
+        for (group, pool) in [(2, BATCH), (3, DESK)] {
+            let id = job_id(group, number);
+            if !setup.submit(pool, &id, &[step(2, &Work::new(500, 300), "")]) {
+                return Outcome::NotRun;
+            }
+            small.push((pool, id));
         }
     }
     thread::sleep(FINISH + IDLE);
@@ -71,18 +70,23 @@
     let (runs, ends) = site.counts();
     site.note(&format!("processes alive: {alive}; {runs} runs, {ends} ends not taken note of"));
     let mut lost = 0;
-    for id in small.iter().chain([&large]) {
-        let state = setup.state(POOL, id);
+    small.push((BATCH, large.clone()));
+    for (pool, id) in &small {
+        let state = setup.state(pool, id);
         let events = site.events_of(id);
         let starts = events.iter().filter(|event| event.what == "start").count();
         let done = events.iter().filter(|event| event.what == "done").count();
         let last = events.iter().map(|event| event.at).max().unwrap_or_default();
         site.note(&format!(
-            "job {id}: {state}, {starts} starts, {done} done, last event at {last:?}"
+            "queue {pool}, job {id}: {state}, {starts} starts, {done} done, last event at {:.1} s",
+            last.as_secs_f64()
         ));
         let is_idle = site.now().saturating_sub(last) >= IDLE;
-        lost += usize::from(state != "completed" && is_idle && *id != large);
+        lost += usize::from(state != "completed" && is_idle);
     }
-    site.note(&format!("small jobs with nothing running and room for {IDLE:?}: {lost}"));
+    site.note(&format!(
+        "jobs with nothing running and room for {IDLE:?}: {lost} of {}",
+        small.len()
+    ));
     if lost > 0 { Outcome::Broken } else { Outcome::Held }
 }
