Review case 6: a start by a worker's earlier clock outlives what the next holder counts (TWICE)

Server::unknown_lease counts 4.6 s for the first report to a holder that has not seen the restart itself; the lease on the worker lasts 10 s, and the task is started elsewhere while it runs. It takes the place of the case on labels, which needs 173 machines and stays in the stand-in.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=review/stand-in-2/target/release/review-case-2
 [ -x "$program" ] || exit 2
-exec "$program" large-job review/6/record.txt
+exec "$program" old-lease review/6/record.txt
--- a/review/stand-in-2/src/cases.rs
+++ b/review/stand-in-2/src/cases.rs
@@ -6,6 +6,7 @@
 mod large_job;
 mod late_write;
 mod new_machine;
+mod old_lease;
 
 use std::{
     path::Path,
@@ -51,6 +52,7 @@
         "late-write" => late_write::run(setup, folder),
         "gang" => gang::run(setup, folder),
         "new-machine" => new_machine::run(setup, folder),
+        "old-lease" => old_lease::run(setup, folder),
         _ => Outcome::NotRun,
     };
     site.note(&format!("outcome: {outcome:?}"));
--- a/review/stand-in-2/src/http.rs
+++ b/review/stand-in-2/src/http.rs
@@ -10,7 +10,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 const STACK_BYTES: usize = 128 << 10;
@@ -22,6 +22,8 @@
     pub query: BTreeMap<String, String>,
     pub headers: BTreeMap<String, String>,
     pub body: String,
+    /// When its connection was accepted.
+    pub connected: Instant,
 }
 
 /// What a server does with a request: respond, or close the connection without a response.
@@ -91,7 +93,8 @@
         return;
     };
     let mut reader = BufReader::new(stream);
-    while let Some(request) = read_request(&mut reader) {
+    let connected = Instant::now();
+    while let Some(request) = read_request(&mut reader, connected) {
         match handler(&request) {
             Reply::Respond(status, body) => {
                 let head = format!(
@@ -111,7 +114,7 @@
     }
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+fn read_request(reader: &mut BufReader<TcpStream>, connected: Instant) -> Option<Request> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|bytes| *bytes > 0)?;
     let mut words = line.split_whitespace();
@@ -123,7 +126,7 @@
         (decode(name), decode(value))
     };
     let query = query.split('&').filter(|text| !text.is_empty()).map(pair).collect();
-    Some(Request { method, path: decode(path), query, headers, body })
+    Some(Request { method, path: decode(path), query, headers, body, connected })
 }
 
 /// Reads the headers and the body of a message.
--- a/review/stand-in-2/src/process.rs
+++ b/review/stand-in-2/src/process.rs
@@ -78,6 +78,25 @@
         false
     }
 
+    /// Returns whether the planner's log says last that it took the shard.
+    pub fn holds_shard(&self) -> bool {
+        let log = fs::read_to_string(self.folder.join(format!("{}-planner.log", self.name)));
+        let log = log.unwrap_or_default();
+        let last =
+            log.lines().rfind(|line| line.contains("shard taken") || line.contains("shard lost"));
+        last.is_some_and(|line| line.contains("shard taken"))
+    }
+
+    /// Kills the planner and starts it again after a time.
+    pub fn restart_planner(&mut self, down: Duration) {
+        if let Some(mut child) = self.planner.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        thread::sleep(down);
+        self.planner = Some(self.spawn("planner"));
+    }
+
     /// Returns whether both processes run.
     pub fn is_alive(&mut self) -> bool {
         let alive = |child: &mut Option<Child>| {
--- a/review/stand-in-2/src/site.rs
+++ b/review/stand-in-2/src/site.rs
@@ -6,7 +6,10 @@
     io::Write,
     net::SocketAddr,
     path::Path,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -30,6 +33,8 @@
 const STOP_TIME: Duration = Duration::from_millis(100);
 /// Most ends that a worker lists at a time.
 const MAX_LISTED: usize = 500;
+/// Time for which a crashed or cut-off worker keeps a connection silent.
+const DARK: Duration = Duration::from_secs(20);
 const TICK: Duration = Duration::from_millis(5);
 
 /// What the tasks of a step do, which a real task knows by its program.
@@ -126,6 +131,21 @@
     start: Instant,
     pub end: Arc<End>,
     state: Mutex<WorkerState>,
+    /// Whether it has crashed silently.
+    has_crashed: AtomicBool,
+    /// Where its address leads; a later life takes the place of this one.
+    slot: Slot,
+}
+
+type Slot = Arc<Mutex<Option<Arc<Worker>>>>;
+
+/// Lets a worker answer until it has answered a poll with a fencing token above this one, and
+/// then cuts it off for a time.
+#[derive(Clone, Copy)]
+pub struct Cut {
+    pub above: u64,
+    pub time: Duration,
+    pub until: Option<Instant>,
 }
 
 #[derive(Clone)]
@@ -148,6 +168,8 @@
     pub events: Mutex<Vec<Event>>,
     /// Whether the list of machines and orders for them are refused with 503.
     pub are_machines_down: Mutex<bool>,
+    /// Machines whose workers are cut off.
+    pub cuts: Mutex<BTreeMap<String, Cut>>,
     workers: Mutex<Vec<Arc<Worker>>>,
     record: Mutex<File>,
     next_id: Mutex<u64>,
@@ -162,6 +184,7 @@
             works: Mutex::default(),
             events: Mutex::default(),
             are_machines_down: Mutex::default(),
+            cuts: Mutex::default(),
             workers: Mutex::default(),
             record: Mutex::new(File::create(record).expect("a record")),
             next_id: Mutex::new(1),
@@ -248,7 +271,7 @@
         };
         let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let end: Arc<End> = Arc::default();
-        let slot: Arc<Mutex<Option<Arc<Worker>>>> = Arc::default();
+        let slot: Slot = Arc::default();
         let (site, served) = (Arc::clone(self), Arc::clone(&slot));
         let address = http::serve_until(Arc::clone(&end), move |request| {
             let worker = served.lock().unwrap().clone();
@@ -266,6 +289,8 @@
             start: Instant::now(),
             end,
             state: Mutex::new(WorkerState { next_end: 1, ..WorkerState::default() }),
+            has_crashed: AtomicBool::new(false),
+            slot: Arc::clone(&slot),
         });
         *slot.lock().unwrap() = Some(Arc::clone(&worker));
         machine.worker = Some(Arc::clone(&worker));
@@ -293,6 +318,72 @@
         }
     }
 
+    /// Lets the worker of a machine crash without a reset of its connections, and start again
+    /// under its id at the same address after a time.
+    pub fn restart_worker(&self, name: &str, down: Duration) {
+        let earlier =
+            self.machines.lock().unwrap().get(name).and_then(|machine| machine.worker.clone());
+        let Some(earlier) = earlier else {
+            return;
+        };
+        earlier.has_crashed.store(true, Ordering::SeqCst);
+        *earlier.slot.lock().unwrap() = None;
+        self.workers.lock().unwrap().retain(|worker| !Arc::ptr_eq(worker, &earlier));
+        let runs = std::mem::take(&mut earlier.state.lock().unwrap().running);
+        for (task, run) in runs {
+            self.event(&earlier, &task, run.run, "lost", "");
+        }
+        self.note(&format!("worker {} on {name} crashes silently", earlier.id));
+        thread::sleep(down);
+        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let worker = Arc::new(Worker {
+            id: earlier.id.clone(),
+            machine: earlier.machine.clone(),
+            service: earlier.service.clone(),
+            labels: earlier.labels.clone(),
+            cpu: earlier.cpu,
+            address: earlier.address,
+            born_ms: since_1970.as_millis() as u64,
+            start: Instant::now(),
+            end: Arc::clone(&earlier.end),
+            state: Mutex::new(WorkerState { next_end: 1, ..WorkerState::default() }),
+            has_crashed: AtomicBool::new(false),
+            slot: Arc::clone(&earlier.slot),
+        });
+        *earlier.slot.lock().unwrap() = Some(Arc::clone(&worker));
+        if let Some(machine) = self.machines.lock().unwrap().get_mut(name) {
+            machine.worker = Some(Arc::clone(&worker));
+        }
+        self.store.put("servers", &worker.id, &worker.entry(1));
+        self.note(&format!("worker {} on {name} runs again", worker.id));
+        self.workers.lock().unwrap().push(worker);
+    }
+
+    /// Returns whether a machine's worker is cut off; `fence` is that of a poll to be answered.
+    fn is_cut(&self, machine: &str, fence: u64, is_poll: bool) -> bool {
+        let mut cuts = self.cuts.lock().unwrap();
+        let Some(cut) = cuts.get_mut(machine) else {
+            return false;
+        };
+        if let Some(until) = cut.until {
+            return until > Instant::now();
+        }
+        if is_poll && fence > cut.above {
+            cut.until = Some(Instant::now() + cut.time);
+            self.note(&format!(
+                "machine {machine} answers a poll with token {fence} and is cut off"
+            ));
+        }
+        false
+    }
+
+    /// Returns the highest fencing token that the worker of a machine has seen.
+    pub fn fence(&self, name: &str) -> u64 {
+        let worker =
+            self.machines.lock().unwrap().get(name).and_then(|machine| machine.worker.clone());
+        worker.map_or(0, |worker| worker.state.lock().unwrap().fence)
+    }
+
     /// Ends a worker; its entry expires after three heartbeats, or at once if it left as ordered.
     fn end_worker(&self, worker: &Arc<Worker>) {
         worker.end.request();
@@ -548,13 +639,19 @@
     }
 
     fn handle(&self, site: &Site, request: &Request) -> Reply {
-        if request.headers.get("x-expect-instance").is_some_and(|id| *id != self.id) {
-            return self.respond(421, "");
+        if request.connected < self.start {
+            return Reply::Silence(DARK);
         }
         let Some(order) = Json::parse(&request.body) else {
             return self.respond(400, "");
         };
         let fence = order.get("fencing_token").int().unwrap_or(0) as u64;
+        if site.is_cut(&self.machine, fence, request.path == "/hold") {
+            return Reply::Silence(DARK);
+        }
+        if request.headers.get("x-expect-instance").is_some_and(|id| *id != self.id) {
+            return self.respond(421, "");
+        }
         {
             let mut state = self.state.lock().unwrap();
             if fence < state.fence {
@@ -647,6 +744,9 @@
             self.extend(&mut state, order);
         }
         loop {
+            if self.has_crashed.load(Ordering::SeqCst) {
+                return Reply::Silence(DARK);
+            }
             let mut state = self.state.lock().unwrap();
             if !state.ended.is_empty() || begin.elapsed() >= wait || self.end.is_over() {
                 let rows: Vec<(String, String, Json)> =
