--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=review/stand-in-2/target/release/review-case-2
 [ -x "$program" ] || exit 2
-exec "$program" gang review/7/record.txt
+exec "$program" large-job review/7/record.txt
