--- a/review/stand-in-2/src/cases/new_machine.rs
+++ b/review/stand-in-2/src/cases/new_machine.rs
@@ -14,7 +14,7 @@
 pub fn run(mut setup: Setup, folder: &Path) -> Outcome {
     let site = setup.site.clone();
     configure(&site, &[POOL], 3);
-    for number in 0..6 {
+    for number in 0..12 {
         site.add_machine(&format!("m{number}"), POOL, &["a", "r1"], 64_000);
     }
     if !setup.start_hosts(3, folder) {
