--- a/review/stand-in-2/src/cases.rs
+++ b/review/stand-in-2/src/cases.rs
@@ -9,8 +9,9 @@
 mod old_lease;
 
 use std::{
+    collections::BTreeMap,
     path::Path,
-    sync::Arc,
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -35,6 +36,8 @@
     pub site: Arc<Site>,
     pub hosts: Vec<Host>,
     pub has_trouble: bool,
+    /// Last answer to each request of a client.
+    answers: Mutex<BTreeMap<String, String>>,
 }
 
 /// Name of the host header of all queues.
@@ -45,7 +48,12 @@
 pub fn run(case: &str, record: &Path, folder: &Path, has_trouble: bool) -> Outcome {
     let site = Site::start(record);
     site.note(&format!("case {case}, with the disruption: {has_trouble}"));
-    let setup = Setup { site: Arc::clone(&site), hosts: Vec::new(), has_trouble };
+    let setup = Setup {
+        site: Arc::clone(&site),
+        hosts: Vec::new(),
+        has_trouble,
+        answers: Mutex::default(),
+    };
     let outcome = match case {
         "large-job" => large_job::run(setup, folder),
         "label" => label::run(setup, folder),
@@ -55,6 +63,7 @@
         "old-lease" => old_lease::run(setup, folder),
         _ => Outcome::NotRun,
     };
+    site.note_events();
     site.note(&format!("outcome: {outcome:?}"));
     outcome
 }
@@ -113,7 +122,22 @@
     pub fn call(&self, host: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
         let deadline = DEADLINE.as_millis().to_string();
         let headers = [("Host", HOST), ("X-Deadline-Ms", &*deadline)];
-        http::call(self.hosts[host].callers, method, path, &headers, body, DEADLINE)
+        let answer = http::call(self.hosts[host].callers, method, path, &headers, body, DEADLINE);
+        self.note_call(method, path, body, &answer);
+        answer
+    }
+
+    /// Records a request of a client; of a job's states only the changes.
+    fn note_call(&self, method: &str, path: &str, body: &str, answer: &Option<(u16, String)>) {
+        let text = match answer {
+            Some((status, body)) => format!("{status} {body}"),
+            None => "no answer".to_owned(),
+        };
+        let key = format!("{method} {path}");
+        let earlier = self.answers.lock().unwrap().insert(key.clone(), text.clone());
+        if method != "GET" || earlier.as_ref() != Some(&text) {
+            self.site.note(&format!("client: {key} {body} -> {text}"));
+        }
     }
 
     /// Submits a job until it is accepted, at one entry host after the other; false if none
--- a/review/stand-in-2/src/cases/gang.rs
+++ b/review/stand-in-2/src/cases/gang.rs
@@ -59,10 +59,6 @@
     site.note(&format!("processes alive: {}; completed: {is_completed}", setup.are_hosts_alive()));
     let mut alone = 0;
     for event in site.events_of(&id) {
-        site.note(&format!(
-            "{:?} worker {}: {} of {} run {} checkpoint {:?}",
-            event.at, event.worker, event.what, event.task, event.run, event.checkpoint
-        ));
         alone += usize::from(event.what == "alone" && event.at > disrupted + CONTACT * 2);
     }
     site.note(&format!("runs that ended alone, with no disruption near: {alone}"));
--- a/review/stand-in-2/src/cases/late_write.rs
+++ b/review/stand-in-2/src/cases/late_write.rs
@@ -52,16 +52,13 @@
     let steps: Vec<String> = (0..STEPS).map(|number| step(2, &work, &after(number)).0).collect();
     let body = format!("{{\"spec\":\"{id}\",\"steps\":[{}]}}", steps.join(","));
     let path = format!("/{POOL}/{id}");
-    site.note(&format!("client: POST {path}"));
-    let submitted = setup.call(0, "POST", &path, &body).map(|(status, _)| status);
-    site.note(&format!("client: POST answered {submitted:?}"));
+    setup.call(0, "POST", &path, &body);
     site.store.set_rule(None);
     let disrupted_until = site.now();
     // The client gives the job up.
     let mut cancelled = None;
     while cancelled.is_none() && site.now() < disrupted_until + Duration::from_secs(4) {
         let answer = setup.call(1, "DELETE", &path, "").map(|(status, _)| status);
-        site.note(&format!("client: DELETE answered {answer:?}"));
         cancelled = answer.filter(|status| (200..300).contains(status) || *status == 410);
     }
     if cancelled.is_none() {
@@ -76,10 +73,6 @@
     ));
     let mut late = 0;
     for event in site.events_of(&id) {
-        site.note(&format!(
-            "worker {}: {} of {} run {} at {:?}",
-            event.worker, event.what, event.task, event.run, event.at
-        ));
         let is_after = event.at > acknowledged + CANCEL && event.at > disrupted_until + CONTACT;
         late += usize::from(event.what == "start" && is_after);
     }
--- a/review/stand-in-2/src/cases/old_lease.rs
+++ b/review/stand-in-2/src/cases/old_lease.rs
@@ -95,12 +95,16 @@
         if runs.len() > 1 {
             for (start, end) in &runs {
                 setup.site.note(&format!(
-                    "{} run {} on worker {}: from {:?} to {:?}{}",
+                    "{} run {} on worker {}: from {:.3} to {}{}",
                     start.task,
                     start.run,
                     start.worker,
-                    start.at,
-                    end,
+                    start.at.as_secs_f64(),
+                    if *end == Duration::MAX {
+                        "the end".to_owned()
+                    } else {
+                        format!("{:.3}", end.as_secs_f64())
+                    },
                     if is_twice { " (twice)" } else { "" }
                 ));
             }
--- a/review/stand-in-2/src/site.rs
+++ b/review/stand-in-2/src/site.rs
@@ -31,6 +31,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1500);
 /// Time that a stop takes; below `stop_ms`.
 const STOP_TIME: Duration = Duration::from_millis(100);
+/// Most events in the record.
+const MAX_NOTED: usize = 300;
 /// Most ends that a worker lists at a time.
 const MAX_LISTED: usize = 500;
 /// Time for which a crashed or cut-off worker keeps a connection silent.
@@ -237,6 +239,28 @@
         events.iter().filter(|event| event.task.starts_with(prefix)).cloned().collect()
     }
 
+    /// Records what the workers have seen; of many events the first and the last ones.
+    pub fn note_events(&self) {
+        let events = self.events.lock().unwrap().clone();
+        let last = events.len().saturating_sub(MAX_NOTED / 2);
+        for (number, event) in events.iter().enumerate() {
+            if events.len() > MAX_NOTED && number == MAX_NOTED / 2 {
+                self.note(&format!("({} events left out)", last - number));
+            }
+            if events.len() <= MAX_NOTED || number < MAX_NOTED / 2 || number >= last {
+                self.note(&format!(
+                    "at {:.3} worker {}: {} of {} run {} checkpoint {:?}",
+                    event.at.as_secs_f64(),
+                    event.worker,
+                    event.what,
+                    event.task,
+                    event.run,
+                    event.checkpoint
+                ));
+            }
+        }
+    }
+
     /// Serves the list of machines and the orders for them.
     pub fn serve_machines(self: &Arc<Site>) -> SocketAddr {
         let site = Arc::clone(self);
