--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -30,8 +30,8 @@
     JobRemoved(job::Id),
     /// The servers in the platform's list.
     ServersListed(Vec<ServerInfo>),
-    /// The hosts in the platform's list.
-    HostsListed(Vec<Host>),
+    /// The hosts in the platform's list, and when the list was requested.
+    HostsListed(Vec<Host>, Moment),
     /// A backend server responded to a poll.
     StatusReported(Box<StatusReport>),
     /// A poll of a backend server failed, or was not sent because its poller was busy or
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -290,7 +290,7 @@
             Event::JobAdded(accepted) => self.shard.add_job(now, *accepted),
             Event::JobRemoved(id) => self.shard.remove_job(now, &id),
             Event::ServersListed(servers) => self.shard.set_servers(now, servers),
-            Event::HostsListed(hosts) => self.shard.set_hosts(now, hosts),
+            Event::HostsListed(hosts, requested) => self.shard.set_hosts(requested, hosts),
             Event::StatusReported(report) => self.shard.handle_status_report(now, *report),
             Event::PollFailed(_, PollError::Fenced) => {
                 self.lose("a backend server has a later holder")
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -225,10 +225,11 @@
 ) -> io::Result<Duty> {
     Duty::spawn("hosts", move || {
         while !stop.is_requested() {
+            let requested = Boot.now();
             let is_closed = match hosts.hosts() {
                 Ok(mut list) => {
                     list.retain(|host| keyspace.owns(&host.id.0));
-                    !send(&events, Event::HostsListed(list))
+                    !send(&events, Event::HostsListed(list, requested))
                 }
                 Err(error) => {
                     warn!(log, "hosts not listed"; "error" => %error);
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod gang;
 mod health;
+mod host_list;
 mod liveness;
 mod membership;
 mod order_results;
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -15,6 +15,7 @@
     Shard,
     allocation::Allocations,
     effect::Effect,
+    host_list::HostLists,
     input::{Host, HostId, HostOrderResult, HostState},
     server::Server,
     trend::Trend,
@@ -57,19 +58,24 @@
         is_done && self.action == HostAction::Move(Arc::clone(&server.info.pool))
     }
 
+    /// Returns when the result arrived; `None` while it is missing.
+    fn answered(&self) -> Option<Moment> {
+        self.result.map(|(_, at)| at)
+    }
+
     /// Returns whether the order can be dropped, so that the host may get
-    /// another: its result arrived so long ago that the platform's list
-    /// reflects it (`ORDER_SETTLE_TIME`), that the order may be sent again
-    /// (`ORDER_RETRY_DELAY`) or that it can't take effect any more
-    /// (`UNKNOWN_SETTLE_TIME`). False while the result is missing.
-    fn is_settled(&self, now: Moment) -> bool {
+    /// another: its result arrived so long before the platform's list was
+    /// `requested` that the list reflects it (`ORDER_SETTLE_TIME`), that the order
+    /// may be sent again (`ORDER_RETRY_DELAY`) or that it can't take effect any
+    /// more (`UNKNOWN_SETTLE_TIME`). False while the result is missing.
+    fn is_settled(&self, requested: Moment) -> bool {
         match self.result {
             None => false,
-            Some((HostOrderResult::Done, at)) => now.since(at) > ORDER_SETTLE_TIME,
+            Some((HostOrderResult::Done, at)) => requested.since(at) > ORDER_SETTLE_TIME,
             Some((HostOrderResult::Busy | HostOrderResult::Refused, at)) => {
-                now.since(at) > ORDER_RETRY_DELAY
+                requested.since(at) > ORDER_RETRY_DELAY
             }
-            Some((HostOrderResult::Unknown, at)) => now.since(at) > UNKNOWN_SETTLE_TIME,
+            Some((HostOrderResult::Unknown, at)) => requested.since(at) > UNKNOWN_SETTLE_TIME,
         }
     }
 }
@@ -93,6 +99,8 @@
     pub(super) trends: BTreeMap<Arc<str>, Trend>,
     /// Hosts in the platform's list.
     pub(super) hosts: BTreeMap<HostId, Host>,
+    /// Which hosts the latest lists had.
+    pub(super) lists: HostLists,
     /// Pools whose hosts are powered off.
     pub(super) spare_pools: BTreeSet<Arc<str>>,
     /// Number of hosts that operators gave each pool, counted before any was
@@ -232,13 +240,18 @@
 
 impl Shard {
     /// Replaces the platform's list of hosts, and drops the settled orders of
-    /// hosts that are up.
-    pub fn set_hosts(&mut self, now: Moment, hosts: Vec<Host>) {
+    /// hosts that are up or gone. `requested` is when the list was requested; it
+    /// tells nothing about what happened later.
+    pub fn set_hosts(&mut self, requested: Moment, hosts: Vec<Host>) {
         self.fleet.hosts = hosts.into_iter().map(|host| (host.id.clone(), host)).collect();
-        let hosts = &self.fleet.hosts;
-        self.fleet.orders.retain(|id, order| {
-            let is_up = hosts.get(id).is_some_and(|host| host.state == HostState::Up);
-            !(is_up && order.is_settled(now))
+        let Fleet { hosts, lists, orders, .. } = &mut self.fleet;
+        lists.record(requested, hosts.keys().cloned().collect());
+        orders.retain(|id, order| {
+            let is_over = match hosts.get(id) {
+                Some(host) => host.state == HostState::Up,
+                None => order.answered().is_some_and(|at| lists.is_gone(id, at)),
+            };
+            !(is_over && order.is_settled(requested))
         });
     }
 
@@ -279,16 +292,18 @@
     }
 
     /// Records the initial pool sizes if they are unknown, advances the
-    /// maintenance waves and moves hosts between pools. Does nothing until the
-    /// platform's list of hosts is known.
+    /// maintenance waves and moves hosts between pools. Without hosts it only
+    /// advances the waves, and does nothing until the platform's list is known.
     pub(super) fn order_hosts(&mut self, now: Moment) {
-        if self.fleet.hosts.is_empty() {
+        if !self.fleet.lists.is_known() {
             return;
         }
-        self.init_pool_sizes();
         let occupancy = self.occupancy();
         self.advance_waves(now, &occupancy);
-        self.allocate_hosts(now, &occupancy);
+        if !self.fleet.hosts.is_empty() {
+            self.init_pool_sizes();
+            self.allocate_hosts(now, &occupancy);
+        }
     }
 
     /// Sets the initial number of hosts of each pool, as an earlier holder has
--- a/crates/skylarkwick-request/src/shard/wave.rs
+++ b/crates/skylarkwick-request/src/shard/wave.rs
@@ -141,9 +141,9 @@
 
     /// Advances one wave, unless it is completed: has changed progress stored,
     /// orders the maintenance of idle hosts, as many as the pace calls for and
-    /// `max_unavailable` allows, and drains others. Hosts that are missing from
-    /// the platform's list count as started; a wave without hosts left becomes
-    /// completed.
+    /// `max_unavailable` allows, and drains others. Hosts that have left the
+    /// platform since the wave was received count as started; a wave without hosts
+    /// left becomes completed.
     fn advance_wave(&mut self, now: Moment, number: u64, occupancy: &Occupancy) {
         let Some(progress) =
             self.fleet.waves.get(&number).filter(|progress| !progress.is_completed)
@@ -155,7 +155,7 @@
             .hosts
             .iter()
             .filter(|host| !progress.wave.started.contains(host))
-            .filter(|host| self.fleet.hosts.contains_key(host))
+            .filter(|host| !self.fleet.lists.is_gone(host, progress.received))
             .cloned()
             .collect();
         let started = progress.wave.hosts.len() - due.len();
@@ -205,7 +205,7 @@
         progress.is_saved = true;
         progress.is_completed = is_completed;
         let time_left = progress.time_left(now);
-        // Hosts that the platform no longer lists need no maintenance.
+        // Hosts that have left the platform need no maintenance.
         let started = match is_completed {
             true => progress.wave.hosts.clone(),
             false => progress.wave.started.clone(),
--- a/crates/skylarkwick-request/tests/harness/mod.rs
+++ b/crates/skylarkwick-request/tests/harness/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+pub(crate) mod waves;
+
 use std::{
     collections::BTreeSet,
     net::{IpAddr, Ipv4Addr, SocketAddr},
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -2,49 +2,18 @@
 
 mod harness;
 
-use std::collections::BTreeSet;
-
-use harness::{Harness, POOL, host, host_up, server_info, starts, step, task};
+use harness::{
+    Harness, POOL, host, host_up, server_info, starts, step, task,
+    waves::{maintained_hosts, saved_waves, wave, with_hosts},
+};
 use skylarkwick_request::{
     job::task::RunId,
     shard::{
         effect::Effect,
-        input::{HostId, HostOrderResult, HostState, MaintenanceWave},
+        input::{HostOrderResult, HostState},
     },
 };
 
-fn maintained_hosts(effects: &[Effect]) -> Vec<String> {
-    effects
-        .iter()
-        .filter_map(|effect| match effect {
-            Effect::MaintainHost { host, .. } => Some(host.to_string()),
-            _ => None,
-        })
-        .collect()
-}
-
-fn wave(hosts: &[&str], max_unavailable: usize) -> MaintenanceWave {
-    let hosts = hosts.iter().map(|name| host(name)).collect();
-    MaintenanceWave {
-        number: 1,
-        hosts,
-        time_left: harness::ms(0),
-        max_unavailable,
-        started: BTreeSet::new(),
-    }
-}
-
-/// Creates a shard with idle hosts, each with a server of the same name.
-fn with_hosts(names: &[&str]) -> Harness {
-    let mut harness = Harness::with_servers(names);
-    let hosts = names.iter().map(|name| host_up(name, POOL, Some(name))).collect();
-    harness.shard.set_hosts(harness.now, hosts);
-    for name in names {
-        harness.report(name, &[], &[]);
-    }
-    harness
-}
-
 #[test]
 fn unconfirmed_orders_nothing() {
     let mut harness = with_hosts(&["a"]);
@@ -259,19 +228,6 @@
     assert!(maintained_hosts(&harness.decide()).is_empty());
 }
 
-/// Returns the saves of waves: the hosts that have started, and whether all have.
-fn saved_waves(effects: &[Effect]) -> Vec<(BTreeSet<HostId>, bool)> {
-    effects
-        .iter()
-        .filter_map(|effect| match effect {
-            Effect::SaveWave { started, is_completed, .. } => {
-                Some((started.clone(), *is_completed))
-            }
-            _ => None,
-        })
-        .collect()
-}
-
 /// Guards against a wave that is done and stays shown as running, because its last save
 /// failed.
 #[test]
