--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -76,8 +76,8 @@
         server.record_clock(report.clock);
         server.record_poll_answered();
         server.is_unreachable = false;
-        if let Some(lease) = server.unknown_lease(&report, &self.timings) {
-            let granted = report.clock.clock_ms.saturating_add(millis(lease));
+        if server.may_have_longest_lease(&report) {
+            let granted = report.clock.clock_ms.saturating_add(millis(self.timings.max_lease));
             server.lease_until_ms = server.lease_until_ms.max(Some(granted));
         }
         server.is_fenced = true;
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -12,7 +12,6 @@
 };
 
 use super::{
-    Timings,
     effect::Target,
     health::Health,
     input::{ClockReading, HostId, ServerId, ServerInfo, StatusReport},
@@ -30,7 +29,9 @@
 const MIN_CLOCK_RATE_PER_MILLE: u64 = 980;
 /// Margin before a time on a server's clock counts as certainly passed.
 const CLOCK_MARGIN: Duration = Duration::from_millis(150);
-
+/// Time after a restart is known in which the later incarnation may still carry out
+/// calls that were sent by the clock of the earlier one.
+const LATE_CALL_TIME: Duration = Duration::from_secs(12);
 /// Longest time since the last report in which a poll acknowledges run ends; far less
 /// than a server takes to restart and to end a run.
 const ACKNOWLEDGE_WITHIN: Duration = Duration::from_millis(150);
@@ -234,26 +235,21 @@
         server
     }
 
-    /// Returns how long the lease may be from a report on, if it may be longer
-    /// than is known here. An earlier holder may have renewed it just before the
-    /// first report, and what runs beyond its lease has a longer one, or the clock
-    /// has jumped. Orders that were sent by the clock of an earlier incarnation
-    /// extend it as far as the platform allows.
-    pub(super) fn unknown_lease(
-        &self,
-        report: &StatusReport,
-        timings: &Timings,
-    ) -> Option<Duration> {
+    /// Returns whether the lease may end as late as the platform allows from a report
+    /// on, and not only where this holder has granted it.
+    ///
+    /// Before its first report, the server carries out calls of earlier holders, and
+    /// one of those may have been made by the clock of an earlier incarnation, which
+    /// says nothing on the later one: such a lease is shortened to the longest. The
+    /// same holds for this holder's own calls around a restart. What runs beyond its
+    /// lease has one that is not known here.
+    pub(super) fn may_have_longest_lease(&self, report: &StatusReport) -> bool {
         let has_outlived_lease =
             !report.running.is_empty() && Some(report.clock.clock_ms) > self.lease_until_ms;
         let is_earlier = |run: &ActiveRun| run.attribution == Attribution::Earlier;
         let has_earlier_orders =
-            !self.is_fenced || report.clock.sent < self.since || self.runs.values().any(is_earlier);
-        match () {
-            () if self.is_restarted && has_earlier_orders => Some(timings.max_lease),
-            () if !self.is_fenced || has_outlived_lease => Some(timings.lease_duration),
-            () => None,
-        }
+            report.clock.sent < self.since + LATE_CALL_TIME || self.runs.values().any(is_earlier);
+        !self.is_fenced || has_outlived_lease || (self.is_restarted && has_earlier_orders)
     }
 
     /// Returns the destination of orders to this server; `fencing_token` is the
