--- a/crates/skylarkwick-connection/src/store.rs
+++ b/crates/skylarkwick-connection/src/store.rs
@@ -127,6 +127,10 @@
     /// do so.
     #[error("the store's response was lost: {0}")]
     Unknown(String),
+    /// The store does not accept the transaction, for this reason. Nothing was written, and
+    /// the same transaction would be refused again.
+    #[error("the store rejected the transaction: {0}")]
+    Rejected(String),
     /// A row is larger than the store accepts. Nothing was sent, and the same transaction
     /// would be refused again.
     #[error("row {name:?} of table {table:?} has {bytes} bytes, more than the store accepts")]
@@ -359,7 +363,10 @@
             Err(Error::Unknown(error)) => lost = Some(error),
             Err(Error::NotDone(error)) if lost.is_none() => return Outcome::NotDone(error),
             Err(Error::NotDone(error)) => lost = Some(error),
-            Err(error @ Error::TooLarge { .. }) => return Outcome::NotDone(error.to_string()),
+            Err(error @ (Error::Rejected(_) | Error::TooLarge { .. })) => match lost {
+                None => return Outcome::NotDone(error.to_string()),
+                Some(_) => lost = Some(error.to_string()),
+            },
         }
     }
     Outcome::Unknown(lost.unwrap_or_default())
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -5,18 +5,18 @@
 //! variants must keep their order, their names are not stored. See
 //! `docs/DESIGN.md`, section "Rows".
 
+mod progress;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
-use skylarkwick_request::job::{
-    self, Job, Schedule, State, Step,
-    progress::{Progress, TaskPosition, TaskProgress},
-    task::RunId,
-};
+use skylarkwick_request::job::{self, Job, Schedule, State, Step};
 use skylarkwick_version::{
     lease::Incarnation, moment::millis, resources::Resources, shard_lease::Record,
 };
 
+pub use self::progress::{ProgressRow, encode_progress};
+
 /// Version of the encoding, which is the first byte of each row.
 const ENCODING_VERSION: u8 = 1;
 /// Largest size of the identifiers in a [`BacklogRow`], in bytes; below what the platform
@@ -217,61 +217,6 @@
     }
 }
 
-/// Row of a job's progress: the progress of its tasks, and the servers on which they may
-/// have been started.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct ProgressRow {
-    tasks: Vec<TaskRow>,
-    /// Backend servers on which tasks may have been started.
-    servers: Vec<String>,
-}
-
-/// Stored form of a [`TaskProgress`], with the task's position as occurrence, step and
-/// index, its failed runs, the last run that ended and the last checkpoint.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct TaskRow {
-    position: (u32, usize, usize),
-    is_done: bool,
-    failed_runs: Vec<u64>,
-    last_ended_run: u64,
-    checkpoint: String,
-}
-
-impl From<&Progress> for ProgressRow {
-    fn from(progress: &Progress) -> ProgressRow {
-        let row = |(position, task): (&TaskPosition, &TaskProgress)| TaskRow {
-            position: (position.occurrence, position.step, position.index),
-            is_done: task.is_done,
-            failed_runs: task.failed_runs.iter().map(|run| run.0).collect(),
-            last_ended_run: task.last_ended_run.0,
-            checkpoint: task.checkpoint.to_string(),
-        };
-        ProgressRow {
-            tasks: progress.tasks.iter().map(row).collect(),
-            servers: progress.servers.iter().map(ToString::to_string).collect(),
-        }
-    }
-}
-
-impl From<ProgressRow> for Progress {
-    fn from(row: ProgressRow) -> Progress {
-        let task = |row: TaskRow| {
-            let (occurrence, step, index) = row.position;
-            let task = TaskProgress {
-                is_done: row.is_done,
-                failed_runs: row.failed_runs.into_iter().map(RunId).collect(),
-                last_ended_run: RunId(row.last_ended_run),
-                checkpoint: Arc::from(row.checkpoint),
-            };
-            (TaskPosition { occurrence, step, index }, task)
-        };
-        Progress {
-            tasks: row.tasks.into_iter().map(task).collect(),
-            servers: row.servers.into_iter().map(Arc::from).collect(),
-        }
-    }
-}
-
 /// Row of a shard's lease: its holder, the holder's number and fencing token, the time of
 /// the last renewal, and until when holders before this one may act.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -289,18 +234,23 @@
     pub renewed_ms: u64,
     /// Time on the store's clock, in milliseconds, until which a holder before this one may
     /// act; `None` in a row of an earlier release, which ends before this field.
-    #[serde(deserialize_with = "decode_last_field")]
+    #[serde(deserialize_with = "decode_later_field")]
     pub earlier_until_ms: Option<u64>,
 }
 
-/// Decodes the last field of a row; `None` if the row ends before it.
+/// Decodes a field that an earlier release did not write; its default if the row ends before
+/// it.
 ///
 /// # Errors
 ///
 /// Never fails: an encoding by position does not tell a row that ends early from a damaged
 /// one, and for both the field is unknown.
-fn decode_last_field<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
-    Ok(Option::deserialize(deserializer).unwrap_or_default())
+fn decode_later_field<'de, T, D>(deserializer: D) -> Result<T, D::Error>
+where
+    T: Deserialize<'de> + Default,
+    D: Deserializer<'de>,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 impl From<&LeaseRow> for Record {
--- a/crates/skylarkwick-connection/tests/damaged_rows.rs
+++ b/crates/skylarkwick-connection/tests/damaged_rows.rs
@@ -64,6 +64,12 @@
     let task = progress.tasks.entry(position).or_default();
     task.failed_runs = [RunId(4)].into();
     task.checkpoint = Arc::from("saved");
+    for (step, index) in [(0, 0), (0, 1), (1, 0)] {
+        let position =
+            skylarkwick_request::job::progress::TaskPosition { occurrence: 1, step, index };
+        progress.tasks.entry(position).or_default().is_done = true;
+    }
+    progress.done_occurrences.insert(0);
     progress
 }
 
@@ -117,11 +123,15 @@
 fn damaged_progress_skipped() {
     let bytes = row::encode(&ProgressRow::from(&progress()));
     let mut random = Random(2);
+    let mut valid = 0;
     for _ in 0..ROUNDS {
-        if let Ok(row) = row::decode::<ProgressRow>(&random.damage(&bytes)) {
-            schedule(job(), Progress::from(row));
+        let decoded = row::decode::<ProgressRow>(&random.damage(&bytes)).ok();
+        if let Some(progress) = decoded.and_then(|row| Progress::try_from(row).ok()) {
+            valid += 1;
+            schedule(job(), progress);
         }
     }
+    assert!(valid > 0, "some damage leaves valid progress");
 }
 
 #[test]
--- a/crates/skylarkwick-connection/tests/earlier_rows.rs
+++ b/crates/skylarkwick-connection/tests/earlier_rows.rs
@@ -1,7 +1,13 @@
 //! Rows that an earlier release has written, and those of this one that an earlier release reads.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
-use skylarkwick_connection::store::row::{self, LeaseRow};
+use skylarkwick_connection::store::row::{self, LeaseRow, ProgressRow};
+use skylarkwick_request::job::{
+    progress::{Progress, TaskPosition, TaskProgress},
+    task::RunId,
+};
 
 /// The lease row as the release before wrote and read it.
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,3 +49,61 @@
         assert_eq!(read.expect("the release before decodes it"), earlier_lease());
     }
 }
+
+/// The progress row as the release before wrote and read it.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct EarlierProgress {
+    tasks: Vec<EarlierTask>,
+    servers: Vec<String>,
+}
+
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct EarlierTask {
+    position: (u32, usize, usize),
+    is_done: bool,
+    failed_runs: Vec<u64>,
+    last_ended_run: u64,
+    checkpoint: String,
+}
+
+fn earlier_progress() -> EarlierProgress {
+    let task = |index, is_done| EarlierTask {
+        position: (0, 1, index),
+        is_done,
+        failed_runs: vec![4, 5],
+        last_ended_run: 5,
+        checkpoint: "saved".to_owned(),
+    };
+    EarlierProgress { tasks: vec![task(0, true), task(1, false)], servers: vec!["a".to_owned()] }
+}
+
+fn progress() -> Progress {
+    let task = |is_done| TaskProgress {
+        is_done,
+        failed_runs: [RunId(4), RunId(5)].into(),
+        last_ended_run: RunId(5),
+        checkpoint: Arc::from("saved"),
+    };
+    let position = |index| TaskPosition { occurrence: 0, step: 1, index };
+    Progress {
+        tasks: [(position(0), task(true)), (position(1), task(false))].into(),
+        servers: [Arc::from("a")].into(),
+        ..Progress::default()
+    }
+}
+
+/// Guards against tasks that run again after an upgrade, because their progress does not
+/// decode.
+#[test]
+fn earlier_progress_read() {
+    let read = row::decode::<ProgressRow>(&row::encode(&earlier_progress()));
+    let read = Progress::try_from(read.expect("it decodes")).expect("it is valid");
+    assert_eq!(read, progress());
+}
+
+/// Guards against tasks that run again, because a planner of the release before takes over.
+#[test]
+fn progress_read_back() {
+    let read = row::decode::<EarlierProgress>(&row::encode_progress(&progress()));
+    assert_eq!(read.expect("the release before decodes it"), earlier_progress());
+}
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -179,7 +179,7 @@
     /// While the store does not respond, the answer is given without a write, so
     /// that the caller can try another entry host at once.
     pub fn submit(&self, queue: &str, id: &Id, job: &Job, deadline: Duration) -> SubmitOutcome {
-        if let Err(error) = job.validate() {
+        if let Err(error) = job.validate_submission() {
             return SubmitOutcome::Invalid(error);
         }
         let Some(sharding) = self.sharding().filter(|_| self.is_store_responding()) else {
@@ -218,7 +218,7 @@
                     warn!(self.log, "job not stored"; "error" => %error);
                     return SubmitOutcome::Invalid(job::Error::Size);
                 }
-                Err(store::Error::NotDone(error)) => {
+                Err(store::Error::NotDone(error) | store::Error::Rejected(error)) => {
                     warn!(self.log, "store refused"; "error" => error);
                     if !may_be_written {
                         return SubmitOutcome::InDoubt;
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -150,13 +150,14 @@
 /// Decodes a job's progress row; returns `None` if it was removed or is invalid.
 pub(super) fn decode_progress(row: &Row, log: &Logger) -> Option<Progress> {
     let value = row.value.as_deref()?;
-    row::decode::<ProgressRow>(value)
+    let decoded = row::decode::<ProgressRow>(value)
+        .map_err(|error| error.to_string())
+        .and_then(|row| Progress::try_from(row).map_err(|error| error.to_string()));
+    decoded
         .inspect_err(|error| {
-            warn!(log, "progress row not decoded"; "job" => &*row.key.name,
-            "error" => %error)
+            warn!(log, "progress row not decoded"; "job" => &*row.key.name, "error" => error)
         })
         .ok()
-        .map(Progress::from)
 }
 
 /// A job according to its row: active (not finished) with what the shard needs of it, or
--- a/crates/skylarkwick-planner/src/jobs/writer.rs
+++ b/crates/skylarkwick-planner/src/jobs/writer.rs
@@ -5,13 +5,14 @@
 use skylarkwick_connection::store::{
     self, Commit, Row, Store, Transaction,
     keyspace::Keyspace,
-    row::{self, FinalState, JobRow, ProgressRow},
+    row::{self, FinalState, JobRow},
 };
 use skylarkwick_process::{duty::Duty, ring};
 use skylarkwick_request::{
     job::State,
     shard::effect::{Change, JobUpdate},
 };
+use skylarkwick_version::revision::Revision;
 use slog::{Logger, info, warn};
 
 use super::{
@@ -24,6 +25,9 @@
 /// Maximum number of queues whose updates wait for one writer.
 const RING_CAPACITY: usize = 64;
 
+/// Most bytes of rows in one transaction; the platform accepts 1 MB with their encoding.
+const MAX_TRANSACTION_BYTES: usize = 600_000;
+
 /// Which row of an update another write has changed: none, the job's row, so that the
 /// update is obsolete, or its progress row, so that the update has to be made again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,51 +105,85 @@
     log: Logger,
 }
 
+/// An update of a job and the transaction that makes it.
+struct Write {
+    update: JobUpdate,
+    transaction: Transaction,
+}
+
+impl Write {
+    /// Returns the size of the rows, in bytes.
+    fn bytes(&self) -> usize {
+        self.transaction.writes.iter().map(|(_, value)| value.len()).sum()
+    }
+}
+
 impl<S: Store> Writer<S> {
-    /// Writes the updates of one queue in one transaction; returns those that may not have
-    /// been stored.
+    /// Writes the updates of one queue, in as few transactions as the store accepts; returns
+    /// those that may not have been stored.
+    fn write_queue(&self, updates: Vec<JobUpdate>) -> Vec<JobUpdate> {
+        let mut unsaved = Vec::new();
+        let mut group: Vec<Write> = Vec::new();
+        let mut bytes = 0;
+        for update in updates {
+            let write = Write { transaction: self.transaction(&update), update };
+            if !group.is_empty() && bytes + write.bytes() > MAX_TRANSACTION_BYTES {
+                unsaved.extend(self.write_group(std::mem::take(&mut group)));
+                bytes = 0;
+            }
+            bytes += write.bytes();
+            group.push(write);
+        }
+        unsaved.extend(self.write_group(group));
+        unsaved
+    }
+
+    /// Makes updates of one queue in one transaction; returns those that may not have been
+    /// stored.
     ///
     /// Updates that conflict with another write are left out, and the others are tried
     /// again. If the job's row has changed, its update is obsolete and counts as stored; if
-    /// only its progress row has, the update counts as not stored. The holder receives the
-    /// revision of the write for each update written, then those updates, and an event for
-    /// each one left out.
-    fn write_queue(&self, mut updates: Vec<JobUpdate>) -> Vec<JobUpdate> {
+    /// only its progress row has, the update counts as not stored. If the store rejects the
+    /// transaction, each update is made alone, so that one that the store never accepts holds
+    /// up no other job. The holder receives the revision of the write for each update
+    /// written, then those updates, and an event for each one left out.
+    fn write_group(&self, mut group: Vec<Write>) -> Vec<JobUpdate> {
         let mut unsaved = Vec::new();
-        while !updates.is_empty() {
-            match self.store.commit(&self.transaction(&updates)) {
+        while !group.is_empty() {
+            match self.store.commit(&merge(&group)) {
                 Ok(Commit::Applied(revision)) => {
-                    for update in &updates {
-                        self.log_if_finished(update);
-                        send(
-                            &self.events,
-                            Event::ProgressStored(update.id.clone(), revision, None),
-                        );
-                    }
-                    send(&self.events, Event::UpdatesSaved(updates));
+                    self.report_saved(group, revision);
                     return unsaved;
                 }
                 Ok(Commit::Conflict(rows)) => {
-                    let count = updates.len();
-                    updates.retain(|update| match self.find_conflict(update, &rows) {
+                    let count = group.len();
+                    group.retain(|write| match self.find_conflict(&write.update, &rows) {
                         ConflictKind::None => true,
                         ConflictKind::Job => false,
                         ConflictKind::Progress => {
-                            unsaved.push(update.clone());
+                            unsaved.push(write.update.clone());
                             false
                         }
                     });
-                    if updates.len() == count {
+                    if group.len() == count {
                         warn!(self.log, "conflict without a changed row"; "jobs" => count);
-                        unsaved.extend(updates);
+                        unsaved.extend(group.into_iter().map(|write| write.update));
                         return unsaved;
                     }
                 }
+                Err(store::Error::Rejected(_) | store::Error::TooLarge { .. })
+                    if group.len() > 1 =>
+                {
+                    let each = group.into_iter().map(|write| self.write_group(vec![write]));
+                    unsaved.extend(each.flatten());
+                    return unsaved;
+                }
                 Err(error) => {
+                    let first = group.first().map_or("", |write| write.update.id.as_str());
                     let is_unknown = matches!(error, store::Error::Unknown(_));
-                    warn!(self.log, "job updates not saved"; "jobs" => updates.len(), "error" => %error,
-                        "in_doubt" => is_unknown);
-                    unsaved.extend(updates);
+                    warn!(self.log, "job updates not saved"; "jobs" => group.len(),
+                        "job" => first, "error" => %error, "in_doubt" => is_unknown);
+                    unsaved.extend(group.into_iter().map(|write| write.update));
                     return unsaved;
                 }
             }
@@ -153,6 +191,16 @@
         unsaved
     }
 
+    /// Reports updates that were stored at this revision to the holder.
+    fn report_saved(&self, group: Vec<Write>, revision: Revision) {
+        let updates: Vec<JobUpdate> = group.into_iter().map(|write| write.update).collect();
+        for update in &updates {
+            self.log_if_finished(update);
+            send(&self.events, Event::ProgressStored(update.id.clone(), revision, None));
+        }
+        send(&self.events, Event::UpdatesSaved(updates));
+    }
+
     /// Returns which row of an update has another revision than this holder knew, the job's
     /// row first. A changed job row is reported to the holder as the removal of the job, a
     /// changed progress row with its stored value and revision.
@@ -178,33 +226,27 @@
         }
     }
 
-    /// Returns the transaction for some updates, conditional on the revisions that the
-    /// holder knew: it writes the progress of a job, or marks the job as finished and
-    /// removes its progress row.
-    fn transaction(&self, updates: &[JobUpdate]) -> Transaction {
-        let mut transaction = Transaction::default();
-        for update in updates {
-            let (queue, id) = (&update.queue, update.id.as_str());
-            let job = self.keyspace.job(queue, id);
-            let progress = self.keyspace.progress(queue, id);
-            transaction = match &update.change {
-                Change::Progress(known) => {
-                    transaction.conditions.push((job, update.revision));
-                    let row = row::encode(&ProgressRow::from(known));
-                    transaction.replace(progress, update.progress_revision, row)
-                }
-                Change::Finished(state) => {
-                    let (state, ended_ms) = (final_state(*state), self.store.clock_ms());
-                    let row = row::encode(&JobRow::Finished { state, ended_ms });
-                    let transaction = transaction.replace(job, update.revision, row);
-                    match update.progress_revision.0 {
-                        0 => transaction,
-                        _ => transaction.remove(progress),
-                    }
+    /// Returns the transaction for an update, conditional on the revisions that the holder
+    /// knew: it writes the progress of a job, or marks the job as finished and removes its
+    /// progress row.
+    fn transaction(&self, update: &JobUpdate) -> Transaction {
+        let (queue, id) = (&update.queue, update.id.as_str());
+        let job = self.keyspace.job(queue, id);
+        let progress = self.keyspace.progress(queue, id);
+        match &update.change {
+            Change::Progress(known) => Transaction::default()
+                .require(job, update.revision)
+                .replace(progress, update.progress_revision, row::encode_progress(known)),
+            Change::Finished(state) => {
+                let (state, ended_ms) = (final_state(*state), self.store.clock_ms());
+                let row = row::encode(&JobRow::Finished { state, ended_ms });
+                let transaction = Transaction::default().replace(job, update.revision, row);
+                match update.progress_revision.0 {
+                    0 => transaction,
+                    _ => transaction.remove(progress),
                 }
-            };
+            }
         }
-        transaction
     }
 
     /// Logs the end of a job if the update finishes it.
@@ -216,6 +258,17 @@
     }
 }
 
+/// Returns one transaction that makes several updates.
+fn merge(group: &[Write]) -> Transaction {
+    let mut merged = Transaction::default();
+    for Write { transaction, .. } in group {
+        merged.conditions.extend(transaction.conditions.iter().cloned());
+        merged.writes.extend(transaction.writes.iter().cloned());
+        merged.removals.extend(transaction.removals.iter().cloned());
+    }
+    merged
+}
+
 /// Returns the stored form of a job's final state; a job that is still queued or running
 /// counts as completed.
 const fn final_state(state: State) -> FinalState {
--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -12,11 +12,15 @@
 use skylarkwick_version::resources::Resources;
 
 /// Maximum number of tasks of one step; a job with more is not valid.
-const MAX_TASKS: u32 = 10_000;
+pub const MAX_TASKS: u32 = 10_000;
+/// Maximum number of tasks of all steps of a submitted job.
+const MAX_JOB_TASKS: u32 = 100_000;
+/// Maximum number of members of a gang in a submitted job.
+const MAX_GANG_TASKS: u32 = 1_000;
 /// Maximum number of steps of one job.
 const MAX_STEPS: usize = 1_000;
 /// Maximum number of occurrences of one job, which are the repetitions of its schedule.
-const MAX_OCCURRENCES: u32 = 100_000;
+pub const MAX_OCCURRENCES: u32 = 100_000;
 
 /// Identifier of a job, chosen by its caller.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -125,6 +129,12 @@
     /// A step has no task or too many.
     #[error("step {0} must have 1 to {MAX_TASKS} tasks")]
     Count(usize),
+    /// The job has too many tasks.
+    #[error("a job may have at most {MAX_JOB_TASKS} tasks")]
+    Tasks,
+    /// A gang has too many members.
+    #[error("step {0} may have at most {MAX_GANG_TASKS} tasks that run together")]
+    Gang(usize),
     /// The step depends on itself, a later step or one that does not exist.
     #[error("step {0} may only depend on earlier steps")]
     Dependency(usize),
@@ -160,6 +170,27 @@
         Ok(())
     }
 
+    /// Validates a job that is submitted: [`Self::validate`], and that its progress can be
+    /// stored whatever happens. Jobs that an earlier release has accepted may be larger.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first limit or dependency rule that the job violates.
+    pub fn validate_submission(&self) -> Result<(), Error> {
+        self.validate()?;
+        let is_large_gang = |step: &Step| step.is_gang && step.count > MAX_GANG_TASKS;
+        match self.steps.iter().position(is_large_gang) {
+            Some(number) => Err(Error::Gang(number)),
+            None if self.tasks() > u64::from(MAX_JOB_TASKS) => Err(Error::Tasks),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns the number of tasks of all steps in one occurrence.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Returns the number of occurrences; one if the job has no schedule or the schedule's
     /// count is zero.
     pub fn occurrences(&self) -> u32 {
--- a/crates/skylarkwick-request/src/job/progress.rs
+++ b/crates/skylarkwick-request/src/job/progress.rs
@@ -52,8 +52,11 @@
 /// Progress of the tasks of a job, and the backend servers that may run them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
-    /// Progress by task; no run of a task without an entry has ended.
+    /// Progress by task; no run of a task without an entry has ended, but of an occurrence that
+    /// is done.
     pub tasks: BTreeMap<TaskPosition, TaskProgress>,
+    /// Occurrences of which every task has succeeded, whether it has an entry or not.
+    pub done_occurrences: BTreeSet<u32>,
     /// Backend servers that may run tasks of the job. A server is added before the
     /// first start there, so that the next holder knows which servers to poll.
     pub servers: BTreeSet<Arc<str>>,
@@ -61,10 +64,11 @@
 
 impl Progress {
     /// Merges the progress that another holder of the shard has stored: keeps the servers,
-    /// successes and failed runs of both, and the later last run of each task. A task not done
+    /// successes, done occurrences and failed runs of both, and the later last run of each task. A task not done
     /// here takes the other's checkpoint if its last run recorded there is later.
     pub fn merge(&mut self, other: &Progress) {
         self.servers.extend(other.servers.iter().cloned());
+        self.done_occurrences.extend(&other.done_occurrences);
         for (&position, stored) in &other.tasks {
             let task = self.tasks.entry(position).or_default();
             if task.last_ended_run < stored.last_ended_run && !task.is_done {
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -31,6 +31,7 @@
 mod shortage;
 mod starts;
 mod trend;
+mod unsettled;
 mod wave;
 
 pub mod effect;
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -75,10 +75,23 @@
     }
 
     /// Returns whether all steps are done.
-    fn is_done(&self) -> bool {
+    pub(super) fn is_done(&self) -> bool {
         (0..self.steps.len()).all(|step| self.is_step_done(step))
     }
 
+    /// Marks all tasks as done.
+    fn complete(&mut self) {
+        for task in self.steps.iter_mut().flatten() {
+            task.state = TaskState::Done;
+            task.progress.is_done = true;
+        }
+    }
+
+    /// Returns whether a task is assigned, is done or has progress.
+    pub(super) fn has_begun(&self) -> bool {
+        self.tasks().any(|task| task.state != TaskState::Waiting || !task.progress.is_empty())
+    }
+
     /// Returns the tasks of all steps.
     fn tasks(&self) -> impl Iterator<Item = &Task> {
         self.steps.iter().flatten()
@@ -159,7 +172,7 @@
     /// become done, and servers in it become unverified: an earlier holder may
     /// have started tasks there. Tasks that the job does not have are ignored.
     fn restore_progress(&mut self, progress: Progress) {
-        self.has_started |= !progress.tasks.is_empty();
+        self.has_started |= !progress.tasks.is_empty() || !progress.done_occurrences.is_empty();
         self.unverified_servers.extend(progress.servers.into_iter().map(ServerId));
         for (position, task_progress) in progress.tasks {
             self.open_occurrence(position.occurrence);
@@ -171,6 +184,12 @@
             }
             task.progress = task_progress;
         }
+        for number in progress.done_occurrences {
+            self.open_occurrence(number);
+            if let Some(occurrence) = self.occurrences.get_mut(&number) {
+                occurrence.complete();
+            }
+        }
     }
 
     /// Returns the number after the highest open occurrence; 0 if none is open.
@@ -220,12 +239,16 @@
     }
 
     /// Returns the progress to store: that of the tasks with an ended run or a
-    /// checkpoint or that are done, and the servers that may run tasks of the
-    /// job, which are those assigned and those unverified.
+    /// checkpoint or that are done, the occurrences that are done, and the servers
+    /// that may run tasks of the job, which are those assigned and those
+    /// unverified.
     pub(super) fn progress(&self) -> Progress {
         let mut progress = Progress::default();
         progress.servers.extend(self.unverified_servers.iter().map(|server| Arc::clone(&server.0)));
         for (&number, occurrence) in &self.occurrences {
+            if occurrence.is_done() {
+                progress.done_occurrences.insert(number);
+            }
             for (step, tasks) in occurrence.steps.iter().enumerate() {
                 for (index, task) in tasks.iter().enumerate() {
                     if let TaskState::Assigned(server) = &task.state {
@@ -263,10 +286,7 @@
     /// Returns whether any task is assigned to a server, is done or has
     /// progress.
     pub(super) fn has_scheduled_tasks(&self) -> bool {
-        self.occurrences
-            .values()
-            .flat_map(Occurrence::tasks)
-            .any(|task| task.state != TaskState::Waiting || !task.progress.is_empty())
+        self.occurrences.values().any(Occurrence::has_begun)
     }
 
     /// Computes the job's outcome, unless it was decided before, and keeps it;
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -8,6 +8,7 @@
     Shard,
     active::{ActiveJob, Occurrence, TaskState},
     input::Queue,
+    unsettled::Allowance,
 };
 use crate::job;
 
@@ -61,8 +62,9 @@
 
 impl Shard {
     /// Returns the steps that have waiting tasks and whose earlier steps (those
-    /// they depend on) are done, sorted by rank, the first to be placed first.
-    /// Jobs whose outcome is decided, whose queue is unknown or whose earlier
+    /// they depend on) are done, sorted by rank, the first to be placed first. Of a
+    /// large job only as many tasks as its row of progress has room for, see
+    /// [`Allowance`]. Jobs whose outcome is decided, whose queue is unknown or whose earlier
     /// runs may be unknown are left out.
     pub(super) fn ready_steps(&self, now: Moment) -> Vec<ReadyStep> {
         let mut ready = Vec::new();
@@ -73,7 +75,8 @@
             if active.outcome.is_some() || !self.are_earlier_runs_known(now, active) {
                 continue;
             }
-            for (&number, occurrence) in active.occurrences.range(..active.due_occurrences) {
+            let mut allowance = Allowance::of(active, queue.max_attempts);
+            for (number, occurrence) in active.startable_occurrences() {
                 for (step, tasks) in occurrence.steps.iter().enumerate() {
                     let is_waiting = |index: &usize| tasks[*index].state == TaskState::Waiting;
                     let is_ready = (0..tasks.len()).any(|index| is_waiting(&index))
@@ -81,7 +84,13 @@
                     if !is_ready {
                         continue;
                     }
-                    let waiting = (0..tasks.len()).filter(is_waiting).collect();
+                    let mut waiting: Vec<usize> = (0..tasks.len()).filter(is_waiting).collect();
+                    if let Some(allowance) = &mut allowance {
+                        allowance.limit(&active.job.steps[step], tasks, &mut waiting);
+                    }
+                    if waiting.is_empty() {
+                        continue;
+                    }
                     let rank = self.rank(now, active, occurrence, step, queue);
                     ready.push(ReadyStep {
                         rank,
