--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -117,6 +117,8 @@
     /// Servers that are recorded with the job in the store, so that the next
     /// holder asks them; this holder may start tasks there.
     pub(super) recorded_servers: BTreeSet<ServerId>,
+    /// Number of writes in a row that may not have been stored.
+    pub(super) failed_writes: u32,
     /// Whether a server has started a task. A server that was only sent a start
     /// may not have.
     pub(super) has_started: bool,
@@ -142,6 +144,7 @@
             accepted_at: now - accepted.age,
             unverified_servers: BTreeSet::new(),
             recorded_servers: BTreeSet::new(),
+            failed_writes: 0,
             has_started: false,
             outcome: None,
             occurrences: BTreeMap::new(),
@@ -266,6 +269,12 @@
         progress
     }
 
+    /// Returns whether writes of the job keep failing, so that a start that waits for
+    /// one may wait for long.
+    pub(super) fn is_write_failing(&self) -> bool {
+        self.failed_writes >= MAX_FAILED_WRITES
+    }
+
     /// Returns the tasks of all open occurrences that are assigned to a server
     /// and may run there, each with that server.
     pub(super) fn assigned_tasks(&self) -> Vec<(ServerId, task::Id)> {
@@ -419,6 +428,9 @@
     }
 }
 
+/// Number of failed writes in a row after which writes count as failing; a lost
+/// answer takes two.
+const MAX_FAILED_WRITES: u32 = 3;
 /// Shortest time over which the work of an occurrence is spread when its
 /// processor time is computed.
 const MIN_CRITICAL_PATH: Duration = Duration::from_millis(300);
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -1,11 +1,15 @@
 //! Storing of job changes; run ends are acknowledged only after that.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use skylarkwick_version::{moment::Moment, revision::Revision};
 
 use super::{
     Shard,
+    active::ActiveJob,
     effect::{Batch, Change, Cursor, Effect, JobUpdate},
     input::ServerId,
     server::Server,
@@ -162,6 +166,7 @@
     /// `send_planned_starts`. Does nothing if the job is unknown.
     fn record_write_saved(&mut self, now: Moment, id: &job::Id, progress: &Progress) {
         if let Some(active) = self.jobs.get_mut(id) {
+            active.failed_writes = 0;
             active.recorded_servers =
                 progress.servers.iter().map(|id| ServerId(Arc::clone(id))).collect();
             self.send_planned_starts(now, id);
@@ -192,14 +197,23 @@
 
     /// Handles a batch that may not be stored: those of its jobs that are still
     /// known are written again, and the run ends that it covers are not
-    /// acknowledged yet.
+    /// acknowledged yet. If writes of a job keep failing, its starts that wait for
+    /// one are cancelled, so that they hold no room from others.
     pub fn handle_batch_save_failed(&mut self, batch: &Batch) {
         self.is_saving = false;
         for update in &batch.updates {
-            if self.jobs.contains_key(&update.id) {
+            if let Some(active) = self.jobs.get_mut(&update.id) {
+                active.failed_writes = active.failed_writes.saturating_add(1);
                 self.unsaved_jobs.insert(update.id.clone());
             }
         }
+        let is_failing =
+            |id: &&job::Id| self.jobs.get(*id).is_some_and(ActiveJob::is_write_failing);
+        let updates = batch.updates.iter().map(|update| &update.id);
+        let failing: BTreeSet<&job::Id> = updates.filter(is_failing).collect();
+        if !failing.is_empty() {
+            self.cancel_planned(|task| failing.contains(&task.job));
+        }
     }
 
     /// Opens the occurrences (executions of a job's steps) of scheduled jobs
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -72,7 +72,8 @@
     /// left for that reason are no unmet demand, because hosts don't help them.
     ///
     /// Unless `is_exclusive` (no other holder can have taken the shard), only
-    /// servers that are recorded with the job are used.
+    /// servers that are recorded with the job are used, and so while writes of the
+    /// job keep failing.
     pub(super) fn place_tasks(&mut self, now: Moment, is_exclusive: bool) {
         self.send_window.measure(now);
         let mut remaining = self.send_window.remaining(self.count_unconfirmed());
@@ -94,10 +95,10 @@
             let ReadyStep { pool, job, .. } = &ready;
             let step = &job.steps[ready.step];
             let shortage = shortages.entry(Arc::clone(pool)).or_default();
-            let recorded_servers = match is_exclusive {
-                true => None,
-                false => self.jobs.get(&ready.job_id).map(|active| active.recorded_servers.clone()),
-            };
+            let active = self.jobs.get(&ready.job_id);
+            let recorded_servers = active
+                .filter(|active| !is_exclusive || active.is_write_failing())
+                .map(|active| active.recorded_servers.clone());
             let request = PlacementRequest {
                 now,
                 pool,
