--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -91,6 +91,9 @@
     Failed,
     /// Its caller cancelled it.
     Cancelled,
+    /// Its caller cancelled it before it was stored. Its submission may still be under way,
+    /// and must not be stored any more; until it arrives, no such job exists.
+    Withdrawn,
 }
 
 impl From<FinalState> for State {
@@ -98,7 +101,7 @@
         match final_state {
             FinalState::Completed => State::Completed,
             FinalState::Failed => State::Failed,
-            FinalState::Cancelled => State::Cancelled,
+            FinalState::Cancelled | FinalState::Withdrawn => State::Cancelled,
         }
     }
 }
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -18,7 +18,7 @@
 use skylarkwick_connection::{
     control::{Configuration, Registry, Route},
     store::{
-        self, Commit, Key, Store, Transaction,
+        self, Commit, Key, Row, Store, Transaction,
         keyspace::Keyspace,
         row::{self, FinalState, JobBody, JobRow},
     },
@@ -201,7 +201,8 @@
     /// has passed.
     ///
     /// A conflict means that the row exists already, from an earlier attempt or
-    /// from another entry host, so the job counts as accepted. A write that the
+    /// from another entry host, so the job counts as accepted, also if its caller has
+    /// cancelled it meanwhile. A write that the
     /// store refuses first ends the attempts, so that the caller can try another
     /// entry host; after one whose result is unknown they go on.
     fn store_job(&self, change: &Transaction, timeout: Duration) -> SubmitOutcome {
@@ -209,7 +210,11 @@
         let mut may_be_written = false;
         loop {
             match self.store.commit(change) {
-                Ok(Commit::Applied(_) | Commit::Conflict(_)) => return SubmitOutcome::Accepted,
+                Ok(Commit::Applied(_)) => return SubmitOutcome::Accepted,
+                Ok(Commit::Conflict(rows)) if self.admit_withdrawn(&rows) => {
+                    return SubmitOutcome::Accepted;
+                }
+                Ok(Commit::Conflict(_)) => {}
                 Err(store::Error::Unknown(error)) => {
                     may_be_written = true;
                     warn!(self.log, "no answer to store write"; "error" => error);
@@ -232,6 +237,25 @@
         }
     }
 
+    /// Marks a job that was withdrawn before its submission arrived as cancelled, so that it
+    /// is known from then on; returns false if that may not be stored. Any other job is left
+    /// as it is.
+    fn admit_withdrawn(&self, rows: &[Row]) -> bool {
+        let withdrawn = rows.iter().find_map(|row| match row::decode(row.value.as_deref()?) {
+            Ok(JobRow::Finished { state: FinalState::Withdrawn, ended_ms }) => {
+                Some((row, ended_ms))
+            }
+            _ => None,
+        });
+        let Some((row, ended_ms)) = withdrawn else {
+            return true;
+        };
+        let cancelled = JobRow::Finished { state: FinalState::Cancelled, ended_ms };
+        let key = row.key.clone();
+        let change = Transaction::default().replace(key, row.revision, row::encode(&cancelled));
+        matches!(store::commit_with_retry(&self.store, &change), store::Outcome::Applied(_))
+    }
+
     /// Returns the state of a job, or `None` if the job does not exist. An active job is
     /// queued until its first task starts, then running.
     ///
@@ -250,6 +274,7 @@
             return Ok(None);
         };
         match row::decode(&value) {
+            Ok(JobRow::Finished { state: FinalState::Withdrawn, .. }) => Ok(None),
             Ok(JobRow::Finished { state, .. }) => Ok(Some(state.into())),
             Ok(JobRow::Active { accepted_ms, .. }) => {
                 let is_waiting = self.sharding().is_some_and(|sharding| {
@@ -267,6 +292,9 @@
 
     /// Cancels a job that has not ended by writing its row as finished, with up to
     /// four attempts while the result is in doubt. A job that has ended is left as it is.
+    ///
+    /// A job that is not stored is written as withdrawn: its submission may have had no
+    /// answer, and would otherwise still be stored later and run.
     pub fn cancel(&self, queue: &str, id: &Id) -> CancelOutcome {
         let mut outcome = CancelOutcome::InDoubt;
         for _ in 0..MAX_CANCEL_ATTEMPTS {
@@ -290,18 +318,19 @@
         let Ok((row, now_ms)) = store::read_one(&self.store, &key) else {
             return CancelOutcome::InDoubt;
         };
-        match row.value.as_deref().map(row::decode::<JobRow>) {
-            None => CancelOutcome::Unknown,
-            Some(Ok(JobRow::Finished { .. })) => CancelOutcome::Done,
-            Some(_) => {
-                let finished = JobRow::Finished { state: FinalState::Cancelled, ended_ms: now_ms };
-                let change =
-                    Transaction::default().replace(key, row.revision, row::encode(&finished));
-                match store::commit_with_retry(&self.store, &change) {
-                    store::Outcome::Applied(_) => CancelOutcome::Done,
-                    _ => CancelOutcome::InDoubt,
-                }
+        let (state, outcome) = match row.value.as_deref().map(row::decode::<JobRow>) {
+            None => (FinalState::Withdrawn, CancelOutcome::Unknown),
+            Some(Ok(JobRow::Finished { state: FinalState::Withdrawn, .. })) => {
+                return CancelOutcome::Unknown;
             }
+            Some(Ok(JobRow::Finished { .. })) => return CancelOutcome::Done,
+            Some(_) => (FinalState::Cancelled, CancelOutcome::Done),
+        };
+        let finished = JobRow::Finished { state, ended_ms: now_ms };
+        let change = Transaction::default().replace(key, row.revision, row::encode(&finished));
+        match store::commit_with_retry(&self.store, &change) {
+            store::Outcome::Applied(_) => outcome,
+            _ => CancelOutcome::InDoubt,
         }
     }
 
