A server that started just before a take-over and stays silent is waited for as long as its lease may be

Servers that started earlier, and those that left, wait as before: a longer grace for all would let the lasting tasks of servers that are gone for good stand still.

Tests: earlier_clock::silent_restart_awaited fails on the commit before; silent_server_given_up holds there and keeps the cost down. run_takeover::expired_leases_released gets a time of day long after its servers' start, as it is about such.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -79,7 +79,8 @@
     /// Time after a takeover in which runs of the previous holder may still be
     /// unknown: how long that holder may act without its lease, plus the lease
     /// of the runs it starts until then, plus a margin. After it, the runs of
-    /// previous holders count as over on servers that have not answered.
+    /// previous holders count as over on servers that have not answered; on those
+    /// that started recently, after the longest lease in place of that lease.
     pub takeover_grace: Duration,
     /// Time after which a long-running task that is not running counts as
     /// unavailable, which older reports can't rule out.
@@ -112,6 +113,8 @@
     jobs: BTreeMap<job::Id, ActiveJob>,
     servers: BTreeMap<input::ServerId, Server>,
     fleet: Fleet,
+    /// Time of day at the last call of `decide`, in Unix milliseconds.
+    unix_ms: u64,
     /// When the last round of housekeeping began.
     last_housekeeping: Moment,
     run_times: RunTimeModel,
@@ -138,6 +141,7 @@
             jobs: BTreeMap::new(),
             servers: BTreeMap::new(),
             fleet: Fleet::default(),
+            unix_ms: 0,
             last_housekeeping: Moment::ZERO,
             run_times: RunTimeModel::default(),
             send_window: SendWindow::default(),
@@ -211,6 +215,7 @@
         unix_ms: u64,
         last_confirmed_renewal: Moment,
     ) -> Vec<Effect> {
+        self.unix_ms = unix_ms;
         let is_exclusive = now.since(last_confirmed_renewal) < shard_lease::EXCLUSIVE_WINDOW;
         match is_exclusive {
             true => self.expire_leases(now),
--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -1,9 +1,9 @@
 //! Membership of backend servers: which are known, in which incarnation, and when the
 //! runs on them are given up.
 
-use std::cmp::Ordering;
+use std::{cmp::Ordering, time::Duration};
 
-use skylarkwick_version::moment::Moment;
+use skylarkwick_version::moment::{Moment, millis};
 
 use super::{
     Shard, Timings,
@@ -17,6 +17,9 @@
 /// Factor by which a lease may last longer than granted, on a server whose clock is
 /// slow.
 const MAX_LEASE_STRETCH: f64 = 1.03;
+/// Time before a holder's term in which a server's start is recent: an order by an earlier
+/// clock comes a few seconds after it, and times of day differ by seconds.
+const RECENT_START: Duration = Duration::from_secs(30);
 /// Reason with which the log tells of runs whose server has restarted.
 const RESTARTED: &str = "the server restarted or changed its address";
 
@@ -114,14 +117,42 @@
         }
     }
 
+    /// Returns whether all that earlier holders have started on a server is known or over: it
+    /// has answered this holder, or was silent for long enough.
+    pub(super) fn are_earlier_runs_settled(&self, now: Moment, id: &ServerId) -> bool {
+        match self.servers.get(id) {
+            Some(server) => server.is_fenced || self.is_silence_over(now, server),
+            None => self.is_takeover_grace_over(now),
+        }
+    }
+
     /// Returns whether all runs are over on a server that has not reported yet:
     /// those of earlier holders after the takeover grace, and those that moved to
     /// it with a restart after the longest lease.
+    ///
+    /// An earlier holder may have extended the leases of a server that it did not know to
+    /// have restarted as far as the platform allows. One that started long before this
+    /// holder's term has no such lease.
     fn is_silence_over(&self, now: Moment, server: &Server) -> bool {
-        let Timings { start_window, max_lease, .. } = self.timings;
+        let Timings { start_window, lease_duration, max_lease, takeover_grace, .. } = self.timings;
+        let may_have_longest = server.is_restarted || self.has_started_recently(now, server);
+        let grace = match may_have_longest {
+            true => {
+                takeover_grace + max_lease.saturating_sub(lease_duration).mul_f64(MAX_LEASE_STRETCH)
+            }
+            false => takeover_grace,
+        };
         let longest = start_window + max_lease.mul_f64(MAX_LEASE_STRETCH);
         let is_lease_over = now.since(server.since) > longest;
-        self.is_takeover_grace_over(now) && (!server.is_restarted || is_lease_over)
+        now.since(self.term.since) > grace && (!server.is_restarted || is_lease_over)
+    }
+
+    /// Returns whether a server has started so late that an earlier holder may have sent it
+    /// orders without knowing, by its entry in the platform's list.
+    fn has_started_recently(&self, now: Moment, server: &Server) -> bool {
+        let term_age_ms = millis(now.since(self.term.since));
+        let recent_ms = self.unix_ms.saturating_sub(term_age_ms + millis(RECENT_START));
+        server.info.incarnation_ms >= recent_ms
     }
 
     /// Releases the runs on a server that are over by this evidence, logs each
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -132,17 +132,21 @@
     }
 
     /// Drops the servers that have not answered this holder from all jobs once
-    /// the takeover grace is over, because nothing that an earlier holder
-    /// started there still runs, and has these jobs written without them.
+    /// nothing that an earlier holder started there still runs, and has these jobs
+    /// written without them.
     pub(super) fn drop_unanswered_servers(&mut self, now: Moment) {
         if !self.is_takeover_grace_over(now) {
             return;
         }
-        let servers = &self.servers;
-        let has_answered = |id: &ServerId| servers.get(id).is_some_and(|known| known.is_fenced);
+        let is_over = |id: &&ServerId| {
+            let has_answered = self.servers.get(*id).is_some_and(|known| known.is_fenced);
+            !has_answered && self.are_earlier_runs_settled(now, id)
+        };
+        let unverified = self.jobs.values().flat_map(|active| &active.unverified_servers);
+        let over: BTreeSet<ServerId> = unverified.filter(is_over).cloned().collect();
         for (id, active) in &mut self.jobs {
             let known = active.unverified_servers.len();
-            active.unverified_servers.retain(has_answered);
+            active.unverified_servers.retain(|server| !over.contains(server));
             if active.unverified_servers.len() < known {
                 self.unsaved_jobs.insert(id.clone());
             }
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -110,15 +110,13 @@
 
     /// Returns whether all runs of earlier holders are known or over: every
     /// server on which they may have started tasks of the job has answered this
-    /// holder, or the takeover grace is over and with it the leases of those
-    /// runs.
+    /// holder, or was silent until the leases of those runs were over.
     pub(super) fn are_earlier_runs_known(&self, now: Moment, active: &ActiveJob) -> bool {
-        let has_answered = |id| self.servers.get(id).is_some_and(|server| server.is_fenced);
-        active.unverified_servers.iter().all(has_answered) || self.is_takeover_grace_over(now)
+        active.unverified_servers.iter().all(|id| self.are_earlier_runs_settled(now, id))
     }
 
     /// Returns whether all that earlier holders have started is over on servers
-    /// that have not answered this holder.
+    /// that have not answered this holder and did not start recently.
     pub(super) fn is_takeover_grace_over(&self, now: Moment) -> bool {
         now.since(self.term.since) > self.timings.takeover_grace
     }
--- a/crates/skylarkwick-request/tests/earlier_clock.rs
+++ b/crates/skylarkwick-request/tests/earlier_clock.rs
@@ -3,12 +3,20 @@
 
 mod harness;
 
-use harness::{Harness, earlier_job_on_a, ms, server, starts, step, taken_shard, task, timings};
+use std::time::Duration;
+
+use harness::{
+    Harness, POOL, earlier_job_on_a, ms, server, server_info, starts, step, taken_shard, task,
+    timings,
+};
 use skylarkwick_request::{
     job::task::{self, RunId},
     shard::input::AcceptedJob,
 };
-use skylarkwick_version::moment::Moment;
+use skylarkwick_version::moment::{Moment, millis};
+
+/// Time of day at a take-over, in Unix milliseconds.
+const UNIX_MS: u64 = 1_780_000_000_000;
 
 /// A run on server a.
 type Run = (task::Id, RunId, u32);
@@ -100,3 +108,40 @@
     }
     panic!("the task waits for good");
 }
+
+/// Returns for how long after a take-over the task of an earlier holder waits for server a,
+/// which started this long before and never answers.
+fn await_silent(started: u64) -> Duration {
+    let mut harness = taken_shard();
+    let since = harness.now;
+    harness.shard.add_job(harness.now, earlier_task());
+    harness.servers = vec![server_info("a", POOL, "a"), server_info("b", POOL, "b")];
+    harness.list_incarnation("a", UNIX_MS - started);
+    harness.report("b", &[], &[]);
+    for _ in 0..400 {
+        harness.advance(50);
+        harness.unix_ms = UNIX_MS + millis(harness.now.since(since));
+        harness.shard.handle_poll_failure(harness.now, &Harness::target("a", UNIX_MS - started));
+        harness.report("b", &[], &[]);
+        if !starts(&harness.decide()).is_empty() {
+            return harness.now.since(since);
+        }
+    }
+    panic!("the task waits for good");
+}
+
+/// Guards against a second run beside one of a server that restarted just before a take-over
+/// and is cut off since: the holder before may have extended its lease by the earlier clock.
+#[test]
+fn silent_restart_awaited() {
+    let waited = await_silent(1_000);
+    assert!(waited > timings().takeover_grace + ms(1_400), "{waited:?}");
+    assert!(waited < timings().takeover_grace + ms(2_000), "{waited:?}");
+}
+
+/// A server that started long before has no such lease, and its tasks wait no longer.
+#[test]
+fn silent_server_given_up() {
+    let waited = await_silent(60_000);
+    assert!(waited < timings().takeover_grace + ms(300), "{waited:?}");
+}
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -78,6 +78,8 @@
 #[test]
 fn expired_leases_released() {
     let mut harness = taken_shard();
+    // Long after the servers started.
+    harness.unix_ms = 60_000;
     harness.shard.add_job(harness.now, earlier_job());
     harness.set_servers(&["a", "b"]);
     harness.report("a", &[], &[]);
