--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -193,6 +193,7 @@
                 occurrence.complete();
             }
         }
+        self.unite_gang_checkpoints();
     }
 
     /// Returns the number after the highest open occurrence; 0 if none is open.
@@ -227,20 +228,6 @@
         self.occurrences.get(&position.occurrence)?.steps.get(position.step)?.get(position.index)
     }
 
-    /// Marks all members of a gang as done except the one at `position`, which
-    /// has succeeded and is left to the caller: they end together, and the ends
-    /// of the others may be lost with their servers.
-    pub(super) fn complete_gang(&mut self, position: TaskPosition) {
-        let occurrence = self.occurrences.get_mut(&position.occurrence);
-        let members = occurrence.and_then(|occurrence| occurrence.steps.get_mut(position.step));
-        for (index, member) in members.into_iter().flatten().enumerate() {
-            if index != position.index {
-                member.state = TaskState::Done;
-                member.progress.is_done = true;
-            }
-        }
-    }
-
     /// Returns the progress to store: that of the tasks with an ended run or a
     /// checkpoint or that are done, the occurrences that are done, and the servers
     /// that may run tasks of the job, which are those assigned and those
--- a/crates/skylarkwick-request/src/shard/gang.rs
+++ b/crates/skylarkwick-request/src/shard/gang.rs
@@ -1,16 +1,20 @@
 //! Gangs: tasks that make progress only while all of them run.
 //!
 //! If a member's start was rejected or the member was lost, the others make no
-//! progress. They are stopped, and the whole gang starts again.
+//! progress. They are stopped, and the whole gang starts again. All members start from
+//! one checkpoint, that of any member, which is kept with the first one.
 
 use skylarkwick_version::moment::Moment;
 
 use super::{
     Shard,
-    active::{ActiveJob, TaskState},
+    active::{ActiveJob, Task, TaskState},
     input::ServerId,
 };
-use crate::job::task;
+use crate::job::{
+    progress::{TaskPosition, TaskProgress},
+    task,
+};
 
 impl Shard {
     /// Requests the stop of the remaining runs of each gang (the tasks of a
@@ -40,6 +44,74 @@
     }
 }
 
+impl ActiveJob {
+    /// Marks all members of a gang as done except the one at `position`, which
+    /// has succeeded and is left to the caller: they end together, and the ends
+    /// of the others may be lost with their servers.
+    pub(super) fn complete_gang(&mut self, position: TaskPosition) {
+        let occurrence = self.occurrences.get_mut(&position.occurrence);
+        let members = occurrence.and_then(|occurrence| occurrence.steps.get_mut(position.step));
+        for (index, member) in members.into_iter().flatten().enumerate() {
+            if index != position.index {
+                member.state = TaskState::Done;
+                member.progress.is_done = true;
+            }
+        }
+    }
+
+    /// Returns the task that keeps the checkpoint of the one at `position`: the
+    /// first member of its gang, or itself.
+    pub(super) fn checkpoint_task(&mut self, position: TaskPosition) -> Option<&mut Task> {
+        let is_gang = self.job.steps.get(position.step).is_some_and(|step| step.is_gang);
+        match is_gang {
+            true => self.task_mut(TaskPosition { index: 0, ..position }),
+            false => self.task_mut(position),
+        }
+    }
+
+    /// Returns the last run that ended of the task at `position`, or of any member
+    /// of its gang.
+    pub(super) fn last_ended_run(&self, position: TaskPosition) -> task::RunId {
+        let Some(step) = self.job.steps.get(position.step) else {
+            return task::RunId::default();
+        };
+        let last = |task: &Task| task.progress.last_ended_run;
+        match step.is_gang {
+            true => {
+                let occurrence = self.occurrences.get(&position.occurrence);
+                let members = occurrence.and_then(|occurrence| occurrence.steps.get(position.step));
+                members.into_iter().flatten().map(last).max().unwrap_or_default()
+            }
+            false => self.task(position).map(last).unwrap_or_default(),
+        }
+    }
+
+    /// Leaves each gang the checkpoint of the member with the latest run that ended,
+    /// with the first member. An earlier release has stored one with each member.
+    pub(super) fn unite_gang_checkpoints(&mut self) {
+        let gangs = self.job.steps.iter().enumerate().filter(|(_, step)| step.is_gang);
+        let gangs: Vec<usize> = gangs.map(|(number, _)| number).collect();
+        for occurrence in self.occurrences.values_mut() {
+            for &step in &gangs {
+                let members = &mut occurrence.steps[step];
+                let has_checkpoint = |progress: &&TaskProgress| !progress.checkpoint.is_empty();
+                let progress = members.iter().map(|member| &member.progress);
+                let latest =
+                    progress.filter(has_checkpoint).max_by_key(|latest| latest.last_ended_run);
+                let Some(checkpoint) = latest.map(|latest| latest.checkpoint.clone()) else {
+                    continue;
+                };
+                for member in members.iter_mut() {
+                    member.progress.checkpoint = "".into();
+                }
+                if let Some(first) = members.first_mut() {
+                    first.progress.checkpoint = checkpoint;
+                }
+            }
+        }
+    }
+}
+
 /// Returns the assigned members of gangs that have a waiting member, each with
 /// its server; empty if the job has no gang.
 fn incomplete_gang_runs(active: &ActiveJob) -> Vec<(ServerId, task::Id)> {
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -215,12 +215,18 @@
         }
     }
 
-    /// Keeps the checkpoint of a reported run with its task, unless it is empty
-    /// or the task is unknown; the next write of the job stores it.
+    /// Keeps the checkpoint of a reported run with its task or gang, unless it is
+    /// empty, a later run has ended or the task is unknown; the next write of the job
+    /// stores it.
     fn record_checkpoint(&mut self, running: &RunStatus) {
-        let active = self.jobs.get_mut(&running.task.job);
-        let task = active.and_then(|active| active.task_mut(TaskPosition::of(&running.task)));
-        if let Some(task) = task.filter(|_| !running.checkpoint.is_empty()) {
+        let position = TaskPosition::of(&running.task);
+        let Some(active) = self.jobs.get_mut(&running.task.job) else {
+            return;
+        };
+        if running.checkpoint.is_empty() || active.last_ended_run(position) >= running.run {
+            return;
+        }
+        if let Some(task) = active.checkpoint_task(position) {
             task.progress.checkpoint = Arc::clone(&running.checkpoint);
         }
     }
--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -122,21 +122,30 @@
         if is_gang && finished.outcome == task::RunOutcome::Done {
             active.complete_gang(TaskPosition::of(&finished.task));
         }
-        let Some(task) = active.task_mut(TaskPosition::of(&finished.task)) else {
+        let position = TaskPosition::of(&finished.task);
+        if active.task(position).is_none_or(|task| task.state == TaskState::Done) {
             return;
+        }
+        let last_ended_run = active.last_ended_run(position);
+        let is_latest = match is_gang {
+            // The members of a gang have one run number.
+            true => finished.run >= last_ended_run,
+            false => finished.run > last_ended_run,
         };
-        if task.state == TaskState::Done {
-            return;
+        if is_latest
+            && !finished.checkpoint.is_empty()
+            && let Some(task) = active.checkpoint_task(position)
+        {
+            task.progress.checkpoint = Arc::clone(&finished.checkpoint);
         }
+        let Some(task) = active.task_mut(position) else {
+            return;
+        };
         let other_server = match &task.state {
             TaskState::Assigned(server) if server != id => Some(server.clone()),
             _ => None,
         };
-        let is_latest = finished.run > task.progress.last_ended_run;
         task.progress.last_ended_run = task.progress.last_ended_run.max(finished.run);
-        if is_latest && !finished.checkpoint.is_empty() {
-            task.progress.checkpoint = Arc::clone(&finished.checkpoint);
-        }
         match finished.outcome {
             task::RunOutcome::Done => {
                 task.state = TaskState::Done;
--- a/crates/skylarkwick-request/src/shard/starts.rs
+++ b/crates/skylarkwick-request/src/shard/starts.rs
@@ -70,12 +70,13 @@
         active_run.stage_since = now;
         active_run.start_deadline_ms = Some(until_ms);
         server.lease_until_ms = server.lease_until_ms.max(Some(until_ms));
-        let Some(active) = self.jobs.get(&task.job) else {
+        let Some(active) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let progress = active.task(TaskPosition::of(task)).map(|task| &task.progress);
-        let checkpoint =
-            progress.map(|progress| Arc::clone(&progress.checkpoint)).unwrap_or_default();
+        let checkpoint = active
+            .checkpoint_task(TaskPosition::of(task))
+            .map(|task| Arc::clone(&task.progress.checkpoint))
+            .unwrap_or_default();
         let spec = Arc::clone(&active.job.spec);
         let start = Start { task: task.clone(), run, spec, until_ms, checkpoint };
         self.effects.push(Effect::Start { target, start: Box::new(start) });
