--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -17,6 +17,7 @@
 mod host_list;
 mod liveness;
 mod membership;
+mod occurrence;
 mod order_results;
 mod pace;
 mod persistence;
--- a/crates/skylarkwick-request/src/shard/drain.rs
+++ b/crates/skylarkwick-request/src/shard/drain.rs
@@ -10,9 +10,9 @@
 
 use super::{
     Shard,
-    active::TaskState,
     effect::{Effect, LogEntry, Unavailable},
     input::ServerId,
+    occurrence::TaskState,
     placement::PlacementRequest,
     server::{ActiveRun, Server, Stage},
 };
--- a/crates/skylarkwick-request/src/shard/gang.rs
+++ b/crates/skylarkwick-request/src/shard/gang.rs
@@ -8,8 +8,9 @@
 
 use super::{
     Shard,
-    active::{ActiveJob, Task, TaskState},
+    active::ActiveJob,
     input::ServerId,
+    occurrence::{Task, TaskState},
 };
 use crate::job::{
     progress::{TaskPosition, TaskProgress},
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -9,8 +9,8 @@
 
 use super::{
     Shard,
-    active::TaskState,
     input::ServerId,
+    occurrence::TaskState,
     ranking::ReadyStep,
     server::{ActiveRun, Server, Stage},
     shortage::Shortage,
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -6,10 +6,10 @@
 
 use super::{
     Shard,
-    active::TaskState,
     effect::{Effect, LogEntry, Target},
     input::{ClockReading, RunStatus, ServerId, ServerInfo, StatusReport},
     liveness::{Evidence, Liveness},
+    occurrence::TaskState,
     server::{ActiveRun, Attribution, Stage},
 };
 use crate::job::{progress::TaskPosition, task};
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -6,8 +6,9 @@
 
 use super::{
     Shard,
-    active::{ActiveJob, Occurrence, TaskState},
+    active::ActiveJob,
     input::Queue,
+    occurrence::{Occurrence, TaskState},
     unsettled::Allowance,
 };
 use crate::job;
--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -6,8 +6,8 @@
 
 use super::{
     Shard,
-    active::TaskState,
     input::{FinishedRun, ServerId},
+    occurrence::TaskState,
 };
 use crate::job::{progress::TaskPosition, task};
 
--- a/crates/skylarkwick-request/src/shard/unsettled.rs
+++ b/crates/skylarkwick-request/src/shard/unsettled.rs
@@ -5,7 +5,10 @@
 //! task in progress may fail. So a job starts only as many tasks as can fail together, and its
 //! row stays storable whatever happens. See `docs/DESIGN.md`, section "Rows".
 
-use super::active::{ActiveJob, Occurrence, Task, TaskState};
+use super::{
+    active::ActiveJob,
+    occurrence::{Occurrence, Task, TaskState},
+};
 use crate::job::Step;
 
 /// Largest sum of the weights of a job's unsettled tasks; a unit takes about six bytes.
