--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -15,6 +15,7 @@
 mod gang;
 mod health;
 mod host_list;
+mod label_hosts;
 mod liveness;
 mod membership;
 mod occurrence;
--- a/crates/skylarkwick-request/src/shard/allocation.rs
+++ b/crates/skylarkwick-request/src/shard/allocation.rs
@@ -57,10 +57,26 @@
 impl Allocation {
     /// Returns how many idle hosts may leave the pool while it keeps as many
     /// hosts as the larger of `kept` and its reserve.
-    fn surplus(&self, kept: usize) -> usize {
+    pub(super) fn surplus(&self, kept: usize) -> usize {
         self.hosts.saturating_sub(kept.max(self.reserve)).min(self.idle.len())
     }
 
+    /// Returns whether a host is idle and may move.
+    pub(super) fn is_idle(&self, host: &HostId) -> bool {
+        self.idle.contains(host)
+    }
+
+    /// Keeps an idle host in the pool.
+    pub(super) fn keep(&mut self, host: &HostId) {
+        self.idle.retain(|idle| idle != host);
+    }
+
+    /// Removes an idle host from this allocation, which then counts one host less.
+    pub(super) fn remove(&mut self, host: &HostId) {
+        self.keep(host);
+        self.hosts = self.hosts.saturating_sub(1);
+    }
+
     /// Removes an idle host from this allocation, which then counts one host
     /// less, and returns it; `None` if there is none.
     fn take_idle_host(&mut self) -> Option<HostId> {
@@ -75,11 +91,13 @@
 
 impl Shard {
     /// Orders idle hosts to move to the pools that need them for their current
-    /// jobs, and at most once in `REBALANCE_PERIOD` (0.3 s) towards the targets
+    /// jobs, those with a label that is required first, and at most once in `REBALANCE_PERIOD` (0.3 s) towards the targets
     /// of the pools. Keeps the allocations for metrics.
     pub(super) fn allocate_hosts(&mut self, now: Moment, occupancy: &Occupancy) {
         let mut allocations = self.allocations(now, occupancy);
         self.set_targets(&mut allocations);
+        self.keep_labelled_hosts(&mut allocations);
+        self.fetch_labelled_hosts(&mut allocations);
         self.meet_demand(&mut allocations);
         if now.since(self.fleet.last_rebalance) >= REBALANCE_PERIOD {
             self.fleet.last_rebalance = now;
