A host is not moved or maintained before the ends on its server are stored

Cause: a host counted as idle once nothing ran on its servers. Change: ends that wait for a write keep it occupied.

Test: host_orders::unsaved_end_blocks fails on the commit before. busy_host_drained asked for the order in the decision that has the end written; it now asks that there be none then, and one in the next, after the write.

--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -223,7 +223,7 @@
 
 impl Occupancy {
     /// Returns whether a host is up and certainly runs nothing: no server on it
-    /// has runs or is leaving, and its current server, the one that the
+    /// has runs or ends of runs to store or is leaving, and its current server, the one that the
     /// platform's list of hosts names for it, has answered this holder. A host
     /// without a current server must be in a spare pool, whose hosts are powered
     /// off, or another server known on it must have answered.
@@ -332,7 +332,7 @@
     /// counts.
     fn occupancy(&self) -> Occupancy {
         let mut occupancy = Occupancy::default();
-        let mut leaving_hosts: BTreeSet<&HostId> = BTreeSet::new();
+        let mut occupied_hosts: BTreeSet<&HostId> = BTreeSet::new();
         let mut fenced_hosts: BTreeSet<&HostId> = BTreeSet::new();
         for server in self.servers.values() {
             let Some(host) = server.host() else {
@@ -343,8 +343,9 @@
                 server.runs.values().filter(|active_run| active_run.is_long_running).count();
             runs.long_running += long_running;
             runs.finite += server.runs.len() - long_running;
-            if server.info.is_leaving {
-                leaving_hosts.insert(host);
+            // An order ends the server, and run ends that are not stored are lost with it.
+            if server.info.is_leaving || !server.unsaved_ends.is_empty() {
+                occupied_hosts.insert(host);
             }
             if server.is_fenced {
                 fenced_hosts.insert(host);
@@ -357,7 +358,7 @@
         let hosts = self.fleet.hosts.values().filter(|host| host.state == HostState::Up);
         let idle = hosts
             .filter(|host| occupancy.runs(&host.id).unwrap_or_default() == RunCounts::default())
-            .filter(|host| !leaving_hosts.contains(&host.id) && is_occupancy_known(host))
+            .filter(|host| !occupied_hosts.contains(&host.id) && is_occupancy_known(host))
             .map(|host| host.id.clone())
             .collect();
         occupancy.idle = idle;
--- a/crates/skylarkwick-request/tests/host_orders.rs
+++ b/crates/skylarkwick-request/tests/host_orders.rs
@@ -52,6 +52,7 @@
         skylarkwick_request::job::task::RunOutcome::Done,
     );
     harness.report("a", &[], &[end]);
+    assert!(maintained_hosts(&harness.decide()).is_empty(), "the end is stored first");
     assert_eq!(maintained_hosts(&harness.decide()), ["a"]);
 }
 
@@ -217,6 +218,32 @@
     assert!(!starts(&effects).is_empty() || !maintained_hosts(&effects).is_empty());
 }
 
+/// Guards against tasks that run again, because their ends were lost with a server whose host
+/// was maintained before they were stored.
+#[test]
+fn unsaved_end_blocks() {
+    let mut harness = with_hosts(&["a"]);
+    harness.submit("job", vec![step(1, 4)]);
+    let effects = harness.decide();
+    let (_, start) = harness.confirm_starts(&effects).remove(0);
+    harness.shard.add_wave(harness.now, wave(&["a"], 1));
+    assert!(maintained_hosts(&harness.decide()).is_empty());
+    harness.advance(50);
+    let end = harness::finished_run(
+        1,
+        start.task,
+        start.run,
+        skylarkwick_request::job::task::RunOutcome::Done,
+    );
+    harness.report("a", &[], &[end]);
+    harness.advance(50);
+    let unsaved = harness.decide_unsaved();
+    assert!(maintained_hosts(&unsaved).is_empty(), "the end is not stored");
+    let batch = harness::batches(&unsaved).remove(0);
+    harness.shard.handle_batch_saved(harness.now, &batch);
+    assert_eq!(maintained_hosts(&harness.decide()), ["a"]);
+}
+
 #[test]
 fn earlier_maintenance_counts() {
     let mut harness = with_hosts(&["a", "b"]);
