--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -239,6 +239,11 @@
     /// act; `None` in a row of an earlier release, which ends before this field.
     #[serde(deserialize_with = "decode_later_field")]
     pub earlier_until_ms: Option<u64>,
+    /// In the row that releases the lease: servers, and the times on the store's clock, in
+    /// milliseconds, until which anything may run there that this holder or one before it
+    /// has started. Empty in other rows, and in those of an earlier release.
+    #[serde(deserialize_with = "decode_later_field")]
+    pub settled: Vec<(String, u64)>,
 }
 
 /// Decodes a field that an earlier release did not write; its default if the row ends before
@@ -257,7 +262,7 @@
 }
 
 impl From<&LeaseRow> for Record {
-    /// Drops the number and the fencing token; an empty holder becomes `None`.
+    /// Drops the number, the fencing token and the servers; an empty holder becomes `None`.
     fn from(row: &LeaseRow) -> Record {
         Record {
             entry: (!row.holder.is_empty()).then(|| row.holder.clone()),
--- a/crates/skylarkwick-connection/tests/earlier_rows.rs
+++ b/crates/skylarkwick-connection/tests/earlier_rows.rs
@@ -31,7 +31,8 @@
 
 fn lease(earlier_until_ms: Option<u64>) -> LeaseRow {
     let EarlierLease { holder, incarnation, number, fencing, renewed_ms } = earlier_lease();
-    LeaseRow { holder, incarnation, number, fencing, renewed_ms, earlier_until_ms }
+    let settled = Vec::new();
+    LeaseRow { holder, incarnation, number, fencing, renewed_ms, earlier_until_ms, settled }
 }
 
 /// Guards against numbers of holders that begin anew, because the row no longer decodes.
--- a/crates/skylarkwick-planner/src/jobs/candidate.rs
+++ b/crates/skylarkwick-planner/src/jobs/candidate.rs
@@ -172,9 +172,9 @@
         let log = self.log.new(slog::o!("shard" => lease.shard().to_string()));
         let (stop, ended) = (self.stop.clone(), self.ended_sender.clone());
         Duty::spawn("shard", move || {
-            holder::run(&clients, &config, &mut lease, acquisition, &log, &stop);
+            let settled = holder::run(&clients, &config, &mut lease, acquisition, &log, &stop);
             if stop.is_requested() {
-                lease.release();
+                lease.release(&settled);
             }
             // The candidate no longer receives when the process stops.
             let _ = ended.try_send(lease);
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -1,7 +1,12 @@
 //! The holder's duty: owns the shard, applies events to it and executes the
 //! effects that it decides on.
 
-use std::{collections::VecDeque, io, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    io,
+    sync::Arc,
+    time::Duration,
+};
 
 use skylarkwick_connection::{
     control::{Hosts, Orders, PollError, Registry},
@@ -15,7 +20,11 @@
     duty::{Duty, StopSignal},
     ring,
 };
-use skylarkwick_request::shard::{Shard, Term, effect::Effect, input::HostOrderResult};
+use skylarkwick_request::shard::{
+    Shard, Term,
+    effect::Effect,
+    input::{HostOrderResult, ServerId},
+};
 use skylarkwick_version::moment::{Moment, millis};
 use slog::{Logger, error, info, warn};
 
@@ -63,6 +72,9 @@
 /// duty renews a clone of `lease` meanwhile; `lease` is then set to the clone's last state,
 /// so that it can be released, unless the duty does not return it within
 /// [`LEASE_RETURN_TIMEOUT`].
+///
+/// Returns the servers of the shard, each with the time from now until nothing runs there
+/// that this holder or an earlier one has started; see [`Shard::settled_servers`].
 pub(super) fn run<S, O, H, D>(
     clients: &Clients<S, O, H, D>,
     config: &Config,
@@ -70,7 +82,8 @@
     acquisition: Acquisition,
     log: &Logger,
     stop: &StopSignal,
-) where
+) -> BTreeMap<ServerId, Duration>
+where
     S: Store,
     O: Orders,
     H: Hosts,
@@ -85,9 +98,10 @@
         Ok((_, returned_lease)) => returned_lease,
         Err(error) => {
             error!(log, "shard holder not started"; "error" => %error);
-            return;
+            return BTreeMap::new();
         }
     };
+    let mut settled = BTreeMap::new();
     let holder = Holder::start(clients, config, acquisition, &events, &log, &term_end, stop);
     drop(events);
     match holder {
@@ -100,12 +114,13 @@
             holder.run(&input, stop);
             term_end.request();
             drop(input);
-            holder.finish();
+            settled = holder.finish();
         }
     }
     if let Ok(last) = returned_lease.receive_timeout(LEASE_RETURN_TIMEOUT) {
         *lease = last;
     }
+    settled
 }
 
 /// State of the holder's duty in one term: the shard, the ways to the duties that
@@ -160,9 +175,10 @@
         stop: &StopSignal,
     ) -> io::Result<Holder<O>> {
         let Clients { store, orders, hosts, registry } = clients.clone();
-        let Acquisition { keyspace, fencing_token, number, since, overlap } = acquisition;
+        let Acquisition { keyspace, fencing_token, number, since, overlap, settled } = acquisition;
         let timings = super::timings(config, overlap);
         let mut shard = Shard::new(timings, Term { fencing_token, number, since });
+        shard.set_settled_servers(settled);
         let duty_context = || (events.clone(), log.clone(), term_end.clone());
         let (duty_events, duty_log, duty_stop) = duty_context();
         watch::servers(registry.clone(), keyspace, duty_events, duty_log, duty_stop)?;
@@ -262,13 +278,15 @@
     /// Ends the duties that this handle owns, and waits for the saver, because the next
     /// holder starts from the stored rows. The saver still writes the requests in its ring, up
     /// to and including the first batch of job updates or progress of a maintenance wave,
-    /// whose result it can no longer send; later ones are dropped.
-    fn finish(self) {
-        let Holder { saver, saver_duty, pollers, dispatch, host_orders, log, .. } = self;
+    /// whose result it can no longer send; later ones are dropped. Returns the servers with
+    /// the time until nothing runs there.
+    fn finish(self) -> BTreeMap<ServerId, Duration> {
+        let Holder { saver, saver_duty, pollers, dispatch, host_orders, log, shard, .. } = self;
         drop((saver, pollers, dispatch, host_orders));
         if !saver_duty.join() {
             error!(log, "saver panicked");
         }
+        shard.settled_servers(Boot.now())
     }
 
     /// Applies an event to the shard, or records a lease renewal. A lost lease ends the
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -1,6 +1,6 @@
 //! The lease of a shard: acquires, renews and releases it by writing its row.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use skylarkwick_connection::store::{
     self, Row, Store, Transaction,
@@ -8,6 +8,7 @@
     row::{self, LeaseRow},
 };
 use skylarkwick_process::clock::{Boot, Clock};
+use skylarkwick_request::shard::input::ServerId;
 use skylarkwick_version::{
     lease::Incarnation,
     moment::{Moment, millis},
@@ -19,10 +20,13 @@
 
 use super::Config;
 
+/// Most servers in a row that releases a lease; a shard has fewer.
+const MAX_SETTLED: usize = 1_000;
+
 /// An acquisition of a shard, which begins a term, the time of one holder: the shard, the holder's
 /// fencing token, the number of the term, when it began, and for how long earlier holders
 /// may still act.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Acquisition {
     /// Rows of the shard.
     pub keyspace: Keyspace,
@@ -34,6 +38,9 @@
     pub since: Moment,
     /// Time from `since` for which earlier holders may still act.
     pub overlap: Duration,
+    /// Servers, and the time from `since` until nothing runs there that an earlier holder has
+    /// started, if this holder's list lacks the server; known after a release only.
+    pub settled: BTreeMap<ServerId, Duration>,
 }
 
 /// A shard that is free to acquire.
@@ -155,6 +162,7 @@
             fencing: 0,
             renewed_ms: self.store.clock_ms(),
             earlier_until_ms: Some(now_ms.saturating_add(millis(overlap))),
+            settled: Vec::new(),
         };
         let transaction = self.lease_transaction(stored.revision, &next);
         let fence = row::encode(&self.entry.to_string());
@@ -163,7 +171,8 @@
         let number = next.number;
         info!(self.log, "shard taken"; "shard" => %self.shard(), "fencing" => revision.0,
             "number" => number, "step" => step(overlap), "overlap_ms" => millis(overlap),
-            "before" => current.map(|current| current.holder).unwrap_or_default());
+            "before" => current.as_ref().map(|current| current.holder.clone()).unwrap_or_default());
+        let settled = current.map(|current| settled(current, now_ms)).unwrap_or_default();
         self.held = Some((revision, LeaseRow { fencing: revision.0, ..next }));
         self.releasable_from = Boot.now() + overlap;
         Some(Acquisition {
@@ -172,6 +181,7 @@
             number,
             since,
             overlap,
+            settled,
         })
     }
 
@@ -240,7 +250,10 @@
     /// Releases the shard, so that another process need not wait until the lease
     /// expires. Does nothing if it is not held; after a failed write the lease expires, and
     /// so it does while the holder that this process replaced may still act.
-    pub fn release(&mut self) {
+    ///
+    /// `settled` are servers, and the time from now until nothing that this holder or one
+    /// before it has started runs there.
+    pub fn release(&mut self, settled: &BTreeMap<ServerId, Duration>) {
         let Some((revision, held)) = self.held.take() else {
             return;
         };
@@ -248,13 +261,28 @@
             info!(self.log, "shard left to expire"; "shard" => %self.shard());
             return;
         }
-        let next = LeaseRow { holder: String::new(), ..held };
+        let now_ms = self.store.clock_ms();
+        let until_ms = |time: &Duration| now_ms.saturating_add(millis(*time));
+        let settled = settled.iter().map(|(server, time)| (server.to_string(), until_ms(time)));
+        let settled = settled.take(MAX_SETTLED).collect();
+        let next = LeaseRow { holder: String::new(), settled, ..held };
         if self.commit(&self.lease_transaction(revision, &next)).is_some() {
             info!(self.log, "shard released"; "shard" => %self.shard());
         }
     }
 }
 
+/// Returns the servers of a released row, each with the time until nothing runs there; none if
+/// it was not released. `now_ms` is the store's clock when the row was read.
+fn settled(row: LeaseRow, now_ms: u64) -> BTreeMap<ServerId, Duration> {
+    if !row.holder.is_empty() {
+        return BTreeMap::new();
+    }
+    let time_left = |until_ms: u64| Duration::from_millis(until_ms.saturating_sub(now_ms));
+    let settled = row.settled.into_iter();
+    settled.map(|(server, until_ms)| (ServerId(Arc::from(server)), time_left(until_ms))).collect()
+}
+
 /// Returns the word by which the log tells an acquisition while an earlier holder may still act
 /// from one after all have stopped.
 fn step(overlap: Duration) -> &'static str {
--- a/crates/skylarkwick-planner/tests/lease_clock.rs
+++ b/crates/skylarkwick-planner/tests/lease_clock.rs
@@ -15,6 +15,7 @@
 };
 use skylarkwick_planner::jobs::{Config, lease::Lease};
 use skylarkwick_process::log;
+use skylarkwick_request::shard::input::ServerId;
 use skylarkwick_version::{
     lease::Incarnation,
     revision::Revision,
@@ -85,3 +86,29 @@
     lease.acquire(&stored, 1000).expect("the store confirms the write");
     assert_eq!(store.lease(&keyspace.lease()).renewed_ms, 4000);
 }
+
+/// Guards against a next holder that waits for less than the one before has handed on, or that
+/// takes what an earlier one has handed on for that of the one before.
+#[test]
+fn settled_servers_handed_on() {
+    let (store, keyspace) = (Recorder::default(), Keyspace::new(Sharding::SINGLE, ShardId(0)));
+    let start = |number| {
+        Lease::new(store.clone(), keyspace, &config(), Incarnation(number), &log::discard())
+    };
+    let stored = || {
+        let value = Some(row::encode(&store.lease(&keyspace.lease())));
+        Row { key: keyspace.lease(), revision: Revision(10), value }
+    };
+    let absent = Row { key: keyspace.lease(), revision: Revision::ABSENT, value: None };
+    let mut first = start(1);
+    assert!(first.observe(&absent, 1000).is_some());
+    assert!(first.acquire(&absent, 1000).expect("it is free").settled.is_empty());
+    store.clock_ms.store(5000, Ordering::Relaxed);
+    let server = ServerId(Arc::from("a"));
+    first.release(&[(server.clone(), Duration::from_millis(700))].into());
+    let mut second = start(2);
+    assert!(second.observe(&stored(), 5200).is_some());
+    let acquisition = second.acquire(&stored(), 5200).expect("it was released");
+    assert_eq!(acquisition.settled, [(server, Duration::from_millis(500))].into());
+    assert!(store.lease(&keyspace.lease()).settled.is_empty(), "it holds for the next one only");
+}
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -30,6 +30,7 @@
 mod save_queue;
 mod send_window;
 mod server;
+mod settled;
 mod shortage;
 mod starts;
 mod trend;
@@ -114,6 +115,11 @@
     queues: BTreeMap<Arc<str>, Queue>,
     jobs: BTreeMap<job::Id, ActiveJob>,
     servers: BTreeMap<input::ServerId, Server>,
+    /// Whether the platform's list of servers is known.
+    are_servers_listed: bool,
+    /// When nothing runs any more that an earlier holder has started on a server, if the
+    /// platform lists it no more; known after a planned change of the holder.
+    settled_servers: BTreeMap<input::ServerId, Moment>,
     fleet: Fleet,
     /// Time of day at the last call of `decide`, in Unix milliseconds.
     unix_ms: u64,
@@ -142,6 +148,8 @@
             queues: BTreeMap::new(),
             jobs: BTreeMap::new(),
             servers: BTreeMap::new(),
+            are_servers_listed: false,
+            settled_servers: BTreeMap::new(),
             fleet: Fleet::default(),
             unix_ms: 0,
             last_housekeeping: Moment::ZERO,
--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -33,6 +33,7 @@
     /// pool or resources may have changed with its restart; its runs are given up
     /// only when its lease has expired.
     pub fn set_servers(&mut self, now: Moment, servers: Vec<ServerInfo>) {
+        self.are_servers_listed = true;
         for server in self.servers.values_mut() {
             server.is_unlisted = true;
         }
@@ -118,11 +119,12 @@
     }
 
     /// Returns whether all that earlier holders have started on a server is known or over: it
-    /// has answered this holder, or was silent for long enough.
+    /// has answered this holder, or was silent for long enough, or it has left and the
+    /// holder before knew that nothing runs there any more.
     pub(super) fn are_earlier_runs_settled(&self, now: Moment, id: &ServerId) -> bool {
         match self.servers.get(id) {
             Some(server) => server.is_fenced || self.is_silence_over(now, server),
-            None => self.is_takeover_grace_over(now),
+            None => self.is_takeover_grace_over(now) || self.is_over_by_handover(now, id),
         }
     }
 
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -135,9 +135,6 @@
     /// nothing that an earlier holder started there still runs, and has these jobs
     /// written without them.
     pub(super) fn drop_unanswered_servers(&mut self, now: Moment) {
-        if !self.is_takeover_grace_over(now) {
-            return;
-        }
         let is_over = |id: &&ServerId| {
             let has_answered = self.servers.get(*id).is_some_and(|known| known.is_fenced);
             !has_answered && self.are_earlier_runs_settled(now, id)
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -392,6 +392,14 @@
         self.clock_ms(now - CLOCK_MARGIN).is_some_and(|clock_ms| clock_ms > until_ms)
     }
 
+    /// Returns the longest time until every lease granted to the server has certainly
+    /// expired; `None` until the first report.
+    pub(super) fn lease_left(&self, now: Moment) -> Option<Duration> {
+        let left_ms = self.lease_until_ms?.saturating_sub(self.clock_ms(now)?);
+        let left = Duration::from_millis(left_ms * 1000 / MIN_CLOCK_RATE_PER_MILLE);
+        Some(left + CLOCK_MARGIN)
+    }
+
     /// Returns whether every lease granted to the server, and every start sent
     /// to it, has certainly expired; `None` until the first report.
     pub(super) fn have_leases_expired(&self, now: Moment) -> Option<bool> {
