A soak with changes of the holder, cut servers and lost answers of the store

The world of restart_soak moved to simulation::world; with one holder it is played as before, but for 5 s more of calm and a store that compares revisions.

--- a/crates/skylarkwick-request/tests/simulation/mod.rs
+++ b/crates/skylarkwick-request/tests/simulation/mod.rs
@@ -1,6 +1,8 @@
 //! Simulated servers, which crash and start again under their names.
 
-use std::collections::BTreeMap;
+pub(crate) mod world;
+
+use std::{collections::BTreeMap, ops::RangeInclusive};
 
 use skylarkwick_request::{
     job::task::{self, RunId, RunOutcome},
@@ -13,6 +15,12 @@
 /// Largest clock that a server starts with, in milliseconds.
 const MAX_CLOCK_START_MS: u64 = 8_000_000;
 
+/// Returns the seeds to play: as many as `SOAK_SEEDS` says, or this many.
+pub(crate) fn seeds(count: u64) -> RangeInclusive<u64> {
+    let named = std::env::var("SOAK_SEEDS").ok().and_then(|seeds| seeds.parse().ok());
+    1..=named.unwrap_or(count)
+}
+
 /// Pseudo-random numbers by a seed (xorshift).
 pub(crate) struct Random(pub(crate) u64);
 
@@ -35,10 +43,14 @@
     pub(crate) since_ms: u64,
     pub(crate) clock_start_ms: u64,
     pub(crate) lease_until_ms: u64,
+    /// Highest fencing token that was seen.
+    pub(crate) fencing_token: u64,
     /// Runs in progress with the time at which they end.
     pub(crate) runs: BTreeMap<(task::Id, RunId), u64>,
     pub(crate) ended: Vec<FinishedRun>,
     pub(crate) next_end: u64,
+    /// Number of the last end before the lease lapsed; such ends may be unknown for good.
+    pub(crate) lapsed_end: u64,
     /// Highest run of each task that was stopped or has ended here.
     pub(crate) over: BTreeMap<task::Id, RunId>,
 }
@@ -51,9 +63,11 @@
             since_ms: now_ms,
             clock_start_ms: random.below(MAX_CLOCK_START_MS),
             lease_until_ms: 0,
+            fencing_token: 0,
             runs: BTreeMap::new(),
             ended: Vec::new(),
             next_end: 1,
+            lapsed_end: 0,
             over: BTreeMap::new(),
         }
     }
@@ -69,6 +83,9 @@
         for (task, run) in &over {
             self.end(task.clone(), *run, outcome);
         }
+        if has_lapsed {
+            self.lapsed_end = self.next_end - 1;
+        }
         over.into_iter().filter(|_| outcome == RunOutcome::Done).collect()
     }
 
@@ -96,12 +113,21 @@
 pub(crate) struct Machine {
     pub(crate) life: Option<Life>,
     pub(crate) starts_at_ms: u64,
+    /// From when until when it is cut off from everything.
+    pub(crate) cut_ms: (u64, u64),
+    /// Until when it is silent, because it starts again.
+    pub(crate) silent_until_ms: u64,
     pub(crate) next_beat_ms: u64,
     /// Incarnation in the entry, and when it was written.
     pub(crate) entry: Option<(u64, u64)>,
 }
 
 impl Machine {
+    /// Returns whether it is cut off from everything.
+    pub(crate) fn is_cut(&self, now_ms: u64) -> bool {
+        (self.cut_ms.0..self.cut_ms.1).contains(&now_ms) || now_ms < self.silent_until_ms
+    }
+
     /// Ends the incarnation; the next one starts at this time.
     pub(crate) fn crash(&mut self, starts_at_ms: u64) {
         self.life = None;
