--- a/crates/skylarkwick-request/src/job/progress.rs
+++ b/crates/skylarkwick-request/src/job/progress.rs
@@ -64,8 +64,9 @@
 
 impl Progress {
     /// Merges the progress that another holder of the shard has stored: keeps the servers,
-    /// successes, done occurrences and failed runs of both, and the later last run of each task. A task not done
-    /// here takes the other's checkpoint if its last run recorded there is later.
+    /// successes, done occurrences and failed runs of both, and the later last run of each
+    /// task. A task not done here takes the other's checkpoint if its last run recorded there
+    /// is later.
     pub fn merge(&mut self, other: &Progress) {
         self.servers.extend(other.servers.iter().cloned());
         self.done_occurrences.extend(&other.done_occurrences);
--- a/crates/skylarkwick-request/src/shard/allocation.rs
+++ b/crates/skylarkwick-request/src/shard/allocation.rs
@@ -91,8 +91,8 @@
 
 impl Shard {
     /// Orders idle hosts to move to the pools that need them for their current
-    /// jobs, those with a label that is required first, and at most once in `REBALANCE_PERIOD` (0.3 s) towards the targets
-    /// of the pools. Keeps the allocations for metrics.
+    /// jobs, those with a required label first, and at most once in
+    /// `REBALANCE_PERIOD` (0.3 s) towards the targets of the pools. Keeps the allocations for metrics.
     pub(super) fn allocate_hosts(&mut self, now: Moment, occupancy: &Occupancy) {
         let mut allocations = self.allocations(now, occupancy);
         self.set_targets(&mut allocations);
