--- a/crates/skylarkwick-request/tests/simulation/world.rs
+++ b/crates/skylarkwick-request/tests/simulation/world.rs
@@ -1,28 +1,29 @@
 //! A site in virtual time: a holder, its servers and the store, with trouble by a seed.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod calls;
+mod rows;
+mod trouble;
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use skylarkwick_request::{
     job::{
         Id, Step,
         progress::Progress,
-        task::{self, RunId, RunOutcome},
+        task::{self, RunId},
     },
     shard::{
-        Shard, Term, Timings,
-        effect::{Batch, Change, Effect, JobUpdate, Start, Target},
-        input::{
-            AcceptedJob, ClockReading, OrderResult, RejectReason, RunStatus, ServerId, ServerInfo,
-            StatusReport,
-        },
+        effect::{Batch, Effect, Start, Target},
+        input::{AcceptedJob, OrderResult, ServerId, ServerInfo, StatusReport},
     },
 };
-use skylarkwick_version::{moment::Moment, revision::Revision, shard_lease};
+use skylarkwick_version::{moment::Moment, revision::Revision};
 
 use super::{Life, Machine, Random};
-use crate::harness::{self, Harness, ms, queue, server_info, step, timings};
+use crate::harness::{self, Harness, ms, server_info, step};
 
 const SERVERS: [&str; 3] = ["a", "b", "c"];
 /// Time with trouble, and time after it until all jobs are finished, in milliseconds.
@@ -198,100 +199,6 @@
         assert!(unfinished.is_empty(), "seed {}, unfinished: {unfinished:?}", self.seed);
     }
 
-    fn make_trouble(&mut self) {
-        if !self.has_trouble() {
-            self.is_store_up = true;
-            return;
-        }
-        let period = if self.is_store_up { 600 } else { 200 };
-        if self.random.is_one_in(period) {
-            self.is_store_up = !self.is_store_up;
-        }
-        for name in SERVERS {
-            let machine = self.machines.get_mut(name).unwrap();
-            if machine.life.is_some() && self.random.is_one_in(300) {
-                machine.crash(self.now_ms + 20 + self.random.below(1200));
-            }
-        }
-        if self.trouble == Trouble::HandOvers {
-            self.cut_servers();
-            if self.random.is_one_in(400) || self.term_end_ms <= self.now_ms {
-                self.end_term();
-            }
-        }
-    }
-
-    /// Cuts servers off for longer than a lease: at times one that has just started again,
-    /// around a change of the holder.
-    fn cut_servers(&mut self) {
-        for name in SERVERS {
-            let machine = self.machines.get_mut(name).unwrap();
-            let length_ms = 500 + self.random.below(9_500);
-            if self.random.is_one_in(800) {
-                machine.cut_ms = (self.now_ms, self.now_ms + length_ms);
-            }
-            if machine.life.is_some() && self.random.is_one_in(500) {
-                let starts_at_ms = self.now_ms + 50 + self.random.below(500);
-                machine.crash(starts_at_ms);
-                machine.silent_until_ms = starts_at_ms;
-                let cut_ms = starts_at_ms + 100 + self.random.below(1_500);
-                machine.cut_ms = (cut_ms, cut_ms + length_ms);
-                self.term_end_ms = starts_at_ms + self.random.below(800);
-            }
-        }
-    }
-
-    /// Kills the holder, or stops it as planned; does nothing without one.
-    fn end_term(&mut self) {
-        self.term_end_ms = u64::MAX;
-        if self.successor.is_some() {
-            return;
-        }
-        let is_planned = self.random.is_one_in(2);
-        self.successor = Some(match is_planned {
-            true => Successor {
-                at_ms: self.now_ms + 20 + self.random.below(RELEASE_MS),
-                overlap: Duration::ZERO,
-                settled: self.harness.shard.settled_servers(self.harness.now),
-            },
-            false => Successor {
-                at_ms: self.now_ms + LEASE_MS + self.random.below(700),
-                overlap: shard_lease::HOLDER_OVERLAP,
-                settled: BTreeMap::new(),
-            },
-        });
-    }
-
-    /// Begins the term of the next holder if it is due: it starts from the stored jobs.
-    fn change_holder(&mut self) {
-        let is_due = self.successor.as_ref().is_some_and(|next| next.at_ms <= self.now_ms);
-        let Some(Successor { overlap, settled, .. }) = self.successor.take_if(|_| is_due) else {
-            return;
-        };
-        self.term += 1;
-        let now = self.harness.now;
-        let lease = timings().lease_duration.mul_f64(1.03);
-        let timings = Timings { takeover_grace: overlap + lease + ms(500), ..timings() };
-        let term = Term { fencing_token: self.term, number: self.term, since: now };
-        let mut shard = Shard::new(timings, term);
-        shard.set_settled_servers(settled);
-        shard.set_queues(vec![queue(harness::QUEUE, harness::POOL)]);
-        shard.set_hosts(now, Vec::new());
-        for job in self.stored.values() {
-            let progress = job.progress.clone();
-            let accepted = job.accepted.clone();
-            let progress_revision = job.revision;
-            shard.add_job(now, AcceptedJob { progress, progress_revision, ..accepted });
-        }
-        self.harness.shard = shard;
-        self.last_renewal = now;
-    }
-
-    /// Returns whether the holder with this token is at work.
-    fn is_at_work(&self, token: u64) -> bool {
-        self.successor.is_none() && token == self.term
-    }
-
     fn advance_machines(&mut self) {
         for machine in self.machines.values_mut() {
             let is_cut = machine.is_cut(self.now_ms);
@@ -456,184 +363,6 @@
         }
     }
 
-    /// Carries out the write of a holder, job by job and on condition of the revisions that it
-    /// knew, and tells it the result if it is still at work.
-    fn save(&mut self, number: u64, batch: Batch, is_saved: bool, is_answered: bool) {
-        let Batch { updates, cursors } = batch;
-        let (saved, unsaved): (Vec<JobUpdate>, Vec<JobUpdate>) = updates
-            .into_iter()
-            .partition(|update| is_saved && self.store(number, update, is_answered) && is_answered);
-        if !self.is_at_work(number) {
-            return;
-        }
-        let (now, shard) = (self.harness.now, &mut self.harness.shard);
-        shard.handle_updates_saved(now, &saved);
-        match is_saved && is_answered && unsaved.is_empty() {
-            true => shard.handle_batch_saved(now, &Batch { updates: unsaved, cursors }),
-            false => {
-                shard.handle_batch_save_failed(&Batch { updates: unsaved, cursors: Vec::new() })
-            }
-        }
-    }
-
-    /// Stores an update if the job has the revision that it names; returns whether it was
-    /// stored or is obsolete. The holder learns of a conflict.
-    fn store(&mut self, number: u64, update: &JobUpdate, is_answered: bool) -> bool {
-        let is_told = is_answered && self.is_at_work(number);
-        let shard = &mut self.harness.shard;
-        let Some(stored) = self.stored.get_mut(&update.id) else {
-            if is_told {
-                shard.remove_job(self.harness.now, &update.id);
-            }
-            return true;
-        };
-        if stored.revision != update.progress_revision {
-            if is_told {
-                shard.merge_stored_progress(&update.id, stored.revision, Some(&stored.progress));
-            }
-            return false;
-        }
-        self.revision += 1;
-        match &update.change {
-            Change::Progress(progress) => {
-                stored.progress = progress.clone();
-                stored.revision = Revision(self.revision);
-                if is_told {
-                    shard.merge_stored_progress(&update.id, stored.revision, None);
-                }
-            }
-            Change::Finished(_) => {
-                self.stored.remove(&update.id);
-                self.finished.insert(update.id.clone());
-            }
-        }
-        true
-    }
-
-    /// Sends the result of an order, unless it is lost or too late: then no answer.
-    fn reply(
-        &mut self,
-        sent: Moment,
-        result: OrderResult,
-        message: impl Fn(OrderResult) -> Message,
-    ) {
-        let delay_ms = self.delay();
-        let left = ms(ORDER_TIMEOUT_MS).saturating_sub(self.harness.now.since(sent));
-        let left_ms = u64::try_from(left.as_millis()).unwrap();
-        let is_lost = self.has_trouble() && self.random.is_one_in(20);
-        match result {
-            OrderResult::Unknown => self.send(left_ms, message(OrderResult::Unknown)),
-            _ if is_lost || delay_ms > left_ms => {
-                self.send(left_ms, message(OrderResult::Unknown));
-            }
-            result => self.send(delay_ms, message(result)),
-        }
-    }
-
-    fn connect(&self, target: Target) -> Call {
-        let machine = &self.machines[&*target.server.0];
-        let connected_ms = match machine.is_cut(self.now_ms) {
-            // No incarnation: the call has no answer.
-            true => Some(0),
-            false => machine.life.as_ref().map(|life| life.born_ms),
-        };
-        Call { target, sent: self.harness.now, connected_ms }
-    }
-
-    /// Returns the incarnation that a call reaches, unless it has seen a later holder.
-    fn life(&mut self, call: &Call) -> Option<&mut Life> {
-        let machine = self.machines.get_mut(&*call.target.server.0)?;
-        let is_cut = machine.is_cut(self.now_ms);
-        let life = machine.life.as_mut().filter(|_| !is_cut)?;
-        let is_reached = call.connected_ms == Some(life.born_ms);
-        if !is_reached || call.target.fencing_token < life.fencing_token {
-            return None;
-        }
-        life.fencing_token = call.target.fencing_token;
-        Some(life)
-    }
-
-    /// The result of an order that reaches no server.
-    fn unreached(call: &Call) -> OrderResult {
-        match call.connected_ms {
-            Some(_) => OrderResult::Unknown,
-            None => OrderResult::Refused(RejectReason::Unavailable, None),
-        }
-    }
-
-    fn start_run(&mut self, call: &Call, start: &Start) -> OrderResult {
-        let (now_ms, received) = (self.now_ms, self.harness.now);
-        let work_ms = self.run_times[&start.task.job];
-        let Some(life) = self.life(call) else {
-            return World::unreached(call);
-        };
-        let clock = ClockReading { clock_ms: life.clock_ms(now_ms), sent: call.sent, received };
-        if clock.clock_ms > start.until_ms {
-            return OrderResult::Refused(RejectReason::Expired, Some(clock));
-        }
-        life.extend_lease(now_ms, start.until_ms);
-        if life.over.get(&start.task).is_some_and(|over| start.run <= *over) {
-            return OrderResult::Refused(RejectReason::StaleRun, Some(clock));
-        }
-        life.runs.insert((start.task.clone(), start.run), now_ms + work_ms);
-        let earlier = self.done.iter().filter(|(task, _)| *task == start.task);
-        self.repeated.extend(earlier.cloned());
-        OrderResult::Done(clock)
-    }
-
-    fn stop_run(&mut self, call: &Call, task: &task::Id, run: RunId) -> OrderResult {
-        let (now_ms, received) = (self.now_ms, self.harness.now);
-        let Some(life) = self.life(call) else {
-            return World::unreached(call);
-        };
-        let clock = ClockReading { clock_ms: life.clock_ms(now_ms), sent: call.sent, received };
-        match life.runs.contains_key(&(task.clone(), run)) {
-            true => life.end(task.clone(), run, RunOutcome::Stopped),
-            false => {
-                let over = life.over.entry(task.clone()).or_insert(run);
-                *over = run.max(*over);
-            }
-        }
-        OrderResult::Done(clock)
-    }
-
-    fn poll(
-        &mut self,
-        call: &Call,
-        lease_until_ms: Option<u64>,
-        acknowledged: u64,
-    ) -> Option<StatusReport> {
-        let (now_ms, received, trouble) = (self.now_ms, self.harness.now, self.trouble);
-        let life = self.life(call)?;
-        // An end from before a lapse of the lease may be unknown for good. Without cuts the
-        // holder learns of each.
-        let lapsed_end = if trouble == Trouble::HandOvers { life.lapsed_end } else { 0 };
-        if let Some(until_ms) = lease_until_ms {
-            life.extend_lease(now_ms, until_ms);
-        }
-        let done = life.ended.iter().filter(|end| end.outcome == RunOutcome::Done);
-        let done = done.filter(|end| (lapsed_end + 1..=acknowledged).contains(&end.number));
-        let done: Vec<_> = done.map(|end| (end.task.clone(), end.run)).collect();
-        life.ended.retain(|end| end.number > acknowledged);
-        let running = life.runs.keys().map(|(task, run)| RunStatus {
-            task: task.clone(),
-            run: *run,
-            checkpoint: "".into(),
-            percent: 50,
-            tail_ms: None,
-        });
-        let report = StatusReport {
-            server: call.target.server.clone(),
-            incarnation_ms: Some(life.born_ms),
-            clock: ClockReading { clock_ms: life.clock_ms(now_ms), sent: call.sent, received },
-            running: running.collect(),
-            finished: life.ended.clone(),
-            is_partial: false,
-        };
-        self.acknowledged.extend(done);
-        Some(report)
-    }
-
     fn check(&self) {
         let mut running: BTreeMap<&task::Id, usize> = BTreeMap::new();
         for life in self.machines.values().filter_map(|machine| machine.life.as_ref()) {
--- /dev/null
+++ b/crates/skylarkwick-request/tests/simulation/world/trouble.rs
@@ -0,0 +1,105 @@
+//! What goes wrong, and changes of the holder.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use skylarkwick_request::shard::{Shard, Term, Timings, input::AcceptedJob};
+use skylarkwick_version::shard_lease;
+
+use super::{LEASE_MS, RELEASE_MS, SERVERS, Successor, Trouble, World};
+use crate::harness::{self, ms, queue, timings};
+
+impl World {
+    pub(super) fn make_trouble(&mut self) {
+        if !self.has_trouble() {
+            self.is_store_up = true;
+            return;
+        }
+        let period = if self.is_store_up { 600 } else { 200 };
+        if self.random.is_one_in(period) {
+            self.is_store_up = !self.is_store_up;
+        }
+        for name in SERVERS {
+            let machine = self.machines.get_mut(name).unwrap();
+            if machine.life.is_some() && self.random.is_one_in(300) {
+                machine.crash(self.now_ms + 20 + self.random.below(1200));
+            }
+        }
+        if self.trouble == Trouble::HandOvers {
+            self.cut_servers();
+            if self.random.is_one_in(400) || self.term_end_ms <= self.now_ms {
+                self.end_term();
+            }
+        }
+    }
+
+    /// Cuts servers off for longer than a lease: at times one that has just started again,
+    /// around a change of the holder.
+    pub(super) fn cut_servers(&mut self) {
+        for name in SERVERS {
+            let machine = self.machines.get_mut(name).unwrap();
+            let length_ms = 500 + self.random.below(9_500);
+            if self.random.is_one_in(800) {
+                machine.cut_ms = (self.now_ms, self.now_ms + length_ms);
+            }
+            if machine.life.is_some() && self.random.is_one_in(500) {
+                let starts_at_ms = self.now_ms + 50 + self.random.below(500);
+                machine.crash(starts_at_ms);
+                machine.silent_until_ms = starts_at_ms;
+                let cut_ms = starts_at_ms + 100 + self.random.below(1_500);
+                machine.cut_ms = (cut_ms, cut_ms + length_ms);
+                self.term_end_ms = starts_at_ms + self.random.below(800);
+            }
+        }
+    }
+
+    /// Kills the holder, or stops it as planned; does nothing without one.
+    pub(super) fn end_term(&mut self) {
+        self.term_end_ms = u64::MAX;
+        if self.successor.is_some() {
+            return;
+        }
+        let is_planned = self.random.is_one_in(2);
+        self.successor = Some(match is_planned {
+            true => Successor {
+                at_ms: self.now_ms + 20 + self.random.below(RELEASE_MS),
+                overlap: Duration::ZERO,
+                settled: self.harness.shard.settled_servers(self.harness.now),
+            },
+            false => Successor {
+                at_ms: self.now_ms + LEASE_MS + self.random.below(700),
+                overlap: shard_lease::HOLDER_OVERLAP,
+                settled: BTreeMap::new(),
+            },
+        });
+    }
+
+    /// Begins the term of the next holder if it is due: it starts from the stored jobs.
+    pub(super) fn change_holder(&mut self) {
+        let is_due = self.successor.as_ref().is_some_and(|next| next.at_ms <= self.now_ms);
+        let Some(Successor { overlap, settled, .. }) = self.successor.take_if(|_| is_due) else {
+            return;
+        };
+        self.term += 1;
+        let now = self.harness.now;
+        let lease = timings().lease_duration.mul_f64(1.03);
+        let timings = Timings { takeover_grace: overlap + lease + ms(500), ..timings() };
+        let term = Term { fencing_token: self.term, number: self.term, since: now };
+        let mut shard = Shard::new(timings, term);
+        shard.set_settled_servers(settled);
+        shard.set_queues(vec![queue(harness::QUEUE, harness::POOL)]);
+        shard.set_hosts(now, Vec::new());
+        for job in self.stored.values() {
+            let progress = job.progress.clone();
+            let accepted = job.accepted.clone();
+            let progress_revision = job.revision;
+            shard.add_job(now, AcceptedJob { progress, progress_revision, ..accepted });
+        }
+        self.harness.shard = shard;
+        self.last_renewal = now;
+    }
+
+    /// Returns whether the holder with this token is at work.
+    pub(super) fn is_at_work(&self, token: u64) -> bool {
+        self.successor.is_none() && token == self.term
+    }
+}
