--- a/crates/skylarkwick-request/src/shard/allocation.rs
+++ b/crates/skylarkwick-request/src/shard/allocation.rs
@@ -96,8 +96,7 @@
     pub(super) fn allocate_hosts(&mut self, now: Moment, occupancy: &Occupancy) {
         let mut allocations = self.allocations(now, occupancy);
         self.set_targets(&mut allocations);
-        self.keep_labelled_hosts(&mut allocations);
-        self.fetch_labelled_hosts(&mut allocations);
+        self.supply_labelled_hosts(&mut allocations);
         self.meet_demand(&mut allocations);
         if now.since(self.fleet.last_rebalance) >= REBALANCE_PERIOD {
             self.fleet.last_rebalance = now;
