Keys: queues that need an API key serve the workspace that it names

Change: the configuration's workspaces and keys (digests only); a request's route, then its key, decides; the age of what an entry host knows, on the boot clock from when its last answered poll was sent, bounds the trust in keys.

--- a/crates/skylarkwick-connection/src/control.rs
+++ b/crates/skylarkwick-connection/src/control.rs
@@ -12,7 +12,10 @@
         },
     },
 };
-use skylarkwick_version::revision::Revision;
+use skylarkwick_version::{
+    revision::Revision,
+    workspace::{Keyring, Workspaces},
+};
 
 use crate::store;
 
@@ -101,10 +104,12 @@
     pub prefix: Arc<str>,
     /// The queue.
     pub queue: Queue,
+    /// Whether requests need no API key.
+    pub is_open: bool,
 }
 
-/// The configuration that the operators have put in force: routes to queues, spare pools
-/// and the size of requests.
+/// The configuration that the operators have put in force: routes to queues, spare pools,
+/// the size of requests, and the workspaces with their API keys.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Configuration {
     /// Version of the configuration, which only grows.
@@ -115,6 +120,10 @@
     pub spare_pools: BTreeSet<Arc<str>>,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: u64,
+    /// Workspaces; empty if the site has none.
+    pub workspaces: Workspaces,
+    /// API keys of the workspaces.
+    pub keyring: Keyring,
 }
 
 impl Configuration {
@@ -137,6 +146,8 @@
     pub configuration: Option<Configuration>,
     /// Maintenance waves that were requested since.
     pub waves: Vec<MaintenanceWave>,
+    /// What operators wrote that was ignored, and why; it never contains an API key.
+    pub problems: Vec<String>,
     /// Revision from which to read the next changes.
     pub revision: Revision,
 }
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -65,6 +65,7 @@
 
 /// Row of a job: as submitted while it is active, only its end once it has finished.
 #[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(from = "EncodedJob", into = "EncodedJob")]
 pub enum JobRow {
     /// The job has not ended.
     Active {
@@ -72,6 +73,8 @@
         accepted_ms: u64,
         /// The job as submitted.
         body: JobBody,
+        /// Workspace of its caller, if the queue needs a key.
+        workspace: Option<Arc<str>>,
     },
     /// The job has ended; its body is no longer needed.
     Finished {
@@ -79,9 +82,70 @@
         state: FinalState,
         /// Time of the end on the store's clock, in milliseconds.
         ended_ms: u64,
+        /// Workspace of its caller, if the queue needs a key.
+        workspace: Option<Arc<str>>,
     },
 }
 
+impl JobRow {
+    /// Returns the workspace of the job's caller, if the queue needs a key.
+    pub fn workspace(&self) -> Option<&Arc<str>> {
+        match self {
+            JobRow::Active { workspace, .. } | JobRow::Finished { workspace, .. } => {
+                workspace.as_ref()
+            }
+        }
+    }
+}
+
+/// Encoded form of a [`JobRow`]. The rows of jobs without a workspace are those of earlier
+/// releases.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum EncodedJob {
+    Active { accepted_ms: u64, body: JobBody },
+    Finished { state: FinalState, ended_ms: u64 },
+    ActiveOf { workspace: String, accepted_ms: u64, body: JobBody },
+    FinishedOf { workspace: String, state: FinalState, ended_ms: u64 },
+}
+
+impl From<EncodedJob> for JobRow {
+    fn from(row: EncodedJob) -> JobRow {
+        match row {
+            EncodedJob::Active { accepted_ms, body } => {
+                JobRow::Active { accepted_ms, body, workspace: None }
+            }
+            EncodedJob::Finished { state, ended_ms } => {
+                JobRow::Finished { state, ended_ms, workspace: None }
+            }
+            EncodedJob::ActiveOf { workspace, accepted_ms, body } => {
+                JobRow::Active { accepted_ms, body, workspace: Some(Arc::from(workspace)) }
+            }
+            EncodedJob::FinishedOf { workspace, state, ended_ms } => {
+                JobRow::Finished { state, ended_ms, workspace: Some(Arc::from(workspace)) }
+            }
+        }
+    }
+}
+
+impl From<JobRow> for EncodedJob {
+    fn from(row: JobRow) -> EncodedJob {
+        match row {
+            JobRow::Active { accepted_ms, body, workspace: None } => {
+                EncodedJob::Active { accepted_ms, body }
+            }
+            JobRow::Finished { state, ended_ms, workspace: None } => {
+                EncodedJob::Finished { state, ended_ms }
+            }
+            JobRow::Active { accepted_ms, body, workspace: Some(workspace) } => {
+                EncodedJob::ActiveOf { workspace: workspace.to_string(), accepted_ms, body }
+            }
+            JobRow::Finished { state, ended_ms, workspace: Some(workspace) } => {
+                EncodedJob::FinishedOf { workspace: workspace.to_string(), state, ended_ms }
+            }
+        }
+    }
+}
+
 /// How a job ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FinalState {
--- a/crates/skylarkwick-connection/tests/damaged_rows.rs
+++ b/crates/skylarkwick-connection/tests/damaged_rows.rs
@@ -91,6 +91,7 @@
     let accepted = AcceptedJob {
         id: Id::new("job"),
         queue: Arc::from("queue"),
+        workspace: None,
         job: Arc::new(job),
         revision: Revision(1),
         age: Duration::ZERO,
@@ -104,7 +105,11 @@
 
 #[test]
 fn damaged_jobs_skipped() {
-    let bytes = row::encode(&JobRow::Active { accepted_ms: 1, body: JobBody::from(&job()) });
+    let bytes = row::encode(&JobRow::Active {
+        accepted_ms: 1,
+        body: JobBody::from(&job()),
+        workspace: None,
+    });
     let mut random = Random(1);
     let mut valid = 0;
     for _ in 0..ROUNDS {
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -4,6 +4,7 @@
 //! of their own, so any of them can serve a request for any job. See
 //! `docs/DESIGN.md`, section "Jobs".
 
+pub mod access;
 mod backlog;
 mod configuration;
 
@@ -16,7 +17,7 @@
 };
 
 use skylarkwick_connection::{
-    control::{Configuration, Registry, Route},
+    control::{Configuration, Registry},
     store::{
         self, Commit, Key, Row, Store, Transaction,
         keyspace::Keyspace,
@@ -31,7 +32,10 @@
 use skylarkwick_version::{moment::Moment, revision::Revision, sharding::Sharding};
 use slog::{Logger, info, warn};
 
-use self::backlog::Backlog;
+use self::{
+    access::{Access, Denial, View},
+    backlog::Backlog,
+};
 
 /// `Retry-After` of requests that the job API could not carry out.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -46,7 +50,7 @@
 /// result is unknown.
 const MAX_CANCEL_ATTEMPTS: u32 = 4;
 
-/// Result of submitting a job: accepted, in doubt or not valid.
+/// Result of submitting a job: accepted, in doubt, not valid or taken.
 ///
 /// There is no refusal for a store that gives no access: the caller may have submitted the
 /// job through another entry host before, which stored it without its answer arriving.
@@ -58,6 +62,8 @@
     InDoubt,
     /// The job is not valid.
     Invalid(job::Error),
+    /// Another workspace has a job with this identifier.
+    Taken,
 }
 
 /// Result of cancelling a job: done, unknown job or in doubt.
@@ -72,22 +78,42 @@
     InDoubt,
 }
 
-/// Why no queue was found for a request by its host and path: no configuration is known yet,
-/// or it has no matching queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RouteError {
-    /// No configuration has been received yet.
-    NoConfiguration,
-    /// No queue in the configuration matches the request.
-    NoQueue,
+/// A job as a request names it: its queue, its identifier, and the workspace of the caller if
+/// the queue needs a key.
+#[derive(Clone, Copy, Debug)]
+pub struct Reference<'a> {
+    /// Queue of the job.
+    pub queue: &'a str,
+    /// Identifier of the job.
+    pub id: &'a Id,
+    /// Workspace of the caller.
+    pub workspace: Option<&'a Arc<str>>,
+}
+
+impl<'a> Reference<'a> {
+    /// Names a job of a queue that needs no key.
+    pub const fn new(queue: &'a str, id: &'a Id) -> Reference<'a> {
+        Reference { queue, id, workspace: None }
+    }
+
+    /// Returns whether the caller may know of a job with this row. A job of another workspace
+    /// doesn't exist for it; one without a workspace was submitted while the queue was open.
+    fn may_see(&self, row: &JobRow) -> bool {
+        match (self.workspace, row.workspace()) {
+            (Some(caller), Some(owner)) => caller == owner,
+            _ => true,
+        }
+    }
 }
 
 /// State shared by the API and the thread that follows the configuration: the last
-/// configuration received, the division of the site into shards once it is known, when the
-/// store last responded, and whether the process stops.
+/// configuration received, when the last answered poll for a later one was sent, the division
+/// of the site into shards once it is known, when the store last responded, and whether the
+/// process stops.
 #[derive(Debug, Default)]
 struct SharedState {
     configuration: Mutex<Option<Arc<Configuration>>>,
+    last_poll_sent: Mutex<Option<Moment>>,
     sharding: OnceLock<Sharding>,
     last_store_response: Mutex<Option<Moment>>,
     is_stopping: AtomicBool,
@@ -100,6 +126,8 @@
     store: S,
     shared: Arc<SharedState>,
     backlog: Arc<Backlog>,
+    /// Age of the configuration above which API keys are not trusted.
+    max_configuration_age: Option<Duration>,
     log: Logger,
 }
 
@@ -128,17 +156,37 @@
                 &stop,
             );
         })?;
-        Ok(Api { store, shared, backlog: Arc::default(), log: log.clone() })
+        let backlog = Arc::default();
+        Ok(Api { store, shared, backlog, max_configuration_age: None, log: log.clone() })
+    }
+
+    /// Returns the API with an age of the configuration above which API keys are not trusted,
+    /// because one may have been withdrawn since.
+    #[must_use]
+    pub fn with_max_configuration_age(self, max_age: Option<Duration>) -> Api<S> {
+        Api { max_configuration_age: max_age, ..self }
     }
 
-    /// Returns the route, and so the queue, for the host and path of a request.
+    /// Returns the route, and so the queue, for the host and path of a request, and the
+    /// workspace to which its `Authorization` header belongs.
     ///
     /// # Errors
     ///
-    /// Returns an error if no queue matches or no configuration is known yet.
-    pub fn route(&self, host: &str, path: &str) -> Result<Route, RouteError> {
-        let configuration = self.configuration().ok_or(RouteError::NoConfiguration)?;
-        configuration.route(host, path).cloned().ok_or(RouteError::NoQueue)
+    /// Returns why the request may not use a queue.
+    pub fn access(
+        &self,
+        host: &str,
+        path: &str,
+        authorization: Option<&str>,
+    ) -> Result<Access, Denial> {
+        let configuration = self.configuration();
+        let sent = *self.shared.last_poll_sent.lock().unwrap_or_else(PoisonError::into_inner);
+        let view = View {
+            configuration: configuration.as_deref(),
+            age: sent.map_or(Duration::MAX, |sent| Boot.now().since(sent)),
+            max_age: self.max_configuration_age,
+        };
+        view.access(host, path, authorization)
     }
 
     /// Returns the largest accepted request body, in bytes; 0 without a configuration.
@@ -178,7 +226,8 @@
     ///
     /// While the store does not respond, the answer is given without a write, so
     /// that the caller can try another entry host at once.
-    pub fn submit(&self, queue: &str, id: &Id, job: &Job, deadline: Duration) -> SubmitOutcome {
+    pub fn submit(&self, reference: Reference<'_>, job: &Job, deadline: Duration) -> SubmitOutcome {
+        let Reference { queue, id, workspace } = reference;
         if let Err(error) = job.validate_submission() {
             return SubmitOutcome::Invalid(error);
         }
@@ -188,12 +237,14 @@
             return SubmitOutcome::InDoubt;
         };
         let body = JobBody::from(job);
-        let row = JobRow::Active { accepted_ms: self.store.clock_ms(), body };
+        let accepted_ms = self.store.clock_ms();
+        let row = JobRow::Active { accepted_ms, body, workspace: workspace.cloned() };
         let key = Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str());
         let change = Transaction::default().replace(key, Revision::ABSENT, row::encode(&row));
-        let outcome = self.store_job(&change, deadline.saturating_sub(RESPONSE_MARGIN));
+        let outcome = self.store_job(reference, &change, deadline.saturating_sub(RESPONSE_MARGIN));
         info!(self.log, "submitted"; "job" => id.as_str(), "queue" => queue,
-            "outcome" => ?outcome, "steps" => job.steps.len());
+            "workspace" => workspace.map(|name| &**name), "outcome" => ?outcome,
+            "steps" => job.steps.len());
         outcome
     }
 
@@ -205,12 +256,20 @@
     /// cancelled it meanwhile. A write that the
     /// store refuses first ends the attempts, so that the caller can try another
     /// entry host; after one whose result is unknown they go on.
-    fn store_job(&self, change: &Transaction, timeout: Duration) -> SubmitOutcome {
+    fn store_job(
+        &self,
+        reference: Reference<'_>,
+        change: &Transaction,
+        timeout: Duration,
+    ) -> SubmitOutcome {
         let start = Boot.now();
         let mut may_be_written = false;
         loop {
             match self.store.commit(change) {
                 Ok(Commit::Applied(_)) => return SubmitOutcome::Accepted,
+                Ok(Commit::Conflict(rows)) if is_taken(reference, &rows) => {
+                    return SubmitOutcome::Taken;
+                }
                 Ok(Commit::Conflict(rows)) if self.admit_withdrawn(&rows) => {
                     return SubmitOutcome::Accepted;
                 }
@@ -242,27 +301,28 @@
     /// as it is.
     fn admit_withdrawn(&self, rows: &[Row]) -> bool {
         let withdrawn = rows.iter().find_map(|row| match row::decode(row.value.as_deref()?) {
-            Ok(JobRow::Finished { state: FinalState::Withdrawn, ended_ms }) => {
-                Some((row, ended_ms))
+            Ok(JobRow::Finished { state: FinalState::Withdrawn, ended_ms, workspace }) => {
+                Some((row, ended_ms, workspace))
             }
             _ => None,
         });
-        let Some((row, ended_ms)) = withdrawn else {
+        let Some((row, ended_ms, workspace)) = withdrawn else {
             return true;
         };
-        let cancelled = JobRow::Finished { state: FinalState::Cancelled, ended_ms };
+        let cancelled = JobRow::Finished { state: FinalState::Cancelled, ended_ms, workspace };
         let key = row.key.clone();
         let change = Transaction::default().replace(key, row.revision, row::encode(&cancelled));
         matches!(store::commit_with_retry(&self.store, &change), store::Outcome::Applied(_))
     }
 
-    /// Returns the state of a job, or `None` if the job does not exist. An active job is
-    /// queued until its first task starts, then running.
+    /// Returns the state of a job, or `None` if the job does not exist or belongs to another
+    /// workspace. An active job is queued until its first task starts, then running.
     ///
     /// # Errors
     ///
     /// Returns an error if the store does not respond or the row cannot be decoded.
-    pub fn job_state(&self, queue: &str, id: &Id) -> Result<Option<State>, store::Error> {
+    pub fn job_state(&self, reference: Reference<'_>) -> Result<Option<State>, store::Error> {
+        let Reference { queue, id, .. } = reference;
         let (row, _) = self
             .job_key(queue, id)
             .and_then(|key| store::read_one(&self.store, &key))
@@ -274,6 +334,7 @@
             return Ok(None);
         };
         match row::decode(&value) {
+            Ok(row) if !reference.may_see(&row) => Ok(None),
             Ok(JobRow::Finished { state: FinalState::Withdrawn, .. }) => Ok(None),
             Ok(JobRow::Finished { state, .. }) => Ok(Some(state.into())),
             Ok(JobRow::Active { accepted_ms, .. }) => {
@@ -295,10 +356,11 @@
     ///
     /// A job that is not stored is written as withdrawn: its submission may have had no
     /// answer, and would otherwise still be stored later and run.
-    pub fn cancel(&self, queue: &str, id: &Id) -> CancelOutcome {
+    pub fn cancel(&self, reference: Reference<'_>) -> CancelOutcome {
+        let Reference { queue, id, .. } = reference;
         let mut outcome = CancelOutcome::InDoubt;
         for _ in 0..MAX_CANCEL_ATTEMPTS {
-            outcome = self.try_cancel(queue, id);
+            outcome = self.try_cancel(reference);
             if outcome != CancelOutcome::InDoubt {
                 break;
             }
@@ -311,7 +373,8 @@
     /// Makes one attempt to cancel a job. Returns `InDoubt` if the row could not be read, has
     /// changed since it was read, or may not have been written. An active row is overwritten
     /// even if it cannot be decoded.
-    fn try_cancel(&self, queue: &str, id: &Id) -> CancelOutcome {
+    fn try_cancel(&self, reference: Reference<'_>) -> CancelOutcome {
+        let Reference { queue, id, workspace } = reference;
         let Ok(key) = self.job_key(queue, id) else {
             return CancelOutcome::InDoubt;
         };
@@ -320,13 +383,15 @@
         };
         let (state, outcome) = match row.value.as_deref().map(row::decode::<JobRow>) {
             None => (FinalState::Withdrawn, CancelOutcome::Unknown),
+            Some(Ok(row)) if !reference.may_see(&row) => return CancelOutcome::Unknown,
             Some(Ok(JobRow::Finished { state: FinalState::Withdrawn, .. })) => {
                 return CancelOutcome::Unknown;
             }
             Some(Ok(JobRow::Finished { .. })) => return CancelOutcome::Done,
             Some(_) => (FinalState::Cancelled, CancelOutcome::Done),
         };
-        let finished = JobRow::Finished { state, ended_ms: now_ms };
+        let workspace = workspace.cloned();
+        let finished = JobRow::Finished { state, ended_ms: now_ms, workspace };
         let change = Transaction::default().replace(key, row.revision, row::encode(&finished));
         match store::commit_with_retry(&self.store, &change) {
             store::Outcome::Applied(_) => outcome,
@@ -364,6 +429,12 @@
     }
 }
 
+/// Returns whether the row that a submission met is a job of another workspace.
+fn is_taken(reference: Reference<'_>, rows: &[Row]) -> bool {
+    let decoded = rows.iter().filter_map(|row| row::decode::<JobRow>(row.value.as_deref()?).ok());
+    decoded.into_iter().any(|row| !reference.may_see(&row))
+}
+
 /// Returns the error of a request that needs the division of the site into shards before it
 /// is known.
 fn unknown_sharding() -> store::Error {
--- a/crates/skylarkwick-entry/src/jobs/configuration.rs
+++ b/crates/skylarkwick-entry/src/jobs/configuration.rs
@@ -41,9 +41,13 @@
             Some(_) => POLL_WAIT,
             None => STARTUP_POLL_WAIT,
         };
+        let sent = Boot.now();
         match registry.operator_changes(revision, wait) {
             Ok(changes) => {
                 revision = Some(changes.revision);
+                for problem in &changes.problems {
+                    warn!(log, "operator change ignored"; "because" => problem);
+                }
                 *shared.last_store_response.lock().unwrap_or_else(PoisonError::into_inner) =
                     Some(Boot.now());
                 if std::mem::take(&mut is_store_lost) {
@@ -52,6 +56,8 @@
                 if let Some(configuration) = changes.configuration {
                     apply_newer(shared, configuration, log);
                 }
+                // Only once what the poll brought is in force is the view as new as the poll.
+                *shared.last_poll_sent.lock().unwrap_or_else(PoisonError::into_inner) = Some(sent);
                 if shared.sharding.get().is_none() {
                     learn_sharding(store, shared, log);
                 }
@@ -86,7 +92,8 @@
     let known = current.as_ref().map_or(0, |known| known.version);
     if configuration.version > known {
         info!(log, "configuration applied"; "version" => configuration.version, "before" => known,
-            "queues" => configuration.routes.len());
+            "queues" => configuration.routes.len(),
+            "workspaces" => configuration.workspaces.len());
         *current = Some(Arc::new(configuration));
     }
 }
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -185,9 +185,9 @@
     let Some(value) = row.value.as_deref() else {
         return Some(StoredJob::Finished(id));
     };
-    let (accepted_ms, body) = match row::decode::<JobRow>(value) {
+    let (accepted_ms, body, workspace) = match row::decode::<JobRow>(value) {
         Ok(JobRow::Finished { .. }) => return Some(StoredJob::Finished(id)),
-        Ok(JobRow::Active { accepted_ms, body }) => (accepted_ms, body),
+        Ok(JobRow::Active { accepted_ms, body, workspace }) => (accepted_ms, body, workspace),
         Err(error) => {
             warn!(log, "job row not decoded"; "job" => &*row.key.name, "error" => %error);
             return None;
@@ -201,6 +201,7 @@
     Some(StoredJob::Active(Box::new(AcceptedJob {
         id,
         queue,
+        workspace,
         job: Arc::new(job),
         revision: row.revision,
         age: Duration::from_millis(now_ms.saturating_sub(accepted_ms)),
--- a/crates/skylarkwick-planner/src/jobs/writer.rs
+++ b/crates/skylarkwick-planner/src/jobs/writer.rs
@@ -239,7 +239,8 @@
                 .replace(progress, update.progress_revision, row::encode_progress(known)),
             Change::Finished(state) => {
                 let (state, ended_ms) = (final_state(*state), self.store.clock_ms());
-                let row = row::encode(&JobRow::Finished { state, ended_ms });
+                let workspace = update.workspace.clone();
+                let row = row::encode(&JobRow::Finished { state, ended_ms, workspace });
                 let transaction = Transaction::default().replace(job, update.revision, row);
                 match update.progress_revision.0 {
                     0 => transaction,
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -31,6 +31,7 @@
 pub(super) struct ActiveJob {
     pub(super) id: Id,
     pub(super) queue: Arc<str>,
+    pub(super) workspace: Option<Arc<str>>,
     pub(super) job: Arc<Job>,
     pub(super) revision: Revision,
     pub(super) progress_revision: Revision,
@@ -62,6 +63,7 @@
         let mut active = ActiveJob {
             id: accepted.id,
             queue: accepted.queue,
+            workspace: accepted.workspace,
             job: accepted.job,
             revision: accepted.revision,
             progress_revision: accepted.progress_revision,
--- a/crates/skylarkwick-request/src/shard/effect.rs
+++ b/crates/skylarkwick-request/src/shard/effect.rs
@@ -151,6 +151,8 @@
     pub id: job::Id,
     /// Queue of the job.
     pub queue: Arc<str>,
+    /// Workspace of its caller, if the queue needs a key.
+    pub workspace: Option<Arc<str>>,
     /// Expected revision of the job's row.
     pub revision: Revision,
     /// Expected revision of the row with the job's progress.
--- a/crates/skylarkwick-request/src/shard/input.rs
+++ b/crates/skylarkwick-request/src/shard/input.rs
@@ -58,6 +58,8 @@
     pub id: job::Id,
     /// Queue to which it was submitted.
     pub queue: Arc<str>,
+    /// Workspace of its caller, if the queue needs a key.
+    pub workspace: Option<Arc<str>>,
     /// What was submitted.
     pub job: Arc<job::Job>,
     /// Revision of the job's row.
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -254,6 +254,7 @@
         Some(JobUpdate {
             id: id.clone(),
             queue: active.queue.clone(),
+            workspace: active.workspace.clone(),
             revision: active.revision,
             progress_revision: active.progress_revision,
             change,
--- a/crates/skylarkwick-request/tests/harness/mod.rs
+++ b/crates/skylarkwick-request/tests/harness/mod.rs
@@ -151,6 +151,7 @@
         AcceptedJob {
             id: Id::new(id),
             queue: Arc::from(QUEUE),
+            workspace: None,
             job: Arc::new(Job { spec: Arc::from("spec"), steps, schedule: None }),
             revision: Revision(7),
             age: Duration::ZERO,
--- a/crates/skylarkwick-version/src/lib.rs
+++ b/crates/skylarkwick-version/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod sharding;
 pub mod source;
 pub mod wave;
+pub mod workspace;
