Listener: connections and bodies stay within the machine, and the head decides before the body is read

Cause: the listener read whole bodies of up to 4 MiB before it looked at the path, kept every connection, and waited without end; submissions were decoded with all their unknown fields. Change: listen::gate decides who is admitted, who makes room and who had no progress for too long, in bytes and connections that follow from the machine's memory and descriptors; a handler's admit step answers by route, key and method before the body; lists in submissions are bounded. docs/design/clients.md.

--- a/crates/skylarkwick-connection/src/listen/connection.rs
+++ b/crates/skylarkwick-connection/src/listen/connection.rs
@@ -1,16 +1,8 @@
 //! A connection of a listener, from its acceptance to its end.
 
-use std::{
-    convert::Infallible,
-    pin::pin,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{convert::Infallible, pin::pin, sync::Arc, time::Duration};
 
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{
     body::{Bytes, Incoming},
     server::conn::http1,
@@ -19,68 +11,99 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, sync::watch, task, time::timeout};
 
-use super::{Request, Response};
+use super::{
+    Handler, Head, Request, Response, body,
+    gate::Phase,
+    handler::Admission,
+    limits::MAX_HEAD_BYTES,
+    slot::{Slot, Stream},
+};
 
-/// Largest body that is read, in bytes; a longer one gets status 413. Handlers have lower
-/// limits of their own.
-const MAX_BODY_BYTES: usize = 4 << 20;
 /// Time that a caller has to complete a request, or to take a response, after the stop
 /// signal.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
+/// `Retry-After` of a request that the process has no memory for, in seconds.
+const BUSY_RETRY_AFTER: &str = "1";
 
-/// Serves a connection until its caller ends it or the listener stops.
+/// Serves a connection until its caller ends it, its slot is taken from it or the listener
+/// stops.
 ///
 /// When the listener stops, an idle connection is closed without reading from it. Another
 /// one gets the response to its request, which tells the caller that the connection ends,
 /// and is then closed; it is given up if the request is not complete in time.
-pub(super) async fn serve<F>(
+pub(super) async fn serve<H: Handler>(
     stream: TcpStream,
-    handler: Arc<F>,
+    slot: Slot,
+    handler: Arc<H>,
     mut is_stopping: watch::Receiver<bool>,
-) where
-    F: Fn(&Request) -> Response + Send + Sync + 'static,
-{
-    let is_handling = AtomicBool::new(false);
-    let service = service_fn(|request| answer(request, Arc::clone(&handler), &is_handling));
+) {
+    let slot = Arc::new(slot);
+    let service = service_fn(|request| answer(request, Arc::clone(&handler), Arc::clone(&slot)));
     let connection = http1::Builder::new()
         .half_close(true)
         .title_case_headers(true)
-        .serve_connection(TokioIo::new(stream), service);
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(Stream::new(stream, Arc::clone(&slot))), service);
     let mut connection = pin!(connection);
     // A connection that fails has lost its caller.
     tokio::select! {
         biased;
         _ = connection.as_mut() => return,
+        _ = slot.ended() => return,
         _ = is_stopping.changed() => connection.as_mut().graceful_shutdown(),
     }
     while timeout(TRANSFER_TIMEOUT, connection.as_mut()).await.is_err() {
-        if !is_handling.load(Ordering::Relaxed) {
+        if !slot.is_handling() {
             return;
         }
     }
 }
 
-/// Reads the rest of a request and answers it on a thread that may block, with status 500
-/// if the handler panics.
-async fn answer<F>(
+/// Answers a request by its head alone, or reads the rest of it and has it handled.
+async fn answer<H: Handler>(
     request: hyper::Request<Incoming>,
-    handler: Arc<F>,
-    is_handling: &AtomicBool,
-) -> Result<hyper::Response<Full<Bytes>>, Infallible>
-where
-    F: Fn(&Request) -> Response + Send + Sync + 'static,
-{
+    handler: Arc<H>,
+    slot: Arc<Slot>,
+) -> Result<hyper::Response<Full<Bytes>>, Infallible> {
     let (head, body) = request.into_parts();
-    let response = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => {
-            let request = Request::new(head, body.to_bytes());
-            is_handling.store(true, Ordering::Relaxed);
-            let handled = task::spawn_blocking(move || handler(&request)).await;
-            is_handling.store(false, Ordering::Relaxed);
-            handled.unwrap_or_else(|_panic| Response::empty(500))
+    let head = Head::new(head);
+    let may_go_on = slot.begin_request();
+    let response = match handler.admit(&head) {
+        Admission::Answer(response) => response,
+        Admission::Read { ticket, max_body_bytes, busy_status } => {
+            match body::read(body, max_body_bytes, &slot).await {
+                Ok(body) => handle(Request::new(head, body), ticket, handler, &slot).await,
+                Err(error) => refuse(error, busy_status),
+            }
         }
-        Err(error) if error.is::<LengthLimitError>() => Response::empty(413),
-        Err(_invalid_or_cut) => Response::empty(400),
     };
-    Ok(response.into())
+    slot.release();
+    slot.enter(Phase::Response);
+    Ok(match may_go_on {
+        true => response.into(),
+        false => response.with_unique_header("Connection", "close").into(),
+    })
+}
+
+/// Answers a request on a thread that may block, with status 500 if the handler panics.
+async fn handle<H: Handler>(
+    request: Request,
+    ticket: H::Ticket,
+    handler: Arc<H>,
+    slot: &Slot,
+) -> Response {
+    slot.enter(Phase::Handling);
+    let handled = task::spawn_blocking(move || handler.handle(&request, ticket)).await;
+    handled.unwrap_or_else(|_panic| Response::empty(500))
+}
+
+/// Returns the response to a request whose body was not read.
+fn refuse(error: body::Error, busy_status: u16) -> Response {
+    match error {
+        body::Error::TooLarge => Response::empty(413),
+        body::Error::NoMemory => {
+            Response::empty(busy_status).with_unique_header("Retry-After", BUSY_RETRY_AFTER)
+        }
+        body::Error::Invalid => Response::empty(400),
+    }
 }
--- a/crates/skylarkwick-connection/src/listen/request.rs
+++ b/crates/skylarkwick-connection/src/listen/request.rs
@@ -1,35 +1,34 @@
 //! A request that a listener has read.
 
-use std::borrow::Cow;
+use std::{borrow::Cow, ops::Deref};
 
-use hyper::{body::Bytes, http::request::Parts};
+use hyper::http::request::Parts;
 
-/// A complete request: its head and its body.
+/// The head of a request: its method, path and headers.
 #[derive(Debug)]
-pub struct Request {
-    head: Parts,
-    body: Bytes,
+pub struct Head {
+    parts: Parts,
 }
 
-impl Request {
-    /// Creates a request from its head and its body.
-    pub(super) const fn new(head: Parts, body: Bytes) -> Request {
-        Request { head, body }
+impl Head {
+    /// Creates a head from that of the library.
+    pub(super) const fn new(parts: Parts) -> Head {
+        Head { parts }
     }
 
     /// Returns the method, such as `GET`.
     pub fn method(&self) -> &str {
-        self.head.method.as_str()
+        self.parts.method.as_str()
     }
 
     /// Returns the path without the query, with percent-encoded characters decoded.
     pub fn path(&self) -> Cow<'_, str> {
-        percent_encoding::percent_decode_str(self.head.uri.path()).decode_utf8_lossy()
+        percent_encoding::percent_decode_str(self.parts.uri.path()).decode_utf8_lossy()
     }
 
     /// Returns the first value of a query parameter, decoded.
     pub fn parameter(&self, name: &str) -> Option<String> {
-        let query = self.head.uri.query().unwrap_or_default();
+        let query = self.parts.uri.query().unwrap_or_default();
         form_urlencoded::parse(query.as_bytes())
             .find(|(key, _)| key == name)
             .map(|(_, value)| value.into_owned())
@@ -38,7 +37,21 @@
     /// Returns the first value of a header, whose name may have any case; `None` if it is
     /// missing or not visible ASCII.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.head.headers.get(name)?.to_str().ok()
+        self.parts.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// A complete request: its head and its body.
+#[derive(Debug)]
+pub struct Request {
+    head: Head,
+    body: Vec<u8>,
+}
+
+impl Request {
+    /// Creates a request from its head and its body.
+    pub(super) const fn new(head: Head, body: Vec<u8>) -> Request {
+        Request { head, body }
     }
 
     /// Returns the body, empty if there is none.
@@ -46,3 +59,12 @@
         &self.body
     }
 }
+
+impl Deref for Request {
+    type Target = Head;
+
+    /// Returns the head.
+    fn deref(&self) -> &Head {
+        &self.head
+    }
+}
--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -18,7 +18,7 @@
 /// Maximum number of members of a gang in a submitted job.
 const MAX_GANG_TASKS: u32 = 1_000;
 /// Maximum number of steps of one job.
-const MAX_STEPS: usize = 1_000;
+pub const MAX_STEPS: usize = 1_000;
 /// Maximum number of occurrences of one job, which are the repetitions of its schedule.
 pub const MAX_OCCURRENCES: u32 = 100_000;
 
