Quotas and shares of workspaces

Change: holders count what may be running for each workspace and start within their limit; on divided sites a duty agrees on parts of each quota through one row a workspace (version::allotment). Jobs beyond a workspace's weight come last and leave a quarter of the servers free; of equally timely steps, those of workspaces that have reached their dominant share come last. docs/design/quotas.md, shares.md.

--- a/crates/skylarkwick-connection/src/store/keyspace.rs
+++ b/crates/skylarkwick-connection/src/store/keyspace.rs
@@ -36,6 +36,9 @@
 /// Table of the sizes of pools before any host was moved between them
 /// ([`row::PoolSizesRow`]); the key is the shard.
 pub const POOL_SIZES: &str = "home";
+/// Table of the parts of the workspaces' quotas that the shards may use
+/// ([`row::AllotmentRow`]); the key is the workspace.
+pub const ALLOTMENTS: &str = "allotment";
 /// Table of the last order for each host ([`row::HostOrderRow`]); the key is the host.
 pub const HOST_ORDERS: &str = "order";
 
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -5,6 +5,7 @@
 //! variants must keep their order, their names are not stored. See
 //! `docs/DESIGN.md`, section "Rows".
 
+mod allotment;
 mod progress;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -15,7 +16,10 @@
     lease::Incarnation, moment::millis, resources::Resources, shard_lease::Record,
 };
 
-pub use self::progress::{ProgressRow, encode_progress};
+pub use self::{
+    allotment::AllotmentRow,
+    progress::{ProgressRow, encode_progress},
+};
 
 /// Version of the encoding, which is the first byte of each row.
 const ENCODING_VERSION: u8 = 1;
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -7,6 +7,7 @@
 //! `docs/DESIGN.md`, section "Shards".
 
 mod activity;
+mod allotments;
 mod candidate;
 mod dispatch;
 mod division;
--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -1,5 +1,7 @@
 //! Events that the other duties send to the holder's duty.
 
+use std::{collections::BTreeMap, sync::Arc};
+
 use skylarkwick_connection::control::{Configuration, PollError};
 use skylarkwick_process::ring;
 use skylarkwick_request::{
@@ -12,7 +14,7 @@
         },
     },
 };
-use skylarkwick_version::{moment::Moment, revision::Revision};
+use skylarkwick_version::{moment::Moment, resources::Resources, revision::Revision};
 
 use super::lease::Renewal;
 
@@ -22,6 +24,13 @@
 pub(super) enum Event {
     /// The platform returned the configuration in force.
     ConfigurationChanged(Box<Configuration>),
+    /// What each workspace may have running in this shard of a divided site.
+    QuotaLimits {
+        /// Number of this change of the limits, which the holder reports back.
+        version: u64,
+        /// Limits by workspace.
+        limits: BTreeMap<Arc<str>, Resources>,
+    },
     /// An operator requested a maintenance wave.
     WaveRequested(MaintenanceWave),
     /// The store has a job that is not finished; it may be one that the shard knows.
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -20,12 +20,16 @@
     ring,
 };
 use skylarkwick_request::shard::{Shard, Term, input::ServerId};
-use skylarkwick_version::moment::{Moment, millis};
+use skylarkwick_version::{
+    moment::{Moment, millis},
+    revision::Revision,
+};
 use slog::{Logger, error, info, warn};
 
 use super::{
     Clients, Config,
     activity::Activity,
+    allotments,
     dispatch::{self, DispatchHandle},
     event::Event,
     host_orders,
@@ -54,6 +58,8 @@
 /// Minimum time between two writes of the backlog, the waiting jobs of each queue; entry
 /// hosts take jobs accepted since the last write as waiting too.
 const BACKLOG_PERIOD: Duration = Duration::from_millis(700);
+/// Time between two reports of what the workspaces need.
+const QUOTA_REPORT_PERIOD: Duration = Duration::from_millis(150);
 /// Time for which the rows of finished jobs are kept after the result retention, the time
 /// for which callers can read a result, has ended.
 const RETENTION_MARGIN: Duration = Duration::from_secs(60);
@@ -128,6 +134,8 @@
     dispatch: DispatchHandle,
     saver: ring::Sender<SaveRequest>,
     saver_duty: Duty,
+    /// Ring to the duty that agrees on quotas with other shards, if there are any.
+    allotments: Option<ring::Sender<allotments::Report>>,
     host_orders: ring::Sender<host_orders::Order>,
     log: Logger,
     /// When the last confirmed renewal was sent; at first, when the lease was acquired.
@@ -139,6 +147,10 @@
     wall_clock: WallClock,
     /// When the backlog is next written.
     backlog_due: Moment,
+    /// When the needs of the workspaces are next reported.
+    quota_report_due: Moment,
+    /// Number of the change of the limits that is in force.
+    quota_limits_version: u64,
     /// What it does, for the log.
     activity: Activity,
     /// Events that result from executing effects.
@@ -205,6 +217,18 @@
             duty_log,
             duty_stop,
         )?;
+        let allotments = match keyspace.sharding().count() {
+            1 => None,
+            count => {
+                shard.set_shard_count(count);
+                shard.set_quota_limits(BTreeMap::new());
+                let (duty_events, duty_log, duty_stop) = duty_context();
+                let (store, fence) = (store.clone(), Revision(fencing_token));
+                let duty =
+                    allotments::start(store, keyspace, fence, duty_events, duty_log, duty_stop);
+                Some(duty?)
+            }
+        };
         let (_, duty_log, duty_stop) = duty_context();
         sweep::start(
             store.clone(),
@@ -225,6 +249,7 @@
             pollers: Pollers::new(orders, events.clone(), log.clone()),
             saver,
             saver_duty,
+            allotments,
             host_orders,
             log: log.clone(),
             last_confirmed_renewal: since,
@@ -232,6 +257,8 @@
             configuration_version: None,
             wall_clock: WallClock::new(Boot.now()),
             backlog_due: Moment::ZERO,
+            quota_report_due: Moment::ZERO,
+            quota_limits_version: 0,
             activity: Activity::default(),
             follow_ups: VecDeque::new(),
             batch_window: MIN_BATCH_WINDOW,
@@ -296,9 +323,15 @@
             {
                 self.configuration_version = Some(next.version);
                 self.shard.set_spare_pools(next.spare_pools);
+                self.shard.set_workspaces(next.workspaces);
                 self.shard.set_queues(next.routes.into_iter().map(|route| route.queue).collect());
             }
             Event::ConfigurationChanged(_) => {}
+            Event::QuotaLimits { version, limits } => {
+                self.shard.set_quota_limits(limits);
+                self.quota_limits_version = version;
+                self.quota_report_due = Moment::ZERO;
+            }
             Event::WaveRequested(wave) => self.shard.add_wave(now, wave),
             Event::JobAdded(accepted) => self.shard.add_job(now, *accepted),
             Event::JobRemoved(id) => self.shard.remove_job(now, &id),
@@ -368,9 +401,30 @@
             self.execute(effect);
         }
         self.publish_backlog(now);
+        self.report_needs(now);
         self.activity.log_if_due(now, &self.shard, &self.log);
     }
 
+    /// Reports what the workspaces need to the duty that agrees on quotas with other shards,
+    /// every [`QUOTA_REPORT_PERIOD`] and after each change of the limits. If its ring is full, it
+    /// has not taken earlier reports yet; the next one replaces this one.
+    fn report_needs(&mut self, now: Moment) {
+        let Some(allotments) = self.allotments.as_ref().filter(|_| now >= self.quota_report_due)
+        else {
+            return;
+        };
+        self.quota_report_due = now + QUOTA_REPORT_PERIOD;
+        if self.shard.quota_needs().is_empty() {
+            return;
+        }
+        let report = allotments::Report {
+            limits_version: self.quota_limits_version,
+            workspaces: self.shard.workspaces().clone(),
+            needs: self.shard.quota_needs().clone(),
+        };
+        let _ = allotments.try_send(report);
+    }
+
     /// Requests a write of the identifiers of each queue's jobs of which no task has started,
     /// for the entry hosts to read, if [`BACKLOG_PERIOD`] has passed since the last attempt.
     /// It is skipped and logged if the saver's ring is full.
--- a/crates/skylarkwick-planner/src/jobs/operator_changes.rs
+++ b/crates/skylarkwick-planner/src/jobs/operator_changes.rs
@@ -88,6 +88,9 @@
                     continue;
                 }
             };
+            for problem in &changes.problems {
+                warn!(log, "operator change ignored"; "because" => problem);
+            }
             let configured =
                 changes.configuration.map(|next| Event::ConfigurationChanged(Box::new(next)));
             if configured.is_some_and(|event| !send(&events, event)) {
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -24,6 +24,7 @@
 mod persistence;
 mod placement;
 mod polling;
+mod quota;
 mod ranking;
 mod run_results;
 mod run_time_model;
@@ -31,6 +32,7 @@
 mod send_window;
 mod server;
 mod settled;
+mod share;
 mod shortage;
 mod starts;
 mod trend;
@@ -49,10 +51,12 @@
     effect::Effect,
     fleet::Fleet,
     input::Queue,
+    quota::Quotas,
     run_time_model::RunTimeModel,
     save_queue::SaveQueue,
     send_window::SendWindow,
     server::{Server, Stage},
+    share::Rates,
 };
 use crate::job::{self, State, task};
 
@@ -113,6 +117,10 @@
     timings: Timings,
     term: Term,
     queues: BTreeMap<Arc<str>, Queue>,
+    quotas: Quotas,
+    rates: Rates,
+    /// Number of shards of the site, over which the jobs of each workspace spread.
+    shard_count: u32,
     jobs: BTreeMap<job::Id, ActiveJob>,
     servers: BTreeMap<input::ServerId, Server>,
     /// Whether the platform's list of servers is known.
@@ -146,6 +154,9 @@
             timings,
             term,
             queues: BTreeMap::new(),
+            quotas: Quotas::default(),
+            rates: Rates::default(),
+            shard_count: 1,
             jobs: BTreeMap::new(),
             servers: BTreeMap::new(),
             are_servers_listed: false,
@@ -186,11 +197,32 @@
         if self.jobs.contains_key(&id) || self.finished_jobs.contains_key(&id) {
             return;
         }
-        let active = ActiveJob::new(now, accepted);
+        let mut active = ActiveJob::new(now, accepted);
+        active.is_excess = self.is_excess(&active);
         self.jobs.insert(id.clone(), active);
         self.update_outcome(&id);
     }
 
+    /// Sets the number of shards of the site; it is 1 unless set.
+    pub fn set_shard_count(&mut self, count: u32) {
+        self.shard_count = count.max(1);
+    }
+
+    /// Returns whether the workspace of a new job has submitted more jobs lately than its weight
+    /// allows. Its jobs spread over the shards, each of which counts its part.
+    fn is_excess(&mut self, active: &ActiveJob) -> bool {
+        let Some(name) = &active.workspace else {
+            return false;
+        };
+        match self.quotas.workspaces.get(name) {
+            Some(workspace) if workspace.weight > 0.0 => {
+                let jobs_per_s = workspace.weight / f64::from(self.shard_count);
+                self.rates.is_exceeded(name, jobs_per_s, active.accepted_at)
+            }
+            _ => false,
+        }
+    }
+
     /// Removes a job that was cancelled or has finished: its planned runs are
     /// dropped, stops of its other runs are due from `now`, and no further
     /// write is made for it. `add_job` ignores it for `FINISHED_RETENTION` (60
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -32,6 +32,8 @@
     pub(super) id: Id,
     pub(super) queue: Arc<str>,
     pub(super) workspace: Option<Arc<str>>,
+    /// Whether its workspace had submitted more jobs lately than its weight allows.
+    pub(super) is_excess: bool,
     pub(super) job: Arc<Job>,
     pub(super) revision: Revision,
     pub(super) progress_revision: Revision,
@@ -64,6 +66,7 @@
             id: accepted.id,
             queue: accepted.queue,
             workspace: accepted.workspace,
+            is_excess: false,
             job: accepted.job,
             revision: accepted.revision,
             progress_revision: accepted.progress_revision,
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -1,7 +1,7 @@
 //! Placement of waiting tasks on servers.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
 };
 
@@ -11,8 +11,10 @@
     Shard,
     input::ServerId,
     occurrence::TaskState,
+    quota::{self, Ledger},
     ranking::ReadyStep,
     server::{ActiveRun, Server, Stage},
+    share::Shares,
     shortage::Shortage,
 };
 use crate::job::{self, Step, progress::TaskPosition, task};
@@ -59,6 +61,44 @@
     pub(super) rack: Option<&'a Arc<str>>,
 }
 
+/// State of one round of placement.
+#[derive(Debug)]
+struct Round {
+    now: Moment,
+    is_exclusive: bool,
+    /// Number of starts that the holder can still send.
+    remaining: usize,
+    ledger: Ledger,
+    shares: Shares,
+    shortages: BTreeMap<Arc<str>, Shortage>,
+    /// Pools in which a task that needs most of a host found no room.
+    lacking_room: BTreeSet<Arc<str>>,
+}
+
+/// Returns the step to place next. One whose workspace is above its share is deferred behind
+/// those that are as timely.
+fn next_in_order(
+    waiting: &mut VecDeque<ReadyStep>,
+    deferred: &mut VecDeque<ReadyStep>,
+    shares: &Shares,
+) -> Option<ReadyStep> {
+    loop {
+        let is_class_over = match (waiting.front(), deferred.front()) {
+            (Some(next), Some(first)) => !next.rank.is_as_timely_as(&first.rank),
+            (None, _) => true,
+            (Some(_), None) => false,
+        };
+        if is_class_over && let Some(ready) = deferred.pop_front() {
+            return Some(ready);
+        }
+        let ready = waiting.pop_front()?;
+        if !shares.is_above(&ready) {
+            return Some(ready);
+        }
+        deferred.push_back(ready);
+    }
+}
+
 impl Shard {
     /// Assigns waiting tasks, in the order of their rank, to servers with
     /// enough resources, and records the demand of the others as unmet demand
@@ -74,58 +114,91 @@
     /// Unless `is_exclusive` (no other holder can have taken the shard), only
     /// servers that are recorded with the job are used, and so while writes of the
     /// job keep failing.
+    ///
+    /// What a workspace wants beyond its quota is left out, and is no unmet demand either. Of tasks
+    /// that are as timely as others, those of workspaces that use more than their share of the
+    /// pool come last.
     pub(super) fn place_tasks(&mut self, now: Moment, is_exclusive: bool) {
         self.send_window.measure(now);
-        let mut remaining = self.send_window.remaining(self.count_unconfirmed());
-        if remaining == 0 {
-            return;
+        let mut round = Round {
+            now,
+            is_exclusive,
+            remaining: self.send_window.remaining(self.count_unconfirmed()),
+            ledger: self.quota_ledger(now),
+            shares: Shares::default(),
+            shortages: BTreeMap::new(),
+            lacking_room: BTreeSet::new(),
+        };
+        if round.remaining > 0 {
+            self.place_in_order(&mut round);
         }
+        self.record_needs(round.ledger);
+    }
+
+    /// Places the ready steps in the order of their rank, and those of workspaces above their
+    /// share after the others that are as timely.
+    fn place_in_order(&mut self, round: &mut Round) {
         self.fleet.unmet_millicores.clear();
-        let mut shortages: BTreeMap<Arc<str>, Shortage> = BTreeMap::new();
-        let mut lacking_room: BTreeSet<Arc<str>> = BTreeSet::new();
-        for mut ready in self.ready_steps(now) {
-            if remaining == 0 {
+        let ready = self.ready_steps(round.now);
+        round.shares = self.shares(round.now, &ready);
+        let mut waiting = VecDeque::from(ready);
+        let mut deferred: VecDeque<ReadyStep> = VecDeque::new();
+        while let Some(ready) = next_in_order(&mut waiting, &mut deferred, &round.shares) {
+            if round.remaining == 0 {
                 self.send_window.record_limit();
                 return;
             }
-            // The members of a gang start together, so the last one may exceed the window.
-            if !ready.job.steps[ready.step].is_gang {
-                ready.tasks.truncate(remaining);
+            self.place_step(ready, round);
+        }
+        let lacking_room = std::mem::take(&mut round.lacking_room);
+        self.fleet.record_lacking_room(round.now, lacking_room);
+    }
+
+    /// Places the tasks of a step, as far as the quota of its workspace, the send window and the
+    /// servers have room.
+    fn place_step(&mut self, mut ready: ReadyStep, round: &mut Round) {
+        let job = Arc::clone(&ready.job);
+        let step = &job.steps[ready.step];
+        let workspace = ready.workspace.clone();
+        let admitted = round.ledger.admit(workspace.as_ref(), step, ready.tasks.len());
+        ready.tasks.truncate(admitted);
+        ready.tasks.truncate(round.shares.admit(&ready));
+        if ready.tasks.is_empty() {
+            return;
+        }
+        // The members of a gang start together, so the last one may exceed the window.
+        if !step.is_gang {
+            ready.tasks.truncate(round.remaining);
+        }
+        let pool = &ready.pool;
+        let shortage = round.shortages.entry(Arc::clone(pool)).or_default();
+        let active = self.jobs.get(&ready.job_id);
+        let recorded_servers = active
+            .filter(|active| !round.is_exclusive || active.is_write_failing())
+            .map(|active| active.recorded_servers.clone());
+        let allowed_servers = recorded_servers.as_ref();
+        let request = PlacementRequest { now: round.now, pool, step, allowed_servers, rack: None };
+        let placed = match () {
+            () if shortage.covers(step) => 0,
+            () if step.is_gang => self.place_gang(request, &ready),
+            () => self.place_independent_tasks(request, &ready),
+        };
+        round.remaining = round.remaining.saturating_sub(placed);
+        round.ledger.charge(workspace.as_ref(), step, placed);
+        let count = u64::try_from(placed).unwrap_or(u64::MAX);
+        round.shares.add(&ready, step.resources.times(count));
+        let unplaced = ready.tasks.len() - placed;
+        if unplaced > 0 {
+            // That this job found no server may have reasons of its own, such as the
+            // servers that it is recorded with.
+            if !shortage.covers(step) && !self.has_room(request) {
+                shortage.add(step);
             }
-            let ReadyStep { pool, job, .. } = &ready;
-            let step = &job.steps[ready.step];
-            let shortage = shortages.entry(Arc::clone(pool)).or_default();
-            let active = self.jobs.get(&ready.job_id);
-            let recorded_servers = active
-                .filter(|active| !is_exclusive || active.is_write_failing())
-                .map(|active| active.recorded_servers.clone());
-            let request = PlacementRequest {
-                now,
-                pool,
-                step,
-                allowed_servers: recorded_servers.as_ref(),
-                rack: None,
-            };
-            let placed = match () {
-                () if shortage.covers(step) => 0,
-                () if step.is_gang => self.place_gang(request, &ready),
-                () => self.place_independent_tasks(request, &ready),
-            };
-            remaining = remaining.saturating_sub(placed);
-            let unplaced = ready.tasks.len() - placed;
-            if unplaced > 0 {
-                // That this job found no server may have reasons of its own, such as the
-                // servers that it is recorded with.
-                if !shortage.covers(step) && !self.has_room(request) {
-                    shortage.add(step);
-                }
-                if shortage.covers(step) && self.needs_most_of_host(step) {
-                    lacking_room.insert(Arc::clone(pool));
-                }
-                self.add_unmet(pool, step, unplaced);
+            if shortage.covers(step) && self.needs_most_of_host(step) {
+                round.lacking_room.insert(Arc::clone(pool));
             }
+            self.add_unmet(pool, step, unplaced);
         }
-        self.fleet.record_lacking_room(now, lacking_room);
     }
 
     /// Returns whether a host of mean size has room for one task of a step and
@@ -352,12 +425,14 @@
         // Starts of a gang are sent together, once all its servers are
         // recorded.
         let is_gang = job.steps.get(task.step).is_some_and(|step| step.is_gang);
+        let charge = quota::charge(Some(active), job.steps.get(task.step));
         let may_start = active.recorded_servers.contains(id) && !is_gang;
         if let Some(task) = active.task_mut(TaskPosition::of(&task)) {
             task.state = TaskState::Assigned(id.clone());
         }
         if let Some(server) = self.servers.get_mut(id) {
-            let active_run = ActiveRun::new(run, Stage::Planned, job.steps.get(task.step), now);
+            let active_run =
+                ActiveRun::new(run, Stage::Planned, job.steps.get(task.step), now).charged(charge);
             server.add(task.clone(), active_run);
         }
         match may_start {
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -10,6 +10,7 @@
     input::{ClockReading, RunStatus, ServerId, ServerInfo, StatusReport},
     liveness::{Evidence, Liveness},
     occurrence::TaskState,
+    quota,
     server::{ActiveRun, Attribution, Stage},
 };
 use crate::job::{progress::TaskPosition, task};
@@ -190,6 +191,8 @@
         let mut active_run = ActiveRun::new(running.run, stage, self.step(&running.task), now);
         active_run.attribution = Attribution::Reported;
         active_run.percent = running.percent;
+        let active = self.jobs.get(&running.task.job);
+        let active_run = active_run.charged(quota::charge(active, self.step(&running.task)));
         if let Some(server) = self.servers.get_mut(id) {
             server.add(running.task.clone(), active_run);
         }
--- /dev/null
+++ b/crates/skylarkwick-request/src/shard/quota.rs
@@ -0,0 +1,213 @@
+//! Quotas of workspaces: what each may have running in this shard, what may be running, and
+//! what it needs. See `docs/design/quotas.md`.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use skylarkwick_version::{
+    allotment::Need,
+    moment::Moment,
+    resources::Resources,
+    workspace::{Quota, Workspaces},
+};
+
+use super::{Shard, active::ActiveJob, occurrence::TaskState, server::ActiveRun};
+use crate::job::Step;
+
+/// The workspaces of the configuration, the limits of this shard, and the needs at the last
+/// decision.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Quotas {
+    pub(super) workspaces: Workspaces,
+    /// What each workspace may have running in this shard, if the site has several; one that
+    /// is missing may run nothing yet. On an undivided site the quotas are the limits.
+    limits: Option<BTreeMap<Arc<str>, Resources>>,
+    needs: BTreeMap<Arc<str>, Need>,
+}
+
+impl Quotas {
+    /// Returns whether any workspace has a quota.
+    fn is_active(&self) -> bool {
+        self.workspaces.values().any(|workspace| !workspace.quota.is_unlimited())
+    }
+
+    /// Returns what a workspace may have running in this shard. One that the configuration no
+    /// longer has may run what was accepted.
+    fn limit(&self, name: &Arc<str>) -> Resources {
+        let Some(workspace) = self.workspaces.get(name) else {
+            return Quota::default().ceiling();
+        };
+        match &self.limits {
+            None => workspace.quota.ceiling(),
+            Some(_) if workspace.quota.is_unlimited() => workspace.quota.ceiling(),
+            Some(limits) => limits.get(name).copied().unwrap_or_default(),
+        }
+    }
+}
+
+/// What workspaces have and need within one decision; kept only for those with a quota.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ledger {
+    accounts: BTreeMap<Arc<str>, Need>,
+}
+
+impl Ledger {
+    /// Returns how many of `tasks` waiting tasks of a step its workspace may start now. A gang
+    /// starts as a whole or not at all. What waits counts as needed.
+    pub(super) fn admit(
+        &mut self,
+        workspace: Option<&Arc<str>>,
+        step: &Step,
+        tasks: usize,
+    ) -> usize {
+        let Some(account) = workspace.and_then(|name| self.accounts.get_mut(name)) else {
+            return tasks;
+        };
+        let count = u64::try_from(tasks).unwrap_or(u64::MAX);
+        let unit = if step.is_gang { count } else { 1 };
+        account.demand = account.demand + step.resources.times(count);
+        account.unit = account.unit.max_each(&step.resources.times(unit));
+        let room = account.limit - account.used;
+        let fitting = step.resources.count_within(&room).unwrap_or(u64::MAX).min(count);
+        match step.is_gang && fitting < count {
+            true => 0,
+            false => usize::try_from(fitting).unwrap_or(tasks),
+        }
+    }
+
+    /// Charges tasks of a step that were placed.
+    pub(super) fn charge(&mut self, workspace: Option<&Arc<str>>, step: &Step, tasks: usize) {
+        if let Some(account) = workspace.and_then(|name| self.accounts.get_mut(name)) {
+            let charge = step.resources.times(u64::try_from(tasks).unwrap_or(u64::MAX));
+            account.used = account.used + charge;
+        }
+    }
+
+    /// Returns the needs, in which nothing waits where nothing was left over.
+    fn into_needs(self) -> BTreeMap<Arc<str>, Need> {
+        let settled = |mut need: Need| {
+            if need.demand.fits_within(&need.used) {
+                need.unit = Resources::default();
+            }
+            need.demand = need.demand.max_each(&need.used);
+            need
+        };
+        self.accounts.into_iter().map(|(name, need)| (name, settled(need))).collect()
+    }
+}
+
+impl Shard {
+    /// Replaces the workspaces of the configuration.
+    pub fn set_workspaces(&mut self, workspaces: Workspaces) {
+        self.quotas.workspaces = workspaces;
+    }
+
+    /// Returns the workspaces of the configuration.
+    pub fn workspaces(&self) -> &Workspaces {
+        &self.quotas.workspaces
+    }
+
+    /// Replaces what each workspace may have running in this shard of a divided site; one that
+    /// is missing may run nothing.
+    pub fn set_quota_limits(&mut self, limits: BTreeMap<Arc<str>, Resources>) {
+        self.quotas.limits = Some(limits);
+    }
+
+    /// Returns what each workspace with a quota has and needs here, at the last decision.
+    pub fn quota_needs(&self) -> &BTreeMap<Arc<str>, Need> {
+        &self.quotas.needs
+    }
+
+    /// Returns what the workspaces with a quota may have running now; nothing if there is no
+    /// quota.
+    pub(super) fn quota_ledger(&self, now: Moment) -> Ledger {
+        if !self.quotas.is_active() {
+            return Ledger::default();
+        }
+        let mut ledger = Ledger::default();
+        for (name, workspace) in &self.quotas.workspaces {
+            if !workspace.quota.is_unlimited() {
+                let need = Need { limit: self.quotas.limit(name), ..Need::default() };
+                ledger.accounts.insert(Arc::clone(name), need);
+            }
+        }
+        for active_run in self.servers.values().flat_map(|server| server.runs.values()) {
+            match &active_run.charge {
+                Some((name, charge)) => ledger.use_of(name, *charge),
+                None if active_run.is_unknown => ledger.use_of_all(self.largest_task()),
+                None => {}
+            }
+        }
+        for active in self.jobs.values() {
+            if let Some(name) =
+                active.workspace.as_ref().filter(|_| !active.unverified_servers.is_empty())
+                && !self.are_earlier_runs_known(now, active)
+            {
+                ledger.use_of(name, possibly_running(active));
+            }
+        }
+        for need in ledger.accounts.values_mut() {
+            need.demand = need.used;
+        }
+        ledger
+    }
+
+    /// Keeps the needs of a decision.
+    pub(super) fn record_needs(&mut self, ledger: Ledger) {
+        self.quotas.needs = ledger.into_needs();
+    }
+
+    /// Returns the largest resources of a task of any workspace. A run whose job is over, which
+    /// an earlier holder has not stopped yet, may have had as much.
+    fn largest_task(&self) -> Resources {
+        let jobs = self.jobs.values().filter(|active| active.workspace.is_some());
+        let steps = jobs.flat_map(|active| &active.job.steps);
+        steps.fold(Resources::default(), |largest, step| largest.max_each(&step.resources))
+    }
+}
+
+impl Ledger {
+    fn use_of(&mut self, name: &Arc<str>, charge: Resources) {
+        if let Some(account) = self.accounts.get_mut(name) {
+            account.used = account.used + charge;
+        }
+    }
+
+    fn use_of_all(&mut self, charge: Resources) {
+        for account in self.accounts.values_mut() {
+            account.used = account.used + charge;
+        }
+    }
+}
+
+/// Returns the resources of all tasks of a job that an earlier holder may have started: those
+/// that are neither done nor known to run, of the steps whose turn has come.
+fn possibly_running(active: &ActiveJob) -> Resources {
+    let mut sum = Resources::default();
+    for occurrence in active.occurrences.values() {
+        for (number, tasks) in occurrence.steps.iter().enumerate() {
+            if occurrence.is_ready(&active.job, number) {
+                let waiting = tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
+                let count = u64::try_from(waiting).unwrap_or(u64::MAX);
+                sum = sum + active.job.steps[number].resources.times(count);
+            }
+        }
+    }
+    sum
+}
+
+/// Returns what a run counts for its workspace: the workspace, and all that the task requests,
+/// also what it does not reserve on its host.
+pub(super) fn charge(
+    active: Option<&ActiveJob>,
+    step: Option<&Step>,
+) -> Option<(Arc<str>, Resources)> {
+    let workspace = active?.workspace.as_ref()?;
+    Some((Arc::clone(workspace), step?.resources))
+}
+
+impl ActiveRun {
+    /// Returns the run with what it counts for its workspace.
+    pub(super) fn charged(self, charge: Option<(Arc<str>, Resources)>) -> ActiveRun {
+        ActiveRun { charge, ..self }
+    }
+}
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -15,8 +15,8 @@
 
 /// How timely the result of a task is if the task starts now, best first:
 /// long-running, before the job's objective (the time by which it should
-/// finish), before its expiry (after which its result has lost its value), or
-/// expired.
+/// finish), before its expiry (after which its result has lost its value), of a
+/// workspace that has submitted too many jobs, or expired.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timeliness {
     /// Long-running tasks, which serve callers of their own.
@@ -25,6 +25,9 @@
     OnTime,
     /// The objective is missed, but the result still has some value.
     Late,
+    /// The job came when its workspace had submitted more than its weight
+    /// allows, so that it waits for those of others.
+    Excess,
     /// The result has lost its value.
     Expired,
 }
@@ -47,6 +50,13 @@
     objective: Moment,
 }
 
+impl Rank {
+    /// Returns whether a step is as timely as another one of queues of the same priority.
+    pub(super) fn is_as_timely_as(&self, other: &Rank) -> bool {
+        (self.timeliness, self.priority) == (other.timeliness, other.priority)
+    }
+}
+
 /// A step of an occurrence (one execution of a job's steps) with tasks that may
 /// start, given by their indices in the step, and its rank.
 #[derive(Clone, Debug)]
@@ -54,6 +64,10 @@
     pub(super) rank: Rank,
     /// Pool of the job's queue.
     pub(super) pool: Arc<str>,
+    /// Workspace of the job's caller.
+    pub(super) workspace: Option<Arc<str>>,
+    /// Whether the workspace had submitted more than its weight allows.
+    pub(super) is_excess: bool,
     pub(super) job_id: job::Id,
     pub(super) job: Arc<job::Job>,
     pub(super) occurrence: u32,
@@ -96,6 +110,8 @@
                     ready.push(ReadyStep {
                         rank,
                         pool: Arc::clone(&queue.pool),
+                        workspace: active.workspace.clone(),
+                        is_excess: active.is_excess,
                         job_id: id.clone(),
                         job: Arc::clone(&active.job),
                         occurrence: number,
@@ -138,6 +154,7 @@
         let end = now + active.remaining_time(occurrence, estimate);
         let timeliness = match () {
             () if active.job.steps[step].is_long_running => Timeliness::LongRunning,
+            () if active.is_excess && end <= expiry => Timeliness::Excess,
             () if end <= objective => Timeliness::OnTime,
             () if end <= expiry => Timeliness::Late,
             () => Timeliness::Expired,
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -80,6 +80,10 @@
     pub(super) attribution: Attribution,
     /// Reserved resources; zero for runs of unknown jobs.
     pub(super) resources: Resources,
+    /// The workspace of its job, and what it counts for that.
+    pub(super) charge: Option<(Arc<str>, Resources)>,
+    /// Whether its job is not known, because it was over when the run was reported.
+    pub(super) is_unknown: bool,
     pub(super) is_long_running: bool,
     pub(super) is_best_effort: bool,
     /// Target of the tail latency, for a serving task.
@@ -118,6 +122,8 @@
             stage,
             attribution: Attribution::Sent,
             resources: step.map(Step::reserved_resources).unwrap_or_default(),
+            charge: None,
+            is_unknown: step.is_none(),
             is_long_running: step.is_some_and(|step| step.is_long_running),
             is_best_effort: step.is_some_and(|step| step.is_best_effort),
             target_latency: step.and_then(|step| step.target_latency),
--- /dev/null
+++ b/crates/skylarkwick-request/src/shard/share.rs
@@ -0,0 +1,181 @@
+//! Shares of workspaces: whose tasks come first when a pool is full. See `docs/design/shares.md`.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use skylarkwick_version::{moment::Moment, resources::Resources, workspace::Workspaces};
+
+use super::{Shard, ranking::ReadyStep};
+
+/// Time for which a workspace may save up jobs that it did not submit.
+const BURST: Duration = Duration::from_secs(2);
+
+/// Part of a pool that is kept free of jobs beyond their workspace's weight: one in this many
+/// cores.
+const EXCESS_RESERVE: u64 = 4;
+
+/// Jobs that a workspace may submit before further ones wait behind those of others: a token
+/// bucket, filled at the rate of its weight.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    tokens: f64,
+    filled: Moment,
+}
+
+/// Token buckets of the workspaces of a shard.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Rates {
+    buckets: BTreeMap<Arc<str>, Bucket>,
+}
+
+impl Rates {
+    /// Takes a job of a workspace that was accepted at `accepted`; returns whether the workspace
+    /// has submitted more than `jobs_per_s` lately.
+    pub(super) fn is_exceeded(
+        &mut self,
+        name: &Arc<str>,
+        jobs_per_s: f64,
+        accepted: Moment,
+    ) -> bool {
+        let capacity = (jobs_per_s * BURST.as_secs_f64()).max(1.0);
+        let bucket = self
+            .buckets
+            .entry(Arc::clone(name))
+            .or_insert(Bucket { tokens: capacity, filled: accepted });
+        let earned = accepted.since(bucket.filled).as_secs_f64() * jobs_per_s;
+        bucket.tokens = (bucket.tokens + earned).min(capacity);
+        bucket.filled = bucket.filled.max(accepted);
+        match bucket.tokens >= 1.0 {
+            true => {
+                bucket.tokens -= 1.0;
+                false
+            }
+            false => true,
+        }
+    }
+}
+
+/// Servers that can run a step: those of a pool, with the label that the step requires.
+type Group = (Arc<str>, Option<Arc<str>>);
+
+/// What each workspace uses of each group of servers within one decision, and what part each
+/// should get while others wait.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Shares {
+    weights: BTreeMap<Arc<str>, f64>,
+    groups: BTreeMap<Group, Usage>,
+}
+
+/// The capacity of a group of servers, and what each workspace that has or wants some of it
+/// uses.
+#[derive(Clone, Debug, Default)]
+struct Usage {
+    capacity: Resources,
+    used: BTreeMap<Arc<str>, Resources>,
+}
+
+impl Shares {
+    /// Returns whether the workspace of a step uses all that its weight gives it, among those that
+    /// use or want some of the servers that can run the step: its dominant share, the largest of
+    /// its shares of processor time, memory and accelerators, has reached its part of the weights.
+    pub(super) fn is_above(&self, ready: &ReadyStep) -> bool {
+        let (Some(name), Some(usage)) = (&ready.workspace, self.groups.get(&ready.group())) else {
+            return false;
+        };
+        let weight_of = |name: &Arc<str>| self.weights.get(name).copied().unwrap_or_default();
+        let sum: f64 = usage.used.keys().map(weight_of).sum();
+        let used = usage.used.get(name).copied().unwrap_or_default();
+        sum > 0.0 && dominant_share(used, usage.capacity) >= weight_of(name) / sum
+    }
+
+    /// Returns how many of its waiting tasks a step may start. What a workspace submits beyond its
+    /// weight leaves [`EXCESS_RESERVE`] of the servers free, so that the jobs of others find room
+    /// when they come.
+    pub(super) fn admit(&self, ready: &ReadyStep) -> usize {
+        let tasks = ready.tasks.len();
+        let Some(usage) = self.groups.get(&ready.group()).filter(|_| ready.is_excess) else {
+            return tasks;
+        };
+        let used: u64 = usage.used.values().map(|used| used.millicores).sum();
+        let reserve = usage.capacity.millicores / EXCESS_RESERVE;
+        let left = usage.capacity.millicores.saturating_sub(reserve).saturating_sub(used);
+        let each = ready.job.steps[ready.step].resources.millicores;
+        let fitting = left.checked_div(each).and_then(|fitting| usize::try_from(fitting).ok());
+        match fitting.unwrap_or(tasks).min(tasks) {
+            // A gang starts as a whole.
+            fitting if ready.job.steps[ready.step].is_gang && fitting < tasks => 0,
+            fitting => fitting,
+        }
+    }
+
+    /// Records that a workspace wants room for a step, or has got it.
+    pub(super) fn add(&mut self, ready: &ReadyStep, resources: Resources) {
+        let workspace = ready.workspace.as_ref();
+        let Some(name) = workspace.filter(|name| self.weights.contains_key(*name)) else {
+            return;
+        };
+        let (pool, label) = ready.group();
+        let groups = [Some((Arc::clone(&pool), None)), label.map(|label| (pool, Some(label)))];
+        for group in groups.into_iter().flatten() {
+            if let Some(usage) = self.groups.get_mut(&group) {
+                let used = usage.used.entry(Arc::clone(name)).or_default();
+                *used = *used + resources;
+            }
+        }
+    }
+}
+
+impl ReadyStep {
+    /// Returns the servers that can run the step.
+    fn group(&self) -> Group {
+        (Arc::clone(&self.pool), self.job.steps[self.step].required_label.clone())
+    }
+}
+
+/// Returns the largest share of any resource.
+fn dominant_share(used: Resources, capacity: Resources) -> f64 {
+    let parts = used.components().into_iter().zip(capacity.components());
+    let share = |(used, capacity): (u64, u64)| match used {
+        0 => 0.0,
+        _ => used as f64 / capacity.max(1) as f64,
+    };
+    parts.map(share).fold(0.0, f64::max)
+}
+
+/// Returns the weight of each workspace that has one.
+fn weights(workspaces: &Workspaces) -> BTreeMap<Arc<str>, f64> {
+    let weighted = workspaces.iter().filter(|(_, workspace)| workspace.weight > 0.0);
+    weighted.map(|(name, workspace)| (Arc::clone(name), workspace.weight)).collect()
+}
+
+impl Shard {
+    /// Returns what workspaces with a weight use now of the servers that can run the steps;
+    /// nothing if no workspace has a weight.
+    pub(super) fn shares(&self, now: Moment, ready: &[ReadyStep]) -> Shares {
+        let weights = weights(&self.quotas.workspaces);
+        let mut shares = Shares { weights, groups: BTreeMap::new() };
+        if shares.weights.is_empty() {
+            return shares;
+        }
+        for step in ready {
+            let (pool, label) = step.group();
+            shares.groups.entry((Arc::clone(&pool), None)).or_default();
+            shares.groups.entry((pool, label)).or_default();
+        }
+        for ((pool, label), usage) in &mut shares.groups {
+            let servers = self.servers.values().filter(|server| server.info.pool == *pool);
+            for server in servers.filter(|server| server.has_label(label.as_ref())) {
+                if self.is_usable(now, server) {
+                    usage.capacity = usage.capacity + server.info.capacity;
+                }
+                for (name, charge) in server.runs.values().filter_map(|run| run.charge.as_ref()) {
+                    let used = usage.used.entry(Arc::clone(name)).or_default();
+                    *used = *used + *charge;
+                }
+            }
+        }
+        for step in ready {
+            shares.add(step, Resources::default());
+        }
+        shares
+    }
+}
--- /dev/null
+++ b/crates/skylarkwick-request/tests/workspace_shares.rs
@@ -0,0 +1,205 @@
+//! Shares of workspaces under load, in virtual time: one sends a multiple of its usual beside
+//! 19 quiet ones, one comes back after silence, two compete for one rack, and weights change.
+
+mod harness;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use harness::{Harness, finished_run, step};
+use skylarkwick_request::{
+    job::{Step, task},
+    shard::input::AcceptedJob,
+};
+use skylarkwick_version::workspace::{Quota, Workspace, Workspaces};
+
+/// Run time of a task, in ticks of 50 ms.
+const RUN_TICKS: u64 = 10;
+const CORES: u64 = 8;
+const QUIET: u64 = 19;
+const HOT: &str = "hot";
+
+/// A shard of two servers, its running tasks, and how long each workspace's jobs waited.
+struct Load {
+    harness: Harness,
+    tick: u64,
+    submitted: BTreeMap<String, u64>,
+    running: Vec<(String, task::Id, task::RunId, u64)>,
+    ended: BTreeMap<String, u64>,
+    waits: BTreeMap<String, Vec<u64>>,
+}
+
+fn weighted(weights: &[(&str, f64)]) -> Workspaces {
+    let workspace = |weight| Workspace { weight, quota: Quota::default() };
+    weights.iter().map(|(name, weight)| (Arc::from(*name), workspace(*weight))).collect()
+}
+
+/// The hot workspace and the quiet ones, each with twice the weight of its usual jobs a second.
+fn usual_workspaces() -> Workspaces {
+    let quiet: Vec<String> = (0..QUIET).map(|number| format!("quiet-{number}")).collect();
+    let mut weights: Vec<(&str, f64)> = quiet.iter().map(|name| (&**name, 3.0)).collect();
+    weights.push((HOT, 3.0));
+    weighted(&weights)
+}
+
+impl Load {
+    fn new(workspaces: Workspaces) -> Load {
+        let mut harness = Harness::with_servers(&["a", "b"]);
+        harness.shard.set_workspaces(workspaces);
+        Load {
+            harness,
+            tick: 0,
+            submitted: BTreeMap::new(),
+            running: Vec::new(),
+            ended: BTreeMap::new(),
+            waits: BTreeMap::new(),
+        }
+    }
+
+    fn submit(&mut self, workspace: &str, step: Step) {
+        let number = self.submitted.len();
+        let id = format!("{workspace}/{number}");
+        self.submitted.insert(id.clone(), self.tick);
+        let workspace = Some(Arc::from(workspace));
+        let accepted = AcceptedJob { workspace, ..Harness::accepted_job(&id, vec![step]) };
+        self.harness.shard.add_job(self.harness.now, accepted);
+    }
+
+    /// Lets a tick pass: tasks end, and others start.
+    fn step(&mut self) {
+        self.tick += 1;
+        for server in ["a", "b"] {
+            let mut ends = Vec::new();
+            let mut left = Vec::new();
+            for (place, task, run, until) in std::mem::take(&mut self.running) {
+                match place == server && until <= self.tick {
+                    true => ends.push((task, run)),
+                    false => left.push((place, task, run, until)),
+                }
+            }
+            self.running = left;
+            let number = self.ended.entry(server.to_owned()).or_default();
+            let mut finished = Vec::new();
+            for (task, run) in ends {
+                *number += 1;
+                finished.push(finished_run(*number, task, run, task::RunOutcome::Done));
+            }
+            let here = self.running.iter().filter(|(place, ..)| place == server);
+            let running: Vec<_> = here.map(|(_, task, run, _)| (task.clone(), *run, 50)).collect();
+            self.harness.report(server, &running, &finished);
+        }
+        let effects = self.harness.decide();
+        for (server, start) in self.harness.confirm_starts(&effects) {
+            let job = start.task.job.as_str().to_owned();
+            let (workspace, _) = job.split_once('/').expect("a workspace");
+            let waited = self.tick - self.submitted[&job];
+            self.waits.entry(workspace.to_owned()).or_default().push(waited);
+            let until = self.tick + RUN_TICKS;
+            self.running.push((server.0.to_string(), start.task, start.run, until));
+        }
+    }
+
+    /// Returns the wait in ticks that 99 of 100 jobs of these workspaces did not exceed.
+    fn p99(&self, is_counted: impl Fn(&str) -> bool) -> u64 {
+        let counted = self.waits.iter().filter(|(name, _)| is_counted(name));
+        let mut waits: Vec<u64> = counted.flat_map(|(_, waits)| waits.iter().copied()).collect();
+        waits.sort_unstable();
+        waits[waits.len() * 99 / 100]
+    }
+}
+
+/// Returns the p99 wait of the quiet workspaces while one sends `multiple` times its usual 1.5
+/// jobs a second.
+fn quiet_wait(multiple: u64) -> u64 {
+    let mut load = Load::new(usual_workspaces());
+    for tick in 0..400 {
+        // 23.75 jobs a second of the 32 that the servers can run.
+        for number in 0..QUIET {
+            if (tick + number).is_multiple_of(16) {
+                load.submit(&format!("quiet-{number}"), step(1, CORES));
+            }
+        }
+        let hot = (tick + 1) * 3 * multiple / 40 - tick * 3 * multiple / 40;
+        for _ in 0..hot {
+            load.submit(HOT, step(1, CORES));
+        }
+        load.step();
+    }
+    load.p99(|name| name != HOT)
+}
+
+#[test]
+fn hot_workspace_waits_itself() {
+    let usual = quiet_wait(1);
+    for multiple in [2, 5, 10] {
+        let wait = quiet_wait(multiple);
+        assert!(wait * 10 <= (usual * 12).max(10), "{multiple}: {wait} ticks, usually {usual}");
+    }
+}
+
+/// Jobs beyond the weight run as soon as there is room, and leave a quarter for others.
+#[test]
+fn excess_uses_idle_room() {
+    let mut load = Load::new(usual_workspaces());
+    for _ in 0..16 {
+        load.submit(HOT, step(1, CORES));
+    }
+    load.step();
+    assert_eq!(load.waits[HOT].len(), 12);
+}
+
+/// Two workspaces whose tasks all need the same rack get it by their weights.
+#[test]
+fn rack_shared_by_weight() {
+    let mut load = Load::new(weighted(&[("large", 300.0), ("small", 100.0)]));
+    let on_rack = || Step { required_label: Some(Arc::from("r1")), ..step(1, CORES) };
+    let mut servers = load.harness.servers.clone();
+    servers[0].labels.insert(Arc::from("r1"));
+    load.harness.shard.set_servers(load.harness.now, servers);
+    for _ in 0..100 {
+        load.submit("large", on_rack());
+        load.submit("small", on_rack());
+    }
+    load.step();
+    let started = |name: &str| load.waits.get(name).map_or(0, Vec::len);
+    // The rack has room for 8 tasks, half of the pool's.
+    assert_eq!(started("large") + started("small"), 8);
+    assert!(started("small") >= 2, "{:?}", load.waits);
+}
+
+/// A workspace that was silent gets its share at once, although others have filled the pool.
+#[test]
+fn silent_one_returns() {
+    let mut load = Load::new(weighted(&[("busy", 100.0), ("silent", 100.0)]));
+    for _ in 0..200 {
+        load.submit("busy", step(1, CORES));
+    }
+    for _ in 0..25 {
+        load.step();
+    }
+    for _ in 0..4 {
+        load.submit("silent", step(1, CORES));
+    }
+    for _ in 0..=RUN_TICKS {
+        load.step();
+    }
+    assert_eq!(load.waits["silent"].len(), 4);
+}
+
+/// A weight that is changed counts for the jobs that come from then on.
+#[test]
+fn changed_weight_counts() {
+    let mut load = Load::new(usual_workspaces());
+    for _ in 0..40 {
+        load.submit(HOT, step(1, CORES));
+    }
+    load.harness.shard.set_workspaces(weighted(&[(HOT, 100.0), ("quiet-0", 3.0)]));
+    for _ in 0..3 {
+        load.step();
+    }
+    load.submit(HOT, step(1, 1));
+    let before = load.waits[HOT].len();
+    for _ in 0..=RUN_TICKS {
+        load.step();
+    }
+    assert!(load.waits[HOT].len() > before);
+}
--- a/crates/skylarkwick-version/src/lib.rs
+++ b/crates/skylarkwick-version/src/lib.rs
@@ -6,6 +6,7 @@
 //! checker share one implementation. Nothing here reads a clock, a socket or a
 //! file; see `docs/DESIGN.md`, section "Versions".
 
+pub mod allotment;
 pub mod budget;
 pub mod capacity;
 pub mod document;
--- a/crates/skylarkwick-version/src/resources.rs
+++ b/crates/skylarkwick-version/src/resources.rs
@@ -25,7 +25,34 @@
 }
 
 impl Resources {
-    /// Returns how many times these resources fit within `host` together; `None` if nothing is
+    /// Returns the components: processor time, memory and accelerators.
+    pub const fn components(&self) -> [u64; 3] {
+        [self.millicores, self.memory_mib, self.accelerators]
+    }
+
+    /// Creates resources from their components.
+    pub const fn from_components(components: [u64; 3]) -> Resources {
+        let [millicores, memory_mib, accelerators] = components;
+        Resources { millicores, memory_mib, accelerators }
+    }
+
+    /// Returns this many times the resources, at most `u64::MAX` of each.
+    #[must_use]
+    pub fn times(&self, count: u64) -> Resources {
+        Resources::from_components(self.components().map(|each| each.saturating_mul(count)))
+    }
+
+    /// Returns the larger of each component.
+    #[must_use]
+    pub fn max_each(&self, other: &Resources) -> Resources {
+        Resources {
+            millicores: self.millicores.max(other.millicores),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns how many times times these resources fit within `host` together; `None` if nothing is
     /// required.
     pub fn count_within(&self, host: &Resources) -> Option<u64> {
         let components = [
