Submissions that the store refuses here are handed over to a neighbour, or wait for their turn

Change: request::submission decides by gates for each partition between writing, handing over, waiting and giving up; entry hosts register in the store and take submissions from each other with one hop; those that meet at a host are written together. docs/design/submissions.md.

--- a/crates/skylarkwick-connection/src/lib.rs
+++ b/crates/skylarkwick-connection/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller;
 pub mod control;
 pub mod listen;
+pub mod neighbour;
 pub mod peer;
 pub mod platform;
 mod resolver;
--- a/crates/skylarkwick-connection/src/store/keyspace.rs
+++ b/crates/skylarkwick-connection/src/store/keyspace.rs
@@ -39,6 +39,9 @@
 /// Table of the parts of the workspaces' quotas that the shards may use
 /// ([`row::AllotmentRow`]); the key is the workspace.
 pub const ALLOTMENTS: &str = "allotment";
+/// Table of the entry hosts that take submissions from others ([`row::EntryRow`]); the key is the
+/// entry host.
+pub const ENTRIES: &str = "entry";
 /// Table of the last order for each host ([`row::HostOrderRow`]); the key is the host.
 pub const HOST_ORDERS: &str = "order";
 
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -401,6 +401,18 @@
     pub due_ms: u64,
 }
 
+/// Row of an entry host that takes submissions from others: where, in which data centre it is,
+/// and the token that it expects with them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRow {
+    /// IP address and port.
+    pub address: String,
+    /// Data centre of the entry host.
+    pub data_centre: String,
+    /// Token that only readers of the store know.
+    pub token: String,
+}
+
 /// Row of the last order for a host, written before the order is sent: the entry host
 /// that sends it, that holder's fencing token for its shard, and the time. It does not
 /// contain the order itself (move to a pool, or maintenance). The revision of the row is
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -7,6 +7,10 @@
 pub mod access;
 mod backlog;
 mod configuration;
+mod group;
+pub mod hand_over;
+mod neighbours;
+mod submission;
 
 use std::{
     sync::{
@@ -18,23 +22,27 @@
 
 use skylarkwick_connection::{
     control::{Configuration, Registry},
+    neighbour,
     store::{
-        self, Commit, Key, Row, Store, Transaction,
+        self, Key, Row, Store, Transaction,
         keyspace::Keyspace,
-        row::{self, FinalState, JobBody, JobRow},
+        row::{self, FinalState, JobRow},
     },
 };
 use skylarkwick_process::{
     clock::{Boot, Clock},
     duty::{Duty, StopSignal},
 };
-use skylarkwick_request::job::{self, Id, Job, State};
-use skylarkwick_version::{moment::Moment, revision::Revision, sharding::Sharding};
+use skylarkwick_request::job::{self, Id, State};
+use skylarkwick_version::{moment::Moment, sharding::Sharding};
 use slog::{Logger, info, warn};
 
+pub use self::neighbours::Registration;
 use self::{
     access::{Access, Denial, View},
     backlog::Backlog,
+    neighbours::Neighbours,
+    submission::Gates,
 };
 
 /// `Retry-After` of requests that the job API could not carry out.
@@ -42,10 +50,6 @@
 /// Time since the last response of the store after which the entry host is not ready and
 /// stores no jobs.
 const STORE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2200);
-/// End of a caller's deadline that is kept free of retries, for sending the response.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
-/// Pause before a write of a job's row is retried.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Maximum number of attempts at a cancellation that conflicts with other writers or whose
 /// result is unknown.
 const MAX_CANCEL_ATTEMPTS: u32 = 4;
@@ -128,6 +132,13 @@
     backlog: Arc<Backlog>,
     /// Age of the configuration above which API keys are not trusted.
     max_configuration_age: Option<Duration>,
+    /// Whether the store takes writes from this entry host.
+    gates: Arc<Gates>,
+    /// Other entry hosts, and the client that hands submissions over to them.
+    neighbours: Arc<Neighbours>,
+    neighbour_client: neighbour::Client,
+    /// Writes what neighbours hand over.
+    writer: group::Writer,
     log: Logger,
 }
 
@@ -147,6 +158,7 @@
         let shared = Arc::new(SharedState::default());
         let (follower_state, follower_log, stop) = (Arc::clone(&shared), log.clone(), stop.clone());
         let follower_store = store.clone();
+        let writer_stop = stop.clone();
         Duty::spawn("notices", move || {
             configuration::follow(
                 &follower_store,
@@ -156,8 +168,30 @@
                 &stop,
             );
         })?;
-        let backlog = Arc::default();
-        Ok(Api { store, shared, backlog, max_configuration_age: None, log: log.clone() })
+        let writer = group::Writer::start(store.clone(), writer_stop)?;
+        Ok(Api {
+            store,
+            shared,
+            backlog: Arc::default(),
+            max_configuration_age: None,
+            gates: Arc::default(),
+            neighbours: Arc::default(),
+            neighbour_client: neighbour::Client::default(),
+            writer,
+            log: log.clone(),
+        })
+    }
+
+    /// Registers this entry host in the store and starts to follow the list of the others, to
+    /// which submissions are handed over that the store refuses here. Withdraws the registration
+    /// at the stop signal.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error if the thread cannot be started.
+    pub fn join_neighbours(&self, own: Registration, stop: &StopSignal) -> std::io::Result<Duty> {
+        let neighbours = Arc::clone(&self.neighbours);
+        neighbours::start(self.store.clone(), own, neighbours, self.log.clone(), stop.clone())
     }
 
     /// Returns the API with an age of the configuration above which API keys are not trusted,
@@ -220,82 +254,6 @@
         self.shared.is_stopping.store(true, Ordering::Release);
     }
 
-    /// Validates a job and stores it as active, and returns whether it was accepted.
-    /// `deadline` is the time for which the caller still waits; failed writes are retried
-    /// until shortly before.
-    ///
-    /// While the store does not respond, the answer is given without a write, so
-    /// that the caller can try another entry host at once.
-    pub fn submit(&self, reference: Reference<'_>, job: &Job, deadline: Duration) -> SubmitOutcome {
-        let Reference { queue, id, workspace } = reference;
-        if let Err(error) = job.validate_submission() {
-            return SubmitOutcome::Invalid(error);
-        }
-        let Some(sharding) = self.sharding().filter(|_| self.is_store_responding()) else {
-            info!(self.log, "refused"; "job" => id.as_str(), "queue" => queue,
-                "because" => "the store does not answer");
-            return SubmitOutcome::InDoubt;
-        };
-        let body = JobBody::from(job);
-        let accepted_ms = self.store.clock_ms();
-        let row = JobRow::Active { accepted_ms, body, workspace: workspace.cloned() };
-        let key = Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str());
-        let change = Transaction::default().replace(key, Revision::ABSENT, row::encode(&row));
-        let outcome = self.store_job(reference, &change, deadline.saturating_sub(RESPONSE_MARGIN));
-        info!(self.log, "submitted"; "job" => id.as_str(), "queue" => queue,
-            "workspace" => workspace.map(|name| &**name), "outcome" => ?outcome,
-            "steps" => job.steps.len());
-        outcome
-    }
-
-    /// Writes a job's row, retrying until the row is known to exist or `timeout`
-    /// has passed.
-    ///
-    /// A conflict means that the row exists already, from an earlier attempt or
-    /// from another entry host, so the job counts as accepted, also if its caller has
-    /// cancelled it meanwhile. A write that the
-    /// store refuses first ends the attempts, so that the caller can try another
-    /// entry host; after one whose result is unknown they go on.
-    fn store_job(
-        &self,
-        reference: Reference<'_>,
-        change: &Transaction,
-        timeout: Duration,
-    ) -> SubmitOutcome {
-        let start = Boot.now();
-        let mut may_be_written = false;
-        loop {
-            match self.store.commit(change) {
-                Ok(Commit::Applied(_)) => return SubmitOutcome::Accepted,
-                Ok(Commit::Conflict(rows)) if is_taken(reference, &rows) => {
-                    return SubmitOutcome::Taken;
-                }
-                Ok(Commit::Conflict(rows)) if self.admit_withdrawn(&rows) => {
-                    return SubmitOutcome::Accepted;
-                }
-                Ok(Commit::Conflict(_)) => {}
-                Err(store::Error::Unknown(error)) => {
-                    may_be_written = true;
-                    warn!(self.log, "no answer to store write"; "error" => error);
-                }
-                Err(error @ store::Error::TooLarge { .. }) => {
-                    warn!(self.log, "job not stored"; "error" => %error);
-                    return SubmitOutcome::Invalid(job::Error::Size);
-                }
-                Err(store::Error::NotDone(error) | store::Error::Rejected(error)) => {
-                    warn!(self.log, "store refused"; "error" => error);
-                    if !may_be_written {
-                        return SubmitOutcome::InDoubt;
-                    }
-                }
-            }
-            if Boot.now().since(start) + RETRY_PAUSE >= timeout {
-                return SubmitOutcome::InDoubt;
-            }
-            std::thread::sleep(RETRY_PAUSE);
-        }
-    }
-
     /// Marks a job that was withdrawn before its submission arrived as cancelled, so that it
     /// is known from then on; returns false if that may not be stored. Any other job is left
     /// as it is.
--- /dev/null
+++ b/crates/skylarkwick-entry/src/jobs/submission.rs
@@ -0,0 +1,307 @@
+//! Submissions: stored by this entry host, or by a neighbour while the store refuses it here. See
+//! `docs/design/submissions.md`.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    thread,
+    time::Duration,
+};
+
+use skylarkwick_connection::{
+    neighbour::{Answer, Neighbour, Submission},
+    store::{
+        self, Commit, Key, Row, Store, Transaction,
+        keyspace::Keyspace,
+        row::{self, JobBody, JobRow},
+    },
+};
+use skylarkwick_process::clock::{Boot, Clock};
+use skylarkwick_request::{
+    job::{self, Job},
+    submission::{Action, Attempts, Failure, Gate},
+};
+use skylarkwick_version::revision::Revision;
+use slog::{info, warn};
+
+use super::{Api, Reference, SubmitOutcome, group::Written, is_taken};
+
+/// End of a caller's deadline that is kept free of retries, for sending the response.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
+/// Longest part of the caller's remaining time that one neighbour may use; the rest is left for
+/// another one.
+const NEIGHBOUR_TIME_DIVISOR: u32 = 2;
+
+/// Whether this entry host writes to each partition by itself; partitions whose writes are not
+/// refused are missing.
+#[derive(Debug, Default)]
+pub(super) struct Gates {
+    refusing: Mutex<BTreeMap<Arc<str>, Gate>>,
+}
+
+impl Gates {
+    /// Applies an operation to the gate of a partition.
+    fn with<T>(&self, key: &Key, operation: impl FnOnce(&mut Gate) -> T) -> T {
+        let mut gates = self.refusing.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut gate = gates.remove(&key.part).unwrap_or_default();
+        let result = operation(&mut gate);
+        if gate.is_refusing() {
+            gates.insert(Arc::clone(&key.part), gate);
+        }
+        result
+    }
+}
+
+/// A submission that is not settled: the job, its row's key, and what of it is in doubt.
+struct Pending<'a> {
+    reference: Reference<'a>,
+    key: Key,
+    body: JobBody,
+    may_be_stored: bool,
+}
+
+impl<S: Store> Api<S> {
+    /// Validates a job and stores it as active, and returns whether it was accepted.
+    /// `deadline` is the time for which the caller still waits; until shortly before, failed
+    /// writes are repeated, or handed over to neighbours.
+    pub fn submit(&self, reference: Reference<'_>, job: &Job, deadline: Duration) -> SubmitOutcome {
+        let Reference { queue, id, workspace } = reference;
+        let validated = job.validate_submission().and_then(|()| self.check_quota(workspace, job));
+        if let Err(error) = validated {
+            return SubmitOutcome::Invalid(error);
+        }
+        let Some(sharding) = self.sharding() else {
+            info!(self.log, "refused"; "job" => id.as_str(), "queue" => queue,
+                "because" => "the site is not divided into shards yet");
+            return SubmitOutcome::InDoubt;
+        };
+        let key = Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str());
+        let body = JobBody::from(job);
+        let mut pending = Pending { reference, key, body, may_be_stored: false };
+        let outcome = self.settle(&mut pending, deadline.saturating_sub(RESPONSE_MARGIN));
+        info!(self.log, "submitted"; "job" => id.as_str(), "queue" => queue,
+            "workspace" => workspace.map(|name| &**name), "outcome" => ?outcome,
+            "steps" => job.steps.len());
+        outcome
+    }
+
+    /// Checks that no task or gang of a job needs more than its workspace may have running, so
+    /// that it could never start.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first step that does.
+    fn check_quota(&self, workspace: Option<&Arc<str>>, job: &Job) -> Result<(), job::Error> {
+        let configuration = self.configuration();
+        let workspaces = configuration.as_ref().map(|configuration| &configuration.workspaces);
+        let workspace = workspace.and_then(|name| workspaces?.get(name));
+        workspace.map_or(Ok(()), |workspace| job.validate_quota(&workspace.quota.ceiling()))
+    }
+
+    /// Stores a submission, by this entry host or by a neighbour, until it is settled or `timeout`
+    /// has passed.
+    ///
+    /// Without neighbours, a write that the store refuses first ends the attempts, so that the
+    /// caller can try another entry host.
+    fn settle(&self, pending: &mut Pending<'_>, timeout: Duration) -> SubmitOutcome {
+        let mut attempts = Attempts::new(Boot.now() + timeout, rand::random());
+        let mut asked = 0;
+        let is_alone = self.neighbours.is_empty();
+        loop {
+            let neighbours = self.neighbours.in_order(&pending.key.part);
+            let now = Boot.now();
+            let has_neighbours = !neighbours.is_empty();
+            let action = match self.is_store_responding() {
+                // There is nobody else to write it.
+                true if is_alone => attempts.next(now, &mut Gate::default(), false),
+                true => {
+                    self.gates.with(&pending.key, |gate| attempts.next(now, gate, has_neighbours))
+                }
+                false if is_alone && !pending.may_be_stored => Action::GiveUp,
+                false => {
+                    let mut closed = Gate::default();
+                    closed.record_refusal(now);
+                    attempts.next(now, &mut closed, has_neighbours)
+                }
+            };
+            let failure = match action {
+                Action::GiveUp => return SubmitOutcome::InDoubt,
+                Action::Wait(_) if is_alone && !pending.may_be_stored => {
+                    return SubmitOutcome::InDoubt;
+                }
+                Action::Wait(pause) => {
+                    thread::sleep(pause);
+                    continue;
+                }
+                Action::Write => self.write(pending),
+                Action::HandOver => {
+                    let neighbour = &neighbours[asked % neighbours.len()];
+                    asked += 1;
+                    let time_left = attempts.time_left(Boot.now()) / NEIGHBOUR_TIME_DIVISOR;
+                    self.hand_over(pending, neighbour, time_left)
+                }
+            };
+            match failure {
+                Ok(outcome) => return outcome,
+                Err(failure) => {
+                    pending.may_be_stored |= failure == Failure::Unanswered;
+                    attempts.record(failure);
+                }
+            }
+        }
+    }
+
+    /// Writes a submission's row.
+    ///
+    /// A conflict means that the row exists already, from an earlier attempt or from another
+    /// entry host, so the job counts as accepted, also if its caller has cancelled it meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the write failed if that does not settle the submission.
+    fn write(&self, pending: &Pending<'_>) -> Result<SubmitOutcome, Failure> {
+        let row = self.row(pending);
+        let change = Transaction::default().replace(pending.key.clone(), Revision::ABSENT, row);
+        let written = match self.store.commit(&change) {
+            Ok(Commit::Applied(_)) => Written::Stored,
+            Ok(Commit::Conflict(rows)) => match rows.into_iter().next() {
+                Some(row) => Written::Exists(row),
+                None => Written::Refused,
+            },
+            Err(store::Error::Unknown(error)) => {
+                warn!(self.log, "no answer to store write"; "error" => error);
+                Written::Unanswered
+            }
+            Err(error @ store::Error::TooLarge { .. }) => {
+                warn!(self.log, "job not stored"; "error" => %error);
+                Written::Rejected
+            }
+            Err(store::Error::NotDone(error) | store::Error::Rejected(error)) => {
+                warn!(self.log, "store refused"; "error" => error);
+                Written::Refused
+            }
+        };
+        self.record_written(&pending.key, &written);
+        self.settle_written(pending.reference, written)
+    }
+
+    /// Records whether the store takes writes to the partition of a row from this entry host.
+    fn record_written(&self, key: &Key, written: &Written) {
+        let now = Boot.now();
+        self.gates.with(key, |gate| match written {
+            Written::Refused | Written::Unanswered => gate.record_refusal(now),
+            Written::Stored | Written::Exists(_) | Written::Rejected => gate.record_answer(),
+        });
+    }
+
+    /// Returns the encoded row of a submission.
+    fn row(&self, pending: &Pending<'_>) -> Vec<u8> {
+        row::encode(&JobRow::Active {
+            accepted_ms: self.store.clock_ms(),
+            body: pending.body.clone(),
+            workspace: pending.reference.workspace.cloned(),
+        })
+    }
+
+    /// Returns the outcome of a submission by the result of a write.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the write failed if that does not settle the submission.
+    fn settle_written(
+        &self,
+        reference: Reference<'_>,
+        written: Written,
+    ) -> Result<SubmitOutcome, Failure> {
+        match written {
+            Written::Stored => Ok(SubmitOutcome::Accepted),
+            Written::Exists(row) => self.settle_existing(reference, row),
+            Written::Rejected => Ok(SubmitOutcome::Invalid(job::Error::Size)),
+            Written::Refused => Err(Failure::Refused),
+            Written::Unanswered => Err(Failure::Unanswered),
+        }
+    }
+
+    /// Returns the outcome of a submission that met a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the row is of a withdrawn job and could not be changed.
+    fn settle_existing(
+        &self,
+        reference: Reference<'_>,
+        row: Row,
+    ) -> Result<SubmitOutcome, Failure> {
+        let rows = [row];
+        match is_taken(reference, &rows) {
+            true => Ok(SubmitOutcome::Taken),
+            false if self.admit_withdrawn(&rows) => Ok(SubmitOutcome::Accepted),
+            false => Err(Failure::Refused),
+        }
+    }
+
+    /// Hands a submission over to a neighbour, which has `time_left` for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns how that failed if it does not settle the submission.
+    fn hand_over(
+        &self,
+        pending: &Pending<'_>,
+        neighbour: &Neighbour,
+        time_left: Duration,
+    ) -> Result<SubmitOutcome, Failure> {
+        let Reference { queue, id, workspace } = pending.reference;
+        let submission = Submission {
+            queue: Arc::from(queue),
+            id: id.clone(),
+            workspace: workspace.cloned(),
+            body: pending.body.clone(),
+            time_left,
+        };
+        let answer = self.neighbour_client.hand_over(neighbour, &submission);
+        info!(self.log, "handed over"; "job" => id.as_str(), "queue" => queue,
+            "neighbour" => &*neighbour.entry, "answer" => ?answer);
+        match answer {
+            Answer::Stored => Ok(SubmitOutcome::Accepted),
+            Answer::Taken => Ok(SubmitOutcome::Taken),
+            Answer::TooLarge => Ok(SubmitOutcome::Invalid(job::Error::Size)),
+            Answer::NotStored => {
+                self.neighbours.avoid(&neighbour.entry);
+                Err(Failure::Refused)
+            }
+            Answer::InDoubt => {
+                self.neighbours.avoid(&neighbour.entry);
+                Err(Failure::Unanswered)
+            }
+        }
+    }
+
+    /// Stores a submission that another entry host has handed over, together with others for the
+    /// same partition; never hands it on.
+    pub fn store_for_neighbour(&self, submission: &Submission) -> Answer {
+        let Submission { queue, id, workspace, body, time_left } = submission;
+        let Some(sharding) = self.sharding().filter(|_| self.is_store_responding()) else {
+            return Answer::NotStored;
+        };
+        let reference = Reference { queue, id, workspace: workspace.as_ref() };
+        let key = Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str());
+        let pending = Pending { reference, key, body: body.clone(), may_be_stored: false };
+        let deadline = Boot.now() + *time_left;
+        let mut is_in_doubt = false;
+        // Its first host waits for a turn; here a submission is written or refused at once.
+        while self.gates.with(&pending.key, |gate| gate.admit(Boot.now())) {
+            let time_left = deadline.since(Boot.now());
+            let written = self.writer.write(pending.key.clone(), self.row(&pending), time_left);
+            self.record_written(&pending.key, &written);
+            match self.settle_written(reference, written) {
+                Ok(SubmitOutcome::Accepted) => return Answer::Stored,
+                Ok(SubmitOutcome::Taken) => return Answer::Taken,
+                Ok(SubmitOutcome::Invalid(_)) => return Answer::TooLarge,
+                Ok(SubmitOutcome::InDoubt) | Err(Failure::Unanswered) => is_in_doubt = true,
+                Err(Failure::Refused) => break,
+            }
+        }
+        if is_in_doubt { Answer::InDoubt } else { Answer::NotStored }
+    }
+}
--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -141,6 +141,9 @@
     /// The job has too many occurrences.
     #[error("a job may have at most {MAX_OCCURRENCES} occurrences")]
     Occurrences,
+    /// A task, or a gang as a whole, needs more than the workspace may have running.
+    #[error("step {0} needs more than the workspace's quota")]
+    Quota(usize),
     /// The job does not fit in a row of the store.
     #[error("the job is too large to be stored")]
     Size,
@@ -186,6 +189,19 @@
         }
     }
 
+    /// Validates that each task, and each gang as a whole, can run within these resources.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first step that never could.
+    pub fn validate_quota(&self, ceiling: &Resources) -> Result<(), Error> {
+        let never_fits = |step: &Step| {
+            let unit = if step.is_gang { u64::from(step.count) } else { 1 };
+            !step.resources.times(unit).fits_within(ceiling)
+        };
+        self.steps.iter().position(never_fits).map_or(Ok(()), |number| Err(Error::Quota(number)))
+    }
+
     /// Returns the number of tasks of all steps in one occurrence.
     pub fn tasks(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.count)).sum()
--- a/crates/skylarkwick-request/src/lib.rs
+++ b/crates/skylarkwick-request/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod retry;
 pub mod scheduler;
 pub mod shard;
+pub mod submission;
 pub mod ticket;
 pub mod wave_share;
