--- a/crates/skylarkwick-connection/src/backend/http.rs
+++ b/crates/skylarkwick-connection/src/backend/http.rs
@@ -34,6 +34,8 @@
 const MAX_FAILED_QUERIES: u32 = 3;
 /// Largest body of an answer, in bytes.
 const MAX_ANSWER_BYTES: u64 = 16 << 20;
+/// Maximum size of a host's status, in bytes.
+const MAX_STATUS_BYTES: u64 = 1 << 20;
 
 /// HTTP client of the backend servers of a data centre, with a connection pool for each.
 #[derive(Clone, Debug)]
@@ -161,7 +163,8 @@
 
 /// Parses a host's status from the body of a response.
 fn parse_status(mut response: Response<Body>) -> Result<Status, Unreachable> {
-    let text = response.body_mut().read_to_string().map_err(|_| Unreachable)?;
+    let body = response.body_mut().with_config().limit(MAX_STATUS_BYTES);
+    let text = body.read_to_string().map_err(|_| Unreachable)?;
     let status: wire::Status = serde_json::from_str(&text).map_err(|_| Unreachable)?;
     Ok(status.into())
 }
--- a/crates/skylarkwick-connection/src/listen/limits.rs
+++ b/crates/skylarkwick-connection/src/listen/limits.rs
@@ -11,11 +11,13 @@
 const CONNECTION_BYTES: usize = 2 * MAX_HEAD_BYTES + (8 << 10);
 /// Descriptors that a machine reserves for files.
 const FILE_DESCRIPTORS: usize = 200;
-/// Part of the other descriptors that callers may use.
-const CALLER_DESCRIPTOR_DIVISOR: usize = 2;
-/// Part of them for handlers, each of which may use a connection to the store. The rest is left
-/// for readiness checks and for the process itself.
-const HANDLER_DESCRIPTOR_DIVISOR: usize = 4;
+/// Eighths of the other descriptors that callers may use.
+const CALLER_DESCRIPTOR_EIGHTHS: usize = 3;
+/// Eighths of them for handlers, each of which may use a connection to the store.
+const HANDLER_DESCRIPTOR_EIGHTHS: usize = 2;
+/// Eighths of them for other entry hosts. The rest is left for readiness checks and for the
+/// process itself.
+const NEIGHBOUR_DESCRIPTOR_EIGHTHS: usize = 1;
 /// Handlers if nothing is known of the machine.
 const DEFAULT_MAX_HANDLERS: usize = 96;
 /// Largest head of a request, in bytes; also the size of a connection's buffers.
@@ -71,13 +73,26 @@
     /// descriptors.
     pub fn of_machine(memory_bytes: usize, descriptors: usize) -> Limits {
         let by_memory = memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
-        let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS);
-        let by_descriptors = sockets / CALLER_DESCRIPTOR_DIVISOR;
+        let by_descriptors = sockets(descriptors, CALLER_DESCRIPTOR_EIGHTHS);
+        let handlers = sockets(descriptors, HANDLER_DESCRIPTOR_EIGHTHS);
         Limits {
-            max_handlers: (sockets / HANDLER_DESCRIPTOR_DIVISOR).clamp(1, DEFAULT_MAX_HANDLERS),
+            max_handlers: handlers.clamp(1, DEFAULT_MAX_HANDLERS),
             max_connections: by_memory.min(by_descriptors).max(MIN_CONNECTIONS),
             max_body_bytes: (memory_bytes / BODY_MEMORY_DIVISOR).max(MIN_BODY_BYTES),
             ..Limits::default()
         }
     }
+
+    /// Returns these limits of a listener for other entry hosts on a machine with this many
+    /// descriptors.
+    #[must_use]
+    pub fn of_neighbours(self, descriptors: usize) -> Limits {
+        let by_descriptors = sockets(descriptors, NEIGHBOUR_DESCRIPTOR_EIGHTHS);
+        Limits { max_connections: self.max_connections.min(by_descriptors).max(1), ..self }
+    }
+}
+
+/// Returns some eighths of the descriptors that a machine leaves for sockets.
+fn sockets(descriptors: usize, eighths: usize) -> usize {
+    descriptors.saturating_sub(FILE_DESCRIPTORS) * eighths / 8
 }
--- a/crates/skylarkwick-connection/src/peer/server.rs
+++ b/crates/skylarkwick-connection/src/peer/server.rs
@@ -21,7 +21,9 @@
 /// them waits for the stop signal.
 const MAX_BLOCKING_THREADS: usize = 64;
 /// Largest number of open connections from peers.
-const MAX_CONNECTIONS: u32 = 512;
+const MAX_CONNECTIONS: u32 = 128;
+/// Largest call of a peer, in bytes.
+const MAX_CALL_BYTES: u32 = 512 << 10;
 /// JSON-RPC error code for a call with invalid parameters.
 const INVALID_PARAMS: i32 = -32602;
 
@@ -60,7 +62,10 @@
     stop: StopSignal,
     ready_sender: &mpsc::SyncSender<io::Result<SocketAddr>>,
 ) {
-    let config = ServerConfig::builder().max_connections(MAX_CONNECTIONS).build();
+    let config = ServerConfig::builder()
+        .max_connections(MAX_CONNECTIONS)
+        .max_request_body_size(MAX_CALL_BYTES)
+        .build();
     let server = match Server::builder().set_config(config).build(address).await {
         Ok(server) => server,
         Err(error) => return drop(ready_sender.send(Err(error))),
--- a/crates/skylarkwick-entry/src/jobs/hand_over.rs
+++ b/crates/skylarkwick-entry/src/jobs/hand_over.rs
@@ -15,7 +15,7 @@
 
 /// Limits of the listener for hand-overs; what it has no room for is handed to another host.
 pub const LIMITS: Limits = Limits {
-    max_handlers: 32,
+    max_handlers: 64,
     max_connections: 128,
     max_body_bytes: 4 << 20,
     max_requests_ahead: 100,
--- a/crates/skylarkwick-entry/src/jobs/neighbours.rs
+++ b/crates/skylarkwick-entry/src/jobs/neighbours.rs
@@ -2,7 +2,6 @@
 //! store a submission that the store refuses here.
 
 use std::{
-    cmp::Reverse,
     collections::BTreeMap,
     io,
     net::SocketAddr,
@@ -47,9 +46,18 @@
     state: Mutex<State>,
 }
 
+/// The entry host that writes a submission together with others.
+#[derive(Clone, Debug)]
+pub(super) enum Choice {
+    /// This one.
+    Own,
+    /// Another one.
+    Other(Neighbour),
+}
+
 #[derive(Debug, Default)]
 struct State {
-    data_centre: Arc<str>,
+    own: Arc<str>,
     known: Vec<Neighbour>,
     avoided: BTreeMap<Arc<str>, Moment>,
 }
@@ -60,22 +68,26 @@
         self.state().known.is_empty()
     }
 
-    /// Returns the neighbours in the order in which they are asked about a partition: those of
-    /// the same data centre first, then by a hash, so that submissions for one partition meet at
-    /// few hosts, which can write them together. Those in trouble are left out.
-    pub(super) fn in_order(&self, part: &str) -> Vec<Neighbour> {
+    /// Returns the entry host that writes for others in a partition, after `asked` that were asked
+    /// before; `None` if all are in trouble. The order is by a hash and the same at every entry
+    /// host, so that the submissions for one partition meet at one, which writes them together.
+    pub(super) fn choose(&self, part: &str, asked: usize) -> Option<Choice> {
         let now = Boot.now();
         let state = self.state();
         let is_usable =
             |entry: &Arc<str>| state.avoided.get(entry).is_none_or(|until| *until <= now);
         let usable = state.known.iter().filter(|neighbour| is_usable(&neighbour.entry));
-        let mut usable: Vec<&Neighbour> = usable.collect();
+        let mut usable: Vec<Option<&Neighbour>> = usable.map(Some).collect();
+        usable.push(None);
         usable.sort_by_cached_key(|neighbour| {
-            let is_near = neighbour.data_centre == state.data_centre;
-            let hash = blake3::hash(format!("{part}\n{}", neighbour.entry).as_bytes());
-            (Reverse(is_near), *hash.as_bytes())
+            let entry = neighbour.map_or(&state.own, |neighbour| &neighbour.entry);
+            *blake3::hash(format!("{part}\n{entry}").as_bytes()).as_bytes()
         });
-        usable.into_iter().cloned().collect()
+        let index = asked.checked_rem(usable.len())?;
+        Some(match usable[index] {
+            None => Choice::Own,
+            Some(neighbour) => Choice::Other(neighbour.clone()),
+        })
     }
 
     /// Records that a neighbour could not store a submission.
@@ -108,7 +120,7 @@
     log: Logger,
     stop: StopSignal,
 ) -> io::Result<Duty> {
-    neighbours.state().data_centre = Arc::clone(&own.data_centre);
+    neighbours.state().own = Arc::clone(&own.entry);
     Duty::spawn("neighbours", move || {
         let key = Key::new(keyspace::ENTRIES, "", &own.entry);
         let row = row::encode(&EntryRow {
--- a/crates/skylarkwick-entry/src/jobs/submission.rs
+++ b/crates/skylarkwick-entry/src/jobs/submission.rs
@@ -24,13 +24,12 @@
 use skylarkwick_version::revision::Revision;
 use slog::{info, warn};
 
-use super::{Api, Reference, SubmitOutcome, group::Written, is_taken};
+use super::{Api, Reference, SubmitOutcome, group::Written, is_taken, neighbours::Choice};
 
 /// End of a caller's deadline that is kept free of retries, for sending the response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
-/// Longest part of the caller's remaining time that one neighbour may use; the rest is left for
-/// another one.
-const NEIGHBOUR_TIME_DIVISOR: u32 = 2;
+/// Part of the caller's remaining time that a neighbour doesn't get, for the way there and back.
+const HOP_MARGIN: Duration = Duration::from_millis(50);
 
 /// Whether this entry host writes to each partition by itself; partitions whose writes are not
 /// refused are missing.
@@ -43,7 +42,7 @@
     /// Applies an operation to the gate of a partition.
     fn with<T>(&self, key: &Key, operation: impl FnOnce(&mut Gate) -> T) -> T {
         let mut gates = self.refusing.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut gate = gates.remove(&key.part).unwrap_or_default();
+        let mut gate = gates.remove(&key.part).unwrap_or(Gate::of_own_writes());
         let result = operation(&mut gate);
         if gate.is_refusing() {
             gates.insert(Arc::clone(&key.part), gate);
@@ -108,18 +107,17 @@
         let mut asked = 0;
         let is_alone = self.neighbours.is_empty();
         loop {
-            let neighbours = self.neighbours.in_order(&pending.key.part);
             let now = Boot.now();
-            let has_neighbours = !neighbours.is_empty();
+            let has_neighbours = !is_alone;
             let action = match self.is_store_responding() {
                 // There is nobody else to write it.
-                true if is_alone => attempts.next(now, &mut Gate::default(), false),
+                true if is_alone => attempts.next(now, &mut Gate::of_own_writes(), false),
                 true => {
                     self.gates.with(&pending.key, |gate| attempts.next(now, gate, has_neighbours))
                 }
                 false if is_alone && !pending.may_be_stored => Action::GiveUp,
                 false => {
-                    let mut closed = Gate::default();
+                    let mut closed = Gate::of_own_writes();
                     closed.record_refusal(now);
                     attempts.next(now, &mut closed, has_neighbours)
                 }
@@ -130,15 +128,23 @@
                     return SubmitOutcome::InDoubt;
                 }
                 Action::Wait(pause) => {
+                    asked = 0;
                     thread::sleep(pause);
                     continue;
                 }
                 Action::Write => self.write(pending),
                 Action::HandOver => {
-                    let neighbour = &neighbours[asked % neighbours.len()];
+                    let time_left = attempts.time_left(Boot.now()).saturating_sub(HOP_MARGIN);
                     asked += 1;
-                    let time_left = attempts.time_left(Boot.now()) / NEIGHBOUR_TIME_DIVISOR;
-                    self.hand_over(pending, neighbour, time_left)
+                    match self.neighbours.choose(&pending.key.part, asked - 1) {
+                        Some(Choice::Own) if self.is_store_responding() => {
+                            self.write_with_others(pending, time_left)
+                        }
+                        Some(Choice::Other(neighbour)) => {
+                            self.hand_over(pending, &neighbour, time_left)
+                        }
+                        Some(Choice::Own) | None => Err(Failure::Refused),
+                    }
                 }
             };
             match failure {
@@ -161,6 +167,7 @@
     /// Returns how the write failed if that does not settle the submission.
     fn write(&self, pending: &Pending<'_>) -> Result<SubmitOutcome, Failure> {
         let row = self.row(pending);
+        let sent = Boot.now();
         let change = Transaction::default().replace(pending.key.clone(), Revision::ABSENT, row);
         let written = match self.store.commit(&change) {
             Ok(Commit::Applied(_)) => Written::Stored,
@@ -181,17 +188,14 @@
                 Written::Refused
             }
         };
-        self.record_written(&pending.key, &written);
-        self.settle_written(pending.reference, written)
-    }
-
-    /// Records whether the store takes writes to the partition of a row from this entry host.
-    fn record_written(&self, key: &Key, written: &Written) {
         let now = Boot.now();
-        self.gates.with(key, |gate| match written {
+        self.gates.with(&pending.key, |gate| match written {
             Written::Refused | Written::Unanswered => gate.record_refusal(now),
-            Written::Stored | Written::Exists(_) | Written::Rejected => gate.record_answer(),
+            Written::Stored | Written::Exists(_) | Written::Rejected => {
+                gate.record_answer(now, now.since(sent));
+            }
         });
+        self.settle_written(pending.reference, written)
     }
 
     /// Returns the encoded row of a submission.
@@ -259,7 +263,10 @@
             body: pending.body.clone(),
             time_left,
         };
+        let sent = Boot.now();
         let answer = self.neighbour_client.hand_over(neighbour, &submission);
+        // One that has tried for all of the time is no worse than others.
+        let has_tried = Boot.now().since(sent) >= time_left;
         info!(self.log, "handed over"; "job" => id.as_str(), "queue" => queue,
             "neighbour" => &*neighbour.entry, "answer" => ?answer);
         match answer {
@@ -267,7 +274,9 @@
             Answer::Taken => Ok(SubmitOutcome::Taken),
             Answer::TooLarge => Ok(SubmitOutcome::Invalid(job::Error::Size)),
             Answer::NotStored => {
-                self.neighbours.avoid(&neighbour.entry);
+                if !has_tried {
+                    self.neighbours.avoid(&neighbour.entry);
+                }
                 Err(Failure::Refused)
             }
             Answer::InDoubt => {
@@ -277,7 +286,22 @@
         }
     }
 
-    /// Stores a submission that another entry host has handed over, together with others for the
+    /// Writes a submission's row together with those of others, for which it may wait for up to
+    /// `time_left`.
+    ///
+    /// # Errors
+    ///
+    /// Returns how that failed if it does not settle the submission.
+    fn write_with_others(
+        &self,
+        pending: &Pending<'_>,
+        time_left: Duration,
+    ) -> Result<SubmitOutcome, Failure> {
+        let written = self.writer.write(pending.key.clone(), self.row(pending), time_left);
+        self.settle_written(pending.reference, written)
+    }
+
+    /// Stores a submission that another entry host has handed over, together with others of the
     /// same partition; never hands it on.
     pub fn store_for_neighbour(&self, submission: &Submission) -> Answer {
         let Submission { queue, id, workspace, body, time_left } = submission;
@@ -287,21 +311,12 @@
         let reference = Reference { queue, id, workspace: workspace.as_ref() };
         let key = Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str());
         let pending = Pending { reference, key, body: body.clone(), may_be_stored: false };
-        let deadline = Boot.now() + *time_left;
-        let mut is_in_doubt = false;
-        // Its first host waits for a turn; here a submission is written or refused at once.
-        while self.gates.with(&pending.key, |gate| gate.admit(Boot.now())) {
-            let time_left = deadline.since(Boot.now());
-            let written = self.writer.write(pending.key.clone(), self.row(&pending), time_left);
-            self.record_written(&pending.key, &written);
-            match self.settle_written(reference, written) {
-                Ok(SubmitOutcome::Accepted) => return Answer::Stored,
-                Ok(SubmitOutcome::Taken) => return Answer::Taken,
-                Ok(SubmitOutcome::Invalid(_)) => return Answer::TooLarge,
-                Ok(SubmitOutcome::InDoubt) | Err(Failure::Unanswered) => is_in_doubt = true,
-                Err(Failure::Refused) => break,
-            }
+        match self.write_with_others(&pending, *time_left) {
+            Ok(SubmitOutcome::Accepted) => Answer::Stored,
+            Ok(SubmitOutcome::Taken) => Answer::Taken,
+            Ok(SubmitOutcome::Invalid(_)) => Answer::TooLarge,
+            Ok(SubmitOutcome::InDoubt) | Err(Failure::Unanswered) => Answer::InDoubt,
+            Err(Failure::Refused) => Answer::NotStored,
         }
-        if is_in_doubt { Answer::InDoubt } else { Answer::NotStored }
     }
 }
--- a/crates/skylarkwick-request/src/lib.rs
+++ b/crates/skylarkwick-request/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod shard;
 pub mod submission;
 pub mod ticket;
+pub mod triage;
 pub mod wave_share;
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -20,6 +20,7 @@
 mod membership;
 mod occurrence;
 mod order_results;
+mod overload;
 mod pace;
 mod persistence;
 mod placement;
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -23,7 +23,8 @@
     LongRunning,
     /// The objective can still be met.
     OnTime,
-    /// The objective is missed, but the result still has some value.
+    /// The objective is missed, or is left to others because not all can be met, but the
+    /// result still has some value.
     Late,
     /// The job came when its workspace had submitted more than its weight
     /// allows, so that it waits for those of others.
@@ -33,13 +34,17 @@
 }
 
 /// Sort key of a step; the lowest is placed first. The fields are compared in
-/// this order: timeliness, priority of the queue (0 first), jobs of which tasks
-/// were scheduled before, least remaining work, earliest objective.
+/// this order: timeliness, priority of the queue (0 first), for jobs that end in
+/// time the earliest objective, jobs of which tasks were scheduled before, least
+/// remaining work, earliest objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     timeliness: Timeliness,
     /// Priority of the queue; 0 is placed first.
     priority: u32,
+    /// The objective of a job that can end in time. All such jobs fit in, if the
+    /// most urgent ones come first.
+    due: Option<Moment>,
     /// Whether any task of the job is assigned, done or has progress; true
     /// comes first.
     is_started: Reverse<bool>,
@@ -83,6 +88,7 @@
     /// runs may be unknown are left out.
     pub(super) fn ready_steps(&self, now: Moment) -> Vec<ReadyStep> {
         let mut ready = Vec::new();
+        let postponed = self.postponed_jobs(now);
         for (id, active) in &self.jobs {
             let Some(queue) = self.queues.get(&active.queue) else {
                 continue;
@@ -106,7 +112,8 @@
                     if waiting.is_empty() {
                         continue;
                     }
-                    let rank = self.rank(now, active, occurrence, step, queue);
+                    let is_postponed = active.is_postponed(&postponed);
+                    let rank = self.rank(now, active, occurrence, step, queue, is_postponed);
                     ready.push(ReadyStep {
                         rank,
                         pool: Arc::clone(&queue.pool),
@@ -139,7 +146,7 @@
     }
 
     /// Ranks a step. Its timeliness follows from when the occurrence ends if no
-    /// task has to wait from now on. A job that can't meet its objective any
+    /// task has to wait from now on, and from whether its job is postponed. A job that can't meet its objective any
     /// more comes after those that can, because its result is worth far less.
     fn rank(
         &self,
@@ -148,6 +155,7 @@
         occurrence: &Occurrence,
         step: usize,
         queue: &Queue,
+        is_postponed: bool,
     ) -> Rank {
         let estimate = self.run_times.estimate(&active.queue);
         let (objective, expiry) = active.deadlines(queue, estimate);
@@ -155,12 +163,14 @@
         let timeliness = match () {
             () if active.job.steps[step].is_long_running => Timeliness::LongRunning,
             () if active.is_excess && end <= expiry => Timeliness::Excess,
-            () if end <= objective => Timeliness::OnTime,
+            () if end <= objective && !is_postponed => Timeliness::OnTime,
             () if end <= expiry => Timeliness::Late,
             () => Timeliness::Expired,
         };
         let is_started = Reverse(active.has_scheduled_tasks());
         let remaining_work = active.remaining_work(occurrence, estimate);
-        Rank { timeliness, priority: queue.priority, is_started, remaining_work, objective }
+        let priority = queue.priority;
+        let due = (timeliness == Timeliness::OnTime).then_some(objective);
+        Rank { timeliness, priority, due, is_started, remaining_work, objective }
     }
 }
--- a/crates/skylarkwick-request/src/submission.rs
+++ b/crates/skylarkwick-request/src/submission.rs
@@ -8,26 +8,62 @@
 
 use skylarkwick_version::moment::Moment;
 
-/// Shortest pause before the store is tried again after a refusal.
+/// Shortest pause before a submission is tried again.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause before the store is tried again after a refusal.
+/// Longest pause before a submission is tried again.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
+/// Shortest and longest pause of an entry host that hands over what the store refuses; what it
+/// tries again takes the room of those that write for many.
+const OWN_PAUSES: Pauses =
+    Pauses { min: Duration::from_millis(800), max: Duration::from_millis(3200) };
+/// Shortest and longest pause of an entry host that writes for others.
+const GROUP_PAUSES: Pauses =
+    Pauses { min: Duration::from_millis(100), max: Duration::from_millis(200) };
 /// Pause after a write without an answer, before it is repeated.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(100);
 /// Neighbours that are asked in a row before the next pause.
 const NEIGHBOURS_IN_A_ROW: u32 = 2;
+/// Time that a write takes while the store has more of them than it can carry out at once.
+const SLOW_WRITE: Duration = Duration::from_millis(300);
+/// Writes of a group that are refused in a row before its rows are given back to their hosts.
+pub const MAX_GROUP_REFUSALS: u32 = 6;
+/// Time before the deadline that is kept for a last attempt.
+const LAST_CALL_TIME: Duration = Duration::from_millis(300);
 /// Shortest time in which a call can still be of use.
 const MIN_CALL_TIME: Duration = Duration::from_millis(40);
 
+/// Bounds of a pause that grows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Pauses {
+    min: Duration,
+    max: Duration,
+}
+
 /// Whether an entry host writes to a partition by itself: after a refusal it pauses, longer each
 /// time, and then one write at a time finds out whether the store takes them again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Gate {
     pause: Duration,
+    pauses: Pauses,
     paused_until: Moment,
 }
 
 impl Gate {
+    /// An open gate for writes of single submissions.
+    pub const fn of_own_writes() -> Gate {
+        Gate { pause: Duration::ZERO, pauses: OWN_PAUSES, paused_until: Moment::ZERO }
+    }
+
+    /// An open gate for writes of many submissions together.
+    pub const fn of_group_writes() -> Gate {
+        Gate { pauses: GROUP_PAUSES, ..Gate::of_own_writes() }
+    }
+
+    /// Returns when a write may be sent next.
+    pub const fn next_write(&self) -> Moment {
+        self.paused_until
+    }
+
     /// Returns whether a write may be sent now; while writes are refused, one is each pause.
     pub fn admit(&mut self, now: Moment) -> bool {
         if now < self.paused_until {
@@ -39,13 +75,18 @@
 
     /// Records that the store has refused a write, or could not be reached.
     pub fn record_refusal(&mut self, now: Moment) {
-        self.pause = (self.pause * 2).clamp(MIN_PAUSE, MAX_PAUSE);
+        self.pause = (self.pause * 2).clamp(self.pauses.min, self.pauses.max);
         self.paused_until = now + self.pause;
     }
 
-    /// Records that the store has answered a write.
-    pub fn record_answer(&mut self) {
-        *self = Gate::default();
+    /// Records that the store has answered a write, which took this long. After a slow answer,
+    /// single writes pause as after a refusal, so that the store can carry out those of many
+    /// submissions together.
+    pub fn record_answer(&mut self, now: Moment, took: Duration) {
+        match took > SLOW_WRITE && self.pauses == OWN_PAUSES {
+            true => self.record_refusal(now),
+            false => (self.pause, self.paused_until) = (Duration::ZERO, Moment::ZERO),
+        }
     }
 
     /// Returns whether writes are refused.
@@ -110,9 +151,10 @@
             return Action::GiveUp;
         }
         if let Some(wait) = self.waits.take() {
-            return match wait + MIN_CALL_TIME < left {
-                true => Action::Wait(wait),
-                false => Action::GiveUp,
+            // The last attempt comes early enough for a call.
+            return match left.saturating_sub(LAST_CALL_TIME) {
+                Duration::ZERO => Action::GiveUp,
+                spare => Action::Wait(wait.min(spare)),
             };
         }
         if std::mem::take(&mut self.is_own_turn) && gate.admit(now) {
