--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -22,6 +22,7 @@
 mod order_results;
 mod overload;
 mod pace;
+mod parking;
 mod persistence;
 mod placement;
 mod polling;
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -34,17 +34,13 @@
 }
 
 /// Sort key of a step; the lowest is placed first. The fields are compared in
-/// this order: timeliness, priority of the queue (0 first), for jobs that end in
-/// time the earliest objective, jobs of which tasks were scheduled before, least
-/// remaining work, earliest objective.
+/// this order: timeliness, priority of the queue (0 first), jobs of which tasks
+/// were scheduled before, least remaining work, earliest objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     timeliness: Timeliness,
     /// Priority of the queue; 0 is placed first.
     priority: u32,
-    /// The objective of a job that can end in time. All such jobs fit in, if the
-    /// most urgent ones come first.
-    due: Option<Moment>,
     /// Whether any task of the job is assigned, done or has progress; true
     /// comes first.
     is_started: Reverse<bool>,
@@ -169,8 +165,6 @@
         };
         let is_started = Reverse(active.has_scheduled_tasks());
         let remaining_work = active.remaining_work(occurrence, estimate);
-        let priority = queue.priority;
-        let due = (timeliness == Timeliness::OnTime).then_some(objective);
-        Rank { timeliness, priority, due, is_started, remaining_work, objective }
+        Rank { timeliness, priority: queue.priority, is_started, remaining_work, objective }
     }
 }
