Allotments: the model lets holders take limits late; loads of workspaces in the holder's log

Cause: with the guard taken out that a grant is lowered only to what its holder goes by, the property still held, because the model's holders took each limit at once. Change: holders take limits when they get to it.

--- a/crates/skylarkwick-planner/src/jobs/activity.rs
+++ b/crates/skylarkwick-planner/src/jobs/activity.rs
@@ -52,6 +52,17 @@
                 "hosts" => load.hosts, "hosts_needed" => load.hosts_needed,
                 "hosts_wanted" => load.hosts_wanted);
         }
+        for (name, load) in shard.workspace_loads() {
+            info!(log, "workspace load"; "workspace" => &*name, "jobs" => load.jobs,
+                "excess_jobs" => load.excess_jobs, "waiting_jobs" => load.waiting_jobs,
+                "millicores" => load.used.millicores,
+                "millicores_limit" => load.limit.millicores,
+                "millicores_demand" => load.demand.millicores,
+                "memory_mib" => load.used.memory_mib,
+                "memory_mib_limit" => load.limit.memory_mib,
+                "accelerators" => load.used.accelerators,
+                "accelerators_limit" => load.limit.accelerators);
+        }
     }
 }
 
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -40,10 +40,13 @@
 mod trend;
 mod unsettled;
 mod wave;
+mod workspace_load;
 
 pub mod effect;
 pub mod input;
 
+pub use self::workspace_load::WorkspaceLoad;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use skylarkwick_version::{moment::Moment, shard_lease};
--- a/crates/skylarkwick-version/tests/quota_allotments.rs
+++ b/crates/skylarkwick-version/tests/quota_allotments.rs
@@ -17,11 +17,12 @@
     Resources { millicores: cores * 1000, ..Resources::default() }
 }
 
-/// A holder of a shard: what it lets run, what runs, what could run, and a write whose answer
-/// was lost.
+/// A holder of a shard: what it lets run, what it was last told to let run, what runs, what could
+/// run, and a write whose answer was lost.
 #[derive(Clone, Debug, Default)]
 struct Holder {
     limit: Resources,
+    told: Resources,
     used: Resources,
     demand: Resources,
     unit: Resources,
@@ -29,8 +30,10 @@
 }
 
 impl Holder {
+    /// The holder may go by any earlier limit until it has confirmed the last one.
     fn need(&self) -> Need {
-        let Holder { limit, used, demand, unit, .. } = *self;
+        let Holder { limit, told, used, demand, unit, .. } = *self;
+        let limit = if limit == told { limit } else { Quota::default().ceiling() };
         Need { limit, used, demand: demand.max_each(&used), unit }
     }
 }
@@ -75,7 +78,7 @@
         let need = holder.need();
         let step = allotment::next(&self.row, shard, &need, self.quota, SHARDS, self.now_ms);
         let limit = min(step.limit, ceiling);
-        holder.limit = limit;
+        holder.told = limit;
         let Some(entry) = step.entry.filter(|_| holder.unanswered.is_none()) else {
             return;
         };
@@ -89,14 +92,19 @@
             }
             Answer::Applied => {
                 (self.row, self.revision) = (row, self.revision + 1);
-                let need = Need { limit, ..need };
                 let step =
                     allotment::next(&self.row, shard, &need, self.quota, SHARDS, self.now_ms);
-                holder.limit = step.limit;
+                holder.told = step.limit;
             }
         }
     }
 
+    /// A holder goes by the limit that it was told last.
+    fn apply(&mut self, shard: ShardId) {
+        let holder = self.holders.get_mut(&shard).expect("a shard");
+        holder.limit = holder.told;
+    }
+
     /// A write that had no answer is carried out now.
     fn carry_out_late(&mut self, shard: ShardId) {
         let holder = &self.holders[&shard];
@@ -111,7 +119,7 @@
     /// replaced refuses late writes of the holder before.
     fn replace_holder(&mut self, shard: ShardId) {
         let holder = self.holders.get_mut(&shard).expect("a shard");
-        holder.limit = Resources::default();
+        (holder.limit, holder.told) = Default::default();
         holder.unanswered = None;
     }
 
@@ -138,6 +146,7 @@
         for _ in 0..30 {
             for shard in (0..SHARDS).map(ShardId) {
                 self.step(shard, Answer::Applied);
+                self.apply(shard);
                 let Holder { demand, unit, .. } = self.holders[&shard];
                 self.work(shard, demand, unit);
             }
@@ -164,7 +173,7 @@
         for (action, which, amount) in actions {
             let shard = ShardId(u32::from(which) % SHARDS);
             let amount = cores(u64::from(amount) % 90);
-            if action % 12 < 6 {
+            if action % 12 == 9 {
                 unaware.remove(&shard);
             }
             match action % 12 {
@@ -173,6 +182,11 @@
                 5 => site.step(shard, Answer::LostBefore),
                 6 => site.carry_out_late(shard),
                 7 => site.replace_holder(shard),
+                9 => {
+                    site.step(shard, Answer::Applied);
+                    site.apply(shard);
+                }
+                10 => site.apply(shard),
                 8 if action >= 128 => {
                     site.quota = Quota(amount.max_each(&cores(1)));
                     unaware.extend((0..SHARDS).map(ShardId));
@@ -229,6 +243,7 @@
         for _ in 0..30 {
             for shard in (0..SHARDS).map(ShardId) {
                 site.step(shard, Answer::Applied);
+                site.apply(shard);
                 let holder = site.holders.get_mut(&shard).expect("a shard");
                 if holder.demand.fits_within(&holder.limit) {
                     holder.used = holder.demand;
@@ -268,6 +283,7 @@
     site.quota = Quota(cores(30));
     for shard in (0..SHARDS).map(ShardId) {
         site.step(shard, Answer::Applied);
+        site.apply(shard);
         site.work(shard, cores(8), cores(1));
     }
     site.settle();
