--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -22,7 +22,6 @@
 mod order_results;
 mod overload;
 mod pace;
-mod parking;
 mod persistence;
 mod placement;
 mod polling;
--- a/crates/skylarkwick-request/src/shard/allocation.rs
+++ b/crates/skylarkwick-request/src/shard/allocation.rs
@@ -101,7 +101,6 @@
         if now.since(self.fleet.last_rebalance) >= REBALANCE_PERIOD {
             self.fleet.last_rebalance = now;
             self.rebalance(&mut allocations);
-            self.park_unneeded(now, &mut allocations);
         }
         self.fleet.allocations = allocations;
     }
@@ -229,36 +228,6 @@
         }
     }
 
-    /// Orders hosts that no pool has needed lately to move to a spare pool, where they are powered
-    /// off, at most as many as a round of rebalancing allows. Pools keep their reserves.
-    fn park_unneeded(&mut self, now: Moment, allocations: &mut Allocations) {
-        let spare = allocations.keys().find(|pool| self.fleet.spare_pools.contains(*pool)).cloned();
-        let Some(spare) = spare else {
-            return;
-        };
-        let is_active = |pool: &Arc<str>| *pool != spare && !self.fleet.spare_pools.contains(pool);
-        let surplus: usize = allocations
-            .iter()
-            .filter(|(pool, _)| is_active(pool))
-            .map(|(_, allocation)| allocation.surplus(allocation.needed))
-            .sum();
-        let unneeded = self.fleet.parking.record(now, surplus);
-        let max_moves = (self.fleet.hosts.len() / REBALANCE_DIVISOR).max(MIN_REBALANCED_HOSTS);
-        let count = unneeded.min(max_moves);
-        for _ in 0..count {
-            let donor = largest(allocations, |pool, allocation| match pool != &spare {
-                true if !self.fleet.spare_pools.contains(pool) => {
-                    allocation.surplus(allocation.needed)
-                }
-                _ => 0,
-            });
-            if let Some(donor) = donor {
-                self.transfer(allocations, &donor, &spare);
-            }
-        }
-        self.fleet.parking.record_parked(count);
-    }
-
     /// Orders an idle host of the donor pool, which must have one, to move to the
     /// receiver pool, and updates both allocations.
     fn transfer(&mut self, allocations: &mut Allocations, donor: &Arc<str>, receiver: &Arc<str>) {
--- a/crates/skylarkwick-request/src/shard/fleet.rs
+++ b/crates/skylarkwick-request/src/shard/fleet.rs
@@ -17,7 +17,6 @@
     effect::Effect,
     host_list::HostLists,
     input::{Host, HostId, HostOrderResult, HostState},
-    parking::Parking,
     server::Server,
     trend::Trend,
     wave::WaveProgress,
@@ -111,8 +110,6 @@
     pub(super) allocations: Allocations,
     /// When hosts were last rebalanced.
     pub(super) last_rebalance: Moment,
-    /// Hosts that no pool has needed lately.
-    pub(super) parking: Parking,
     /// Maintenance waves by number, completed ones included.
     pub(super) waves: BTreeMap<u64, WaveProgress>,
     /// Orders that are not dropped yet, at most one for each host.
--- a/crates/skylarkwick-request/src/shard/overload.rs
+++ b/crates/skylarkwick-request/src/shard/overload.rs
@@ -7,7 +7,7 @@
 
 use skylarkwick_version::moment::Moment;
 
-use super::{Shard, active::ActiveJob};
+use super::{Shard, active::ActiveJob, input::Queue};
 use crate::{
     job,
     triage::{self, Work},
@@ -17,12 +17,66 @@
 /// that don't fill their hosts, and while starts and ends are reported.
 const USABLE_PERCENT: u64 = 85;
 
+/// The jobs of a pool, or of one workspace there, that could end in time alone.
+#[derive(Debug, Default)]
+struct Group<'a> {
+    ids: Vec<&'a job::Id>,
+    works: Vec<Work>,
+}
+
+impl<'a> Group<'a> {
+    /// Returns those of its jobs that have to be postponed with this processor time.
+    fn postponed(&self, now: Moment, millicores: u64) -> impl Iterator<Item = &'a job::Id> {
+        let is_postponed = triage::postponed(now, millicores, &self.works);
+        let chosen = self.ids.iter().zip(is_postponed).filter(|(_, postponed)| *postponed);
+        chosen.map(|(id, _)| *id).collect::<Vec<_>>().into_iter()
+    }
+}
+
 impl Shard {
     /// Returns the jobs to postpone: those that could still meet their objectives alone, but not
-    /// all of their pool's together, see [`triage::postponed`]. Long-running work and what
-    /// workspaces submit beyond their weight have places of their own.
+    /// all of their pool's together, see [`triage::postponed`]. If workspaces have weights, each
+    /// has its part of the room. Long-running work and what workspaces submit beyond their weight
+    /// have places of their own.
     pub(super) fn postponed_jobs(&self, now: Moment) -> BTreeSet<job::Id> {
-        let mut pools: BTreeMap<&Arc<str>, (Vec<&job::Id>, Vec<Work>)> = BTreeMap::new();
+        let mut postponed = BTreeSet::new();
+        for (pool, workspaces) in self.timely_jobs(now) {
+            let millicores = self.finite_millicores(now, pool) / 100 * USABLE_PERCENT;
+            let all: Vec<Work> =
+                workspaces.values().flat_map(|group| group.works.iter().copied()).collect();
+            if !triage::postponed(now, millicores, &all).contains(&true) {
+                continue;
+            }
+            let weights: BTreeMap<&str, f64> =
+                workspaces.keys().map(|name| (*name, self.weight(name))).collect();
+            let sum: f64 = weights.values().sum();
+            for (name, group) in &workspaces {
+                #[expect(
+                    clippy::cast_possible_truncation,
+                    clippy::cast_sign_loss,
+                    reason = "a part"
+                )]
+                let part = match workspaces.len() {
+                    1 => millicores,
+                    _ => (millicores as f64 * weights[name] / sum) as u64,
+                };
+                postponed.extend(group.postponed(now, part).cloned());
+            }
+        }
+        postponed
+    }
+
+    /// Returns the weight of a workspace; 1 if it has none.
+    fn weight(&self, name: &str) -> f64 {
+        let weight = self.quotas.workspaces.get(name).map_or(0.0, |workspace| workspace.weight);
+        if weight > 0.0 { weight } else { 1.0 }
+    }
+
+    /// Returns the jobs of each pool that could end in time alone, by workspace; by the empty name
+    /// those without a workspace, or all of them if there are no weights.
+    fn timely_jobs(&self, now: Moment) -> BTreeMap<&Arc<str>, BTreeMap<&str, Group<'_>>> {
+        let has_weights = self.quotas.workspaces.values().any(|workspace| workspace.weight > 0.0);
+        let mut pools: BTreeMap<&Arc<str>, BTreeMap<&str, Group<'_>>> = BTreeMap::new();
         for (id, active) in &self.jobs {
             let Some(queue) = self.queues.get(&active.queue) else {
                 continue;
@@ -30,38 +84,33 @@
             if active.outcome.is_some() || active.is_excess {
                 continue;
             }
-            let estimate = self.run_times.estimate(&active.queue);
-            let (objective, _) = active.deadlines(queue, estimate);
-            let occurrences = active.occurrences.values();
-            let work = occurrences.filter(|occurrence| !occurrence.is_done()).map(|occurrence| {
-                (
-                    active.remaining_work(occurrence, estimate),
-                    active.remaining_time(occurrence, estimate),
-                )
-            });
-            let (millicore_ms, left) = work.fold((0_u64, None), |(sum, longest), (work, time)| {
-                (sum.saturating_add(work), longest.max(Some(time)))
-            });
-            let is_timely = left.is_some_and(|left| now + left <= objective);
-            if millicore_ms > 0 && is_timely {
-                let (ids, works) = pools.entry(&queue.pool).or_default();
-                ids.push(id);
-                works.push(Work {
-                    priority: queue.priority,
-                    is_started: active.has_scheduled_tasks(),
-                    deadline: objective,
-                    millicore_ms,
-                });
+            if let Some(work) = self.timely_work(now, active, queue) {
+                let workspace = active.workspace.as_deref().filter(|_| has_weights);
+                let workspaces = pools.entry(&queue.pool).or_default();
+                let group = workspaces.entry(workspace.unwrap_or_default()).or_default();
+                group.ids.push(id);
+                group.works.push(work);
             }
         }
-        let mut postponed = BTreeSet::new();
-        for (pool, (ids, works)) in pools {
-            let millicores = self.finite_millicores(now, pool) / 100 * USABLE_PERCENT;
-            let is_postponed = triage::postponed(now, millicores, &works);
-            let chosen = ids.into_iter().zip(is_postponed).filter(|(_, postponed)| *postponed);
-            postponed.extend(chosen.map(|(id, _)| id.clone()));
-        }
-        postponed
+        pools
+    }
+
+    /// Returns the work that is left of a job that can still end in time; `None` if it can't, or
+    /// if none is left.
+    fn timely_work(&self, now: Moment, active: &ActiveJob, queue: &Queue) -> Option<Work> {
+        let estimate = self.run_times.estimate(&active.queue);
+        let (objective, _) = active.deadlines(queue, estimate);
+        let open = || active.occurrences.values().filter(|occurrence| !occurrence.is_done());
+        let left = open().map(|occurrence| active.remaining_time(occurrence, estimate)).max()?;
+        let millicore_ms = open()
+            .map(|occurrence| active.remaining_work(occurrence, estimate))
+            .fold(0, u64::saturating_add);
+        (millicore_ms > 0 && now + left <= objective).then_some(Work {
+            priority: queue.priority,
+            is_started: active.has_scheduled_tasks(),
+            deadline: objective,
+            millicore_ms,
+        })
     }
 
     /// Returns the processor time of a pool for tasks that are not long-running: that of its
--- a/crates/skylarkwick-request/src/shard/share.rs
+++ b/crates/skylarkwick-request/src/shard/share.rs
@@ -96,14 +96,19 @@
             return tasks;
         };
         let used: u64 = usage.used.values().map(|used| used.millicores).sum();
-        let reserve = usage.capacity.millicores / EXCESS_RESERVE;
-        let left = usage.capacity.millicores.saturating_sub(reserve).saturating_sub(used);
-        let each = ready.job.steps[ready.step].resources.millicores;
-        let fitting = left.checked_div(each).and_then(|fitting| usize::try_from(fitting).ok());
-        match fitting.unwrap_or(tasks).min(tasks) {
-            // A gang starts as a whole.
-            fitting if ready.job.steps[ready.step].is_gang && fitting < tasks => 0,
-            fitting => fitting,
+        let step = &ready.job.steps[ready.step];
+        let unit = if step.is_gang { u64::from(step.count) } else { 1 };
+        let capacity = usage.capacity.millicores;
+        let open = capacity.saturating_sub(capacity / EXCESS_RESERVE);
+        if step.resources.millicores.saturating_mul(unit) > open {
+            // It would never start.
+            return tasks;
+        }
+        let left = open.saturating_sub(used).checked_div(step.resources.millicores);
+        let fitting = left.and_then(|fitting| usize::try_from(fitting).ok()).unwrap_or(tasks);
+        match step.is_gang && fitting < tasks {
+            true => 0,
+            false => fitting.min(tasks),
         }
     }
 
--- a/crates/skylarkwick-request/tests/workspace_shares.rs
+++ b/crates/skylarkwick-request/tests/workspace_shares.rs
@@ -147,6 +147,18 @@
     assert_eq!(load.waits[HOT].len(), 12);
 }
 
+/// A task beyond the weight that needs more than is left to such tasks starts all the same.
+#[test]
+fn large_excess_not_starved() {
+    let mut load = Load::new(weighted(&[(HOT, 0.1)]));
+    load.submit(HOT, step(1, CORES));
+    load.submit(HOT, step(2, 60));
+    for _ in 0..=2 * RUN_TICKS {
+        load.step();
+    }
+    assert_eq!(load.waits[HOT].len(), 3);
+}
+
 /// Two workspaces whose tasks all need the same rack get it by their weights.
 #[test]
 fn rack_shared_by_weight() {
