--- a/crates/skylarkwick-connection/src/listen/gate.rs
+++ b/crates/skylarkwick-connection/src/listen/gate.rs
@@ -150,21 +150,18 @@
 
     /// Records that a connection has received bytes; an idle one begins a request.
     pub fn record_read(&mut self, id: ConnectionId, now: Moment) {
-        match self.connections.get_mut(&id) {
-            Some(connection) if connection.phase == Phase::Idle => {
-                self.enter(id, Phase::Head, now);
-            }
-            Some(connection) => connection.progress = now,
-            None => {}
-        }
+        self.record_progress(id, Phase::Head, now);
     }
 
     /// Records that a connection has sent bytes of a response.
     pub fn record_written(&mut self, id: ConnectionId, now: Moment) {
+        self.record_progress(id, Phase::Response, now);
+    }
+
+    /// Records that bytes have come or gone, by which an idle connection enters a phase.
+    fn record_progress(&mut self, id: ConnectionId, from_idle: Phase, now: Moment) {
         match self.connections.get_mut(&id) {
-            Some(connection) if connection.phase == Phase::Idle => {
-                self.enter(id, Phase::Response, now);
-            }
+            Some(connection) if connection.phase == Phase::Idle => self.enter(id, from_idle, now),
             Some(connection) => connection.progress = now,
             None => {}
         }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -27,6 +27,7 @@
 mod polling;
 mod quota;
 mod ranking;
+mod round;
 mod run_results;
 mod run_time_model;
 mod save_queue;
