--- a/crates/skylarkwick-request/src/shard/overload.rs
+++ b/crates/skylarkwick-request/src/shard/overload.rs
@@ -34,8 +34,9 @@
 }
 
 impl Shard {
-    /// Returns the jobs to postpone: those that could still meet their objectives alone, but not
-    /// all of their pool's together, see [`triage::postponed`]. If workspaces have weights, each
+    /// Returns the jobs to postpone: of the pools in which tasks found no room at the last decision,
+    /// those that could still meet their objectives alone, but not all together, see
+    /// [`triage::postponed`]. If workspaces have weights, each
     /// has its part of the room. Long-running work and what workspaces submit beyond their weight
     /// have places of their own.
     pub(super) fn postponed_jobs(&self, now: Moment) -> BTreeSet<job::Id> {
@@ -81,7 +82,8 @@
             let Some(queue) = self.queues.get(&active.queue) else {
                 continue;
             };
-            if active.outcome.is_some() || active.is_excess {
+            let has_room = !self.fleet.unmet_millicores.contains_key(&queue.pool);
+            if has_room || active.outcome.is_some() || active.is_excess {
                 continue;
             }
             if let Some(work) = self.timely_work(now, active, queue) {
--- a/crates/skylarkwick-request/src/shard/quota.rs
+++ b/crates/skylarkwick-request/src/shard/quota.rs
@@ -130,12 +130,14 @@
                 ledger.accounts.insert(Arc::clone(name), need);
             }
         }
-        for active_run in self.servers.values().flat_map(|server| server.runs.values()) {
-            match &active_run.charge {
-                Some((name, charge)) => ledger.use_of(name, *charge),
-                None if active_run.is_unknown => ledger.use_of_all(self.largest_task()),
-                None => {}
-            }
+        let mut unknown = 0;
+        for server in self.servers.values() {
+            server.charged().iter().for_each(|(name, charge)| ledger.use_of(name, *charge));
+            unknown += server.runs.values().filter(|active_run| active_run.is_unknown).count();
+        }
+        if unknown > 0 {
+            let count = u64::try_from(unknown).unwrap_or(u64::MAX);
+            ledger.use_of_all(self.largest_task().times(count));
         }
         for active in self.jobs.values() {
             if let Some(name) =
--- a/crates/skylarkwick-request/src/shard/round.rs
+++ b/crates/skylarkwick-request/src/shard/round.rs
@@ -94,9 +94,9 @@
     /// Places the ready steps in the order of their rank, and those of workspaces above their
     /// share after the others that are as timely.
     fn place_in_order(&mut self, round: &mut Round) {
-        self.fleet.unmet_millicores.clear();
         let ready = self.ready_steps(round.now);
         round.shares = self.shares(round.now, &ready);
+        self.fleet.unmet_millicores.clear();
         let mut waiting = VecDeque::from(ready);
         let mut deferred: VecDeque<ReadyStep> = VecDeque::new();
         while let Some(ready) = next_in_order(&mut waiting, &mut deferred, &round.shares) {
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -167,6 +167,8 @@
     pub(super) runs: BTreeMap<task::Id, ActiveRun>,
     /// Resources that all runs reserve together.
     reserved: Resources,
+    /// What the runs count for their workspaces, by workspace.
+    charged: BTreeMap<Arc<str>, Resources>,
     /// Latest reading of the server's clock.
     pub(super) clock_reading: Option<ClockReading>,
     /// Latest time, on the server's clock in milliseconds, at which a lease can
@@ -213,6 +215,7 @@
             is_restarted: false,
             runs: BTreeMap::new(),
             reserved: Resources::default(),
+            charged: BTreeMap::new(),
             clock_reading: None,
             lease_until_ms: None,
             last_seen_end: 0,
@@ -295,13 +298,35 @@
     pub(super) fn add(&mut self, task: task::Id, active_run: ActiveRun) {
         self.remove(&task);
         self.reserved = self.reserved + active_run.resources;
+        if let Some((workspace, charge)) = &active_run.charge {
+            let charged = self.charged.entry(Arc::clone(workspace)).or_default();
+            *charged = *charged + *charge;
+        }
         self.runs.insert(task, active_run);
     }
 
+    /// Returns what the runs count for their workspaces.
+    pub(super) fn charged(&self) -> &BTreeMap<Arc<str>, Resources> {
+        &self.charged
+    }
+
+    /// Takes a run out of what counts for its workspace.
+    fn discharge(&mut self, workspace: &Arc<str>, charge: Resources) {
+        if let Some(charged) = self.charged.get_mut(workspace) {
+            *charged = *charged - charge;
+            if *charged == Resources::default() {
+                self.charged.remove(workspace);
+            }
+        }
+    }
+
     /// Removes the run of a task, if there is one, and frees its resources.
     pub(super) fn remove(&mut self, task: &task::Id) {
         if let Some(active_run) = self.runs.remove(task) {
             self.reserved = self.reserved - active_run.resources;
+            if let Some((workspace, charge)) = active_run.charge {
+                self.discharge(&workspace, charge);
+            }
         }
     }
 
--- a/crates/skylarkwick-request/src/shard/share.rs
+++ b/crates/skylarkwick-request/src/shard/share.rs
@@ -1,6 +1,10 @@
 //! Shares of workspaces: whose tasks come first when a pool is full. See `docs/design/shares.md`.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use skylarkwick_version::{moment::Moment, resources::Resources, workspace::Workspaces};
 
@@ -8,6 +12,9 @@
 
 /// Time for which a workspace may save up jobs that it did not submit.
 const BURST: Duration = Duration::from_secs(2);
+/// Jobs that it may save up at least: the jobs of a small one fall to the shards by chance, so that
+/// several may come to one at once.
+const MIN_BURST_JOBS: f64 = 4.0;
 
 /// Part of a pool that is kept free of jobs beyond their workspace's weight: one in this many
 /// cores.
@@ -36,7 +43,7 @@
         jobs_per_s: f64,
         accepted: Moment,
     ) -> bool {
-        let capacity = (jobs_per_s * BURST.as_secs_f64()).max(1.0);
+        let capacity = (jobs_per_s * BURST.as_secs_f64()).max(MIN_BURST_JOBS);
         let bucket = self
             .buckets
             .entry(Arc::clone(name))
@@ -153,15 +160,18 @@
 }
 
 impl Shard {
-    /// Returns what workspaces with a weight use now of the servers that can run the steps;
-    /// nothing if no workspace has a weight.
+    /// Returns what workspaces with a weight use now of the servers that can run the steps, where
+    /// the order matters: in pools with less room than the steps need, and for steps beyond a
+    /// weight. Nothing if no workspace has a weight.
     pub(super) fn shares(&self, now: Moment, ready: &[ReadyStep]) -> Shares {
         let weights = weights(&self.quotas.workspaces);
         let mut shares = Shares { weights, groups: BTreeMap::new() };
         if shares.weights.is_empty() {
             return shares;
         }
-        for step in ready {
+        let full_pools = self.full_pools(ready);
+        let is_contended = |step: &&ReadyStep| step.is_excess || full_pools.contains(&step.pool);
+        for step in ready.iter().filter(is_contended) {
             let (pool, label) = step.group();
             shares.groups.entry((Arc::clone(&pool), None)).or_default();
             shares.groups.entry((pool, label)).or_default();
@@ -172,7 +182,7 @@
                 if self.is_usable(now, server) {
                     usage.capacity = usage.capacity + server.info.capacity;
                 }
-                for (name, charge) in server.runs.values().filter_map(|run| run.charge.as_ref()) {
+                for (name, charge) in server.charged() {
                     let used = usage.used.entry(Arc::clone(name)).or_default();
                     *used = *used + *charge;
                 }
@@ -183,4 +193,25 @@
         }
         shares
     }
+
+    /// Returns the pools that have less processor time free than the steps need, or in which tasks
+    /// found no room at the last decision.
+    fn full_pools(&self, ready: &[ReadyStep]) -> BTreeSet<Arc<str>> {
+        let mut lacking: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+        for step in ready {
+            let tasks = u64::try_from(step.tasks.len()).unwrap_or(u64::MAX);
+            let each = step.job.steps[step.step].reserved_resources().millicores;
+            let needed = lacking.entry(&step.pool).or_default();
+            *needed = needed.saturating_add(each.saturating_mul(tasks));
+        }
+        for server in self.servers.values() {
+            if let Some(needed) = lacking.get_mut(&server.info.pool) {
+                *needed = needed.saturating_sub(server.available().millicores);
+            }
+        }
+        let is_full = |(pool, needed): &(&Arc<str>, u64)| {
+            *needed > 0 || self.fleet.unmet_millicores.contains_key(*pool)
+        };
+        lacking.into_iter().filter(is_full).map(|(pool, _)| Arc::clone(pool)).collect()
+    }
 }
