--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -52,6 +52,11 @@
 }
 
 impl Rank {
+    /// Returns whether any task of the step's job is assigned, done or has progress.
+    pub(super) fn is_started(&self) -> bool {
+        self.is_started.0
+    }
+
     /// Returns whether a step is as timely as another one of queues of the same priority.
     pub(super) fn is_as_timely_as(&self, other: &Rank) -> bool {
         (self.timeliness, self.priority) == (other.timeliness, other.priority)
--- a/crates/skylarkwick-request/src/shard/share.rs
+++ b/crates/skylarkwick-request/src/shard/share.rs
@@ -84,10 +84,14 @@
     /// Returns whether the workspace of a step uses all that its weight gives it, among those that
     /// use or want some of the servers that can run the step: its dominant share, the largest of
     /// its shares of processor time, memory and accelerators, has reached its part of the weights.
+    /// A job that has begun goes on: what it holds would be held for longer.
     pub(super) fn is_above(&self, ready: &ReadyStep) -> bool {
         let (Some(name), Some(usage)) = (&ready.workspace, self.groups.get(&ready.group())) else {
             return false;
         };
+        if ready.rank.is_started() {
+            return false;
+        }
         let weight_of = |name: &Arc<str>| self.weights.get(name).copied().unwrap_or_default();
         let sum: f64 = usage.used.keys().map(weight_of).sum();
         let used = usage.used.get(name).copied().unwrap_or_default();
