--- a/crates/skylarkwick-measure/src/least_cost.rs
+++ b/crates/skylarkwick-measure/src/least_cost.rs
@@ -41,7 +41,10 @@
 enum Policy {
     FirstCome,
     LeastWork,
+    /// What the product postpones comes last, and the rest by least work.
     Product,
+    /// The same, but the rest by deadline.
+    ByDeadline,
 }
 
 /// Measures bursts of several sizes.
@@ -61,6 +64,7 @@
         Row::new(name("first come first served"), share(Policy::FirstCome), "share"),
         Row::new(name("least work first"), share(Policy::LeastWork), "share"),
         Row::new(name("product"), share(Policy::Product), "share"),
+        Row::new(name("product, the rest by deadline"), share(Policy::ByDeadline), "share"),
         Row::new(name("bound with all known"), mean(&bounds), "share"),
     ]
 }
@@ -121,14 +125,14 @@
     match policy {
         Policy::FirstCome => {}
         Policy::LeastWork => open.sort_by_key(|job| job.core_ms),
-        Policy::Product => {
+        Policy::Product | Policy::ByDeadline => {
             let works: Vec<Work> = open.iter().map(work).collect();
             let is_postponed = triage::postponed(at(now_ms), CORES * 1000, &works);
             let mut order: Vec<(bool, Job)> =
                 is_postponed.into_iter().zip(open.iter().copied()).collect();
-            order.sort_by_key(|(postponed, job)| match postponed {
-                false => (false, job.deadline_ms),
-                true => (true, job.core_ms),
+            order.sort_by_key(|(postponed, job)| match (*postponed, policy) {
+                (false, Policy::ByDeadline) => (false, job.deadline_ms),
+                (postponed, _) => (postponed, job.core_ms),
             });
             *open = order.into_iter().map(|(_, job)| job).collect();
         }
