A workspace without a weight is never above its share

Cause, by reading: its part of the weights is zero, so any use counted as above it. Change: it has no limit, as the settings say.

--- a/crates/skylarkwick-request/src/shard/share.rs
+++ b/crates/skylarkwick-request/src/shard/share.rs
@@ -84,12 +84,13 @@
     /// Returns whether the workspace of a step uses all that its weight gives it, among those that
     /// use or want some of the servers that can run the step: its dominant share, the largest of
     /// its shares of processor time, memory and accelerators, has reached its part of the weights.
-    /// A job that has begun goes on: what it holds would be held for longer.
+    /// A job that has begun goes on: what it holds would be held for longer. A workspace without a
+    /// weight has no limit.
     pub(super) fn is_above(&self, ready: &ReadyStep) -> bool {
         let (Some(name), Some(usage)) = (&ready.workspace, self.groups.get(&ready.group())) else {
             return false;
         };
-        if ready.rank.is_started() {
+        if ready.rank.is_started() || !self.weights.contains_key(name) {
             return false;
         }
         let weight_of = |name: &Arc<str>| self.weights.get(name).copied().unwrap_or_default();
