--- a/crates/skylarkwick-entry/src/jobs/group.rs
+++ b/crates/skylarkwick-entry/src/jobs/group.rs
@@ -22,6 +22,8 @@
 const MAX_BYTES: usize = 400_000;
 /// Most bytes of rows that wait; what comes beyond that is refused.
 const MAX_WAITING_BYTES: usize = 4 << 20;
+/// Time that the duty has to answer after a deadline.
+const GRACE: Duration = Duration::from_millis(50);
 /// Longest wait for a row before the stop signal is looked at.
 const IDLE_WAIT: Duration = Duration::from_secs(1);
 
@@ -103,9 +105,6 @@
     }
 }
 
-/// Time that the duty has to answer after a deadline.
-const GRACE: Duration = Duration::from_millis(50);
-
 /// The rows that wait, by partition.
 #[derive(Debug)]
 struct Batches<S> {
