--- a/crates/skylarkwick-planner/src/jobs/allotments.rs
+++ b/crates/skylarkwick-planner/src/jobs/allotments.rs
@@ -198,30 +198,34 @@
         stored.unanswered = stored.unanswered.filter(|(revision, _)| *revision == stored.revision);
         let step = allotment::next(&stored.entries, shard, need, quota, shards, now_ms);
         let mut limit = step.limit;
-        match (step.entry, stored.unanswered) {
-            (_, Some((_, granted))) => limit = lower(limit, granted),
-            (None, None) => {}
-            (Some(entry), None) => {
-                let mut entries = stored.entries.clone();
-                entries.insert(shard, entry);
-                match self.write(name, stored.revision, &entries) {
-                    Ok(Commit::Applied(revision)) => {
-                        (stored.revision, stored.entries) = (revision, entries);
-                        let need = Need { limit, ..*need };
-                        let entries = &stored.entries;
-                        limit = allotment::next(entries, shard, &need, quota, shards, now_ms).limit;
-                    }
-                    // The feed brings the row that it met.
-                    Ok(Commit::Conflict(_)) | Err(store::Error::NotDone(_)) => {}
-                    Err(error) => {
-                        warn!(self.log, "allotment in doubt"; "workspace" => &**name,
-                            "error" => %error);
-                        stored.unanswered = Some((stored.revision, entry.granted));
-                        limit = lower(limit, entry.granted);
-                    }
+        // A write without an answer is settled by another one on the same condition: only one of
+        // them is carried out.
+        let current = stored.entries.get(&shard).copied().unwrap_or_default();
+        let entry = step.entry.or(stored.unanswered.map(|_| current));
+        if let Some(entry) = entry {
+            let mut entries = stored.entries.clone();
+            entries.insert(shard, entry);
+            match self.write(name, stored.revision, &entries) {
+                Ok(Commit::Applied(revision)) => {
+                    stored = Stored { revision, entries, unanswered: None };
+                    let need = Need { limit, ..*need };
+                    let entries = &stored.entries;
+                    limit = allotment::next(entries, shard, &need, quota, shards, now_ms).limit;
+                }
+                // The feed brings the row that it met.
+                Ok(Commit::Conflict(_)) | Err(store::Error::NotDone(_)) => {}
+                Err(error) => {
+                    warn!(self.log, "allotment in doubt"; "workspace" => &**name,
+                        "error" => %error);
+                    let earlier = stored.unanswered.map_or(entry.granted, |(_, granted)| granted);
+                    stored.unanswered = Some((stored.revision, lower(earlier, entry.granted)));
                 }
             }
         }
+        if let Some((_, granted)) = stored.unanswered {
+            // Components that are not granted are not limited.
+            limit = lower(limit, limited(granted, quota));
+        }
         self.rows.insert(Arc::clone(name), stored);
         limit
     }
@@ -251,6 +255,18 @@
     }
 }
 
+/// Returns a grant with [`u64::MAX`] for the components that a quota does not limit.
+fn limited(granted: Resources, quota: Quota) -> Resources {
+    let components = granted.components().into_iter().zip(quota.ceiling().components());
+    let mut limits = [u64::MAX; 3];
+    for (limit, (granted, ceiling)) in limits.iter_mut().zip(components) {
+        if ceiling != u64::MAX {
+            *limit = granted;
+        }
+    }
+    Resources::from_components(limits)
+}
+
 /// Returns the lower of each component.
 fn lower(left: Resources, right: Resources) -> Resources {
     left - (left - right)
--- a/crates/skylarkwick-version/tests/quota_allotments.rs
+++ b/crates/skylarkwick-version/tests/quota_allotments.rs
@@ -18,7 +18,7 @@
 }
 
 /// A holder of a shard: what it lets run, what it was last told to let run, what runs, what could
-/// run, and a write whose answer was lost.
+/// run, and the writes whose answers were lost.
 #[derive(Clone, Debug, Default)]
 struct Holder {
     limit: Resources,
@@ -26,7 +26,7 @@
     used: Resources,
     demand: Resources,
     unit: Resources,
-    unanswered: Option<(u64, Allotments)>,
+    unanswered: Vec<(u64, Allotments)>,
 }
 
 impl Holder {
@@ -68,26 +68,24 @@
         self.now_ms += 100;
         let holder = self.holders.get_mut(&shard).expect("a shard");
         // A write without an answer can still be carried out until the row has changed.
-        let ceiling = match &holder.unanswered {
-            Some((revision, row)) if *revision == self.revision => row[&shard].granted,
-            _ => {
-                holder.unanswered = None;
-                cores(1 << 30)
-            }
-        };
+        holder.unanswered.retain(|(revision, _)| *revision == self.revision);
+        let pending = holder.unanswered.iter().map(|(_, row)| row[&shard].granted);
+        let ceiling = pending.fold(cores(1 << 30), min);
         let need = holder.need();
         let step = allotment::next(&self.row, shard, &need, self.quota, SHARDS, self.now_ms);
         let limit = min(step.limit, ceiling);
         holder.told = limit;
-        let Some(entry) = step.entry.filter(|_| holder.unanswered.is_none()) else {
+        // A write without an answer is settled by another one on the same condition.
+        let current = self.row.get(&shard).copied().unwrap_or_default();
+        let Some(entry) = step.entry.or((!holder.unanswered.is_empty()).then_some(current)) else {
             return;
         };
         let mut row = self.row.clone();
         row.insert(shard, entry);
         match answer {
-            Answer::LostBefore => holder.unanswered = Some((self.revision, row)),
+            Answer::LostBefore => holder.unanswered.push((self.revision, row)),
             Answer::LostAfter => {
-                holder.unanswered = Some((self.revision, row.clone()));
+                holder.unanswered.push((self.revision, row.clone()));
                 (self.row, self.revision) = (row, self.revision + 1);
             }
             Answer::Applied => {
@@ -108,9 +106,8 @@
     /// A write that had no answer is carried out now.
     fn carry_out_late(&mut self, shard: ShardId) {
         let holder = &self.holders[&shard];
-        if let Some((revision, row)) = holder.unanswered.clone()
-            && revision == self.revision
-        {
+        let pending = holder.unanswered.iter().find(|(revision, _)| *revision == self.revision);
+        if let Some((revision, row)) = pending.cloned() {
             (self.row, self.revision) = (row, revision + 1);
         }
     }
@@ -120,7 +117,7 @@
     fn replace_holder(&mut self, shard: ShardId) {
         let holder = self.holders.get_mut(&shard).expect("a shard");
         (holder.limit, holder.told) = Default::default();
-        holder.unanswered = None;
+        holder.unanswered.clear();
     }
 
     /// The workspace's work in a shard starts as far as its limit allows, or ends.
@@ -218,6 +215,19 @@
     assert!(site.row.values().all(|entry| entry.granted == cores(20)));
 }
 
+/// Writes that were lost hold nothing up for good.
+#[test]
+fn lost_writes_repeated() {
+    let mut site = Site::new(60);
+    for shard in (0..SHARDS).map(ShardId) {
+        site.step(shard, Answer::LostBefore);
+        site.step(shard, Answer::LostBefore);
+    }
+    site.work(ShardId(1), cores(50), cores(1));
+    site.settle();
+    assert_eq!(site.holders[&ShardId(1)].used, cores(50));
+}
+
 /// All of the work of a workspace falls to one shard.
 #[test]
 fn unused_parts_move() {
