--- a/review/stand-in-3/src/cases.rs
+++ b/review/stand-in-3/src/cases.rs
@@ -9,7 +9,7 @@
 use crate::{
     record::Record,
     site::{Route, Site},
-    workers::Kind,
+    workers::{Kind, Worker},
 };
 
 /// How a case ended.
@@ -32,6 +32,7 @@
         "dropped-route" => dropped_route(record, has_trouble),
         "waiting" => waiting(record, has_trouble),
         "schedule" => schedule(record, has_trouble),
+        "late-acknowledgement" => late_acknowledgement(record, has_trouble),
         "foreign-cancel" => foreign_cancel(record, has_trouble),
         _ => Err(format!("no case {case:?}")),
     }
@@ -322,3 +323,65 @@
         ))),
     }
 }
+
+/// A poll that acknowledges ends gets no answer; its worker crashes and starts again under its id,
+/// and the poll is carried out there, seconds late.
+fn late_acknowledgement(record: &Record, has_trouble: bool) -> Outcome {
+    let site = Site::new(record, Duration::from_millis(20));
+    add_machines(&site, "proof", 7, 64_000);
+    // The jobs need this one's rack.
+    site.platform.add(Kind {
+        machine: "m-proof-8".to_owned(),
+        service: "proof".to_owned(),
+        zone: "b".to_owned(),
+        rack: "r9".to_owned(),
+        millicores: 64_000,
+        memory_mb: 131_072,
+    });
+    site.configure(1, &[Route::new("proof-a", "proof")], &["proof"], 3000);
+    site.start()?;
+    let workers = site.platform.workers();
+    let worker = workers.iter().find(|worker| worker.kind.rack == "r9").ok_or("no worker")?;
+    let job = |number: u64| {
+        let length = 100 + number * 37 % 300;
+        let step = format!(
+            "{{\"count\":1,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":{length},\"constraints\":\"r9\"}}"
+        );
+        format!("{{\"spec\":\"{length}:1000\",\"steps\":[{step}]}}")
+    };
+    let (mut number, mut accepted) = (0_u64, Vec::new());
+    let mut submit_for = |seconds: u64, is_over: &dyn Fn() -> bool| {
+        let end = Instant::now() + Duration::from_secs(seconds);
+        while Instant::now() < end && !is_over() {
+            number += 1;
+            let path = format!("/proof-a/{number:016x}");
+            if site.submit(&path, &job(number)) {
+                accepted.push(path);
+            }
+            thread::sleep(Duration::from_millis(60));
+        }
+    };
+    submit_for(10, &|| false);
+    if has_trouble {
+        worker.delay_hold(20);
+        submit_for(8, &|| worker.has_late_hold());
+        if !worker.has_late_hold() {
+            return Err("no poll acknowledged an end".to_owned());
+        }
+        thread::sleep(Duration::from_millis(200));
+        Worker::crash(worker, &site.store, Duration::from_millis(500));
+    }
+    submit_for(16, &|| !worker.repeated().is_empty());
+    thread::sleep(Duration::from_secs(6));
+    let is_completed = |path: &&String| site.look(path, "state").as_str() == "completed";
+    let open = accepted.iter().filter(|path| !is_completed(path)).count();
+    let (repeated, was_late) = (worker.repeated(), has_trouble && !worker.has_late_hold());
+    site.stop();
+    match repeated.first() {
+        Some(first) => {
+            Ok(Verdict::Broken(format!("TWICE, {} starts; first: {first}", repeated.len())))
+        }
+        None if has_trouble && !was_late => Err("no end was unread in time".to_owned()),
+        None => Ok(Verdict::Held(format!("{} jobs, {open} open", accepted.len()))),
+    }
+}
