--- a/review/stand-in-3/src/cases.rs
+++ b/review/stand-in-3/src/cases.rs
@@ -33,7 +33,8 @@
         "waiting" => waiting(record, has_trouble),
         "schedule" => schedule(record, has_trouble),
         "late-acknowledgement" => late_acknowledgement(record, has_trouble),
-        "foreign-cancel" => foreign_cancel(record, has_trouble),
+        "foreign-cancel" => foreign_cancel(record, has_trouble, false),
+        "foreign-cancel-tenants" => foreign_cancel(record, has_trouble, true),
         _ => Err(format!("no case {case:?}")),
     }
 }
@@ -282,9 +283,10 @@
 }
 
 /// A client asks another queue to cancel a job that this queue doesn't have, under the identifier
-/// of an accepted job.
-fn foreign_cancel(record: &Record, has_trouble: bool) -> Outcome {
-    let site = Site::new(record, Duration::from_millis(20));
+/// of an accepted job. With tenants, that client and its queue belong to another one.
+fn foreign_cancel(record: &Record, has_trouble: bool, has_tenants: bool) -> Outcome {
+    let mut site = Site::new(record, Duration::from_millis(20));
+    site.has_tenants = has_tenants;
     add_machines(&site, "press", 4, 64_000);
     add_machines(&site, "proof", 4, 64_000);
     let routes = [Route::new("press-a", "press"), Route::new("proof-a", "proof")];
--- a/review/stand-in-3/src/site.rs
+++ b/review/stand-in-3/src/site.rs
@@ -65,6 +65,11 @@
     forget(child.id());
 }
 
+/// Returns the key of the tenant that uses the queue of a path.
+fn key_of(path: &str) -> String {
+    format!("key-of-{}", path.split('/').nth(1).unwrap_or_default())
+}
+
 /// Host name of all routes.
 const HOST: &str = "jobs.example";
 
@@ -87,6 +92,8 @@
     pub store: Arc<Store>,
     pub platform: Arc<Platform>,
     pub record: Record,
+    /// Whether each queue needs a key of a tenant of its own.
+    pub has_tenants: bool,
     fronts: Vec<Arc<Front>>,
     /// Threads that restart entry hosts.
     restarts: Mutex<Vec<JoinHandle<()>>>,
@@ -119,11 +126,13 @@
             Arc::new(Front { name, callers, ready, settings, processes, is_over })
         });
         let (fronts, restarts) = (fronts.collect(), Mutex::default());
-        Site { store, platform, record: record.clone(), fronts, restarts, folder }
+        let record = record.clone();
+        Site { store, platform, record, has_tenants: false, fronts, restarts, folder }
     }
 
     /// Writes a configuration.
     pub fn configure(&self, version: u64, routes: &[Route], services: &[&str], timeout_ms: u64) {
+        let routes_of = routes;
         let routes = routes.iter().map(|route| {
             object([
                 ("name", text(&route.name)),
@@ -134,6 +143,7 @@
                 ("target_duration_ms", number(600)),
                 ("priority", number(0)),
                 ("service", text(&route.service)),
+                ("allow_anonymous", Json::Bool(!self.has_tenants)),
                 ("max_attempts", number(4)),
                 ("stretch", Json::Number(1.6)),
             ])
@@ -145,7 +155,16 @@
                 ("admission_check", Json::Bool(true)),
             ])
         });
+        let tenants = routes_of.iter().filter(|_| self.has_tenants).map(|route| {
+            let keys = Json::List(vec![text(&key_of(&route.prefix))]);
+            object([
+                ("name", text(&format!("tenant-of-{}", route.name))),
+                ("api_keys", keys),
+                ("weight", number(1)),
+            ])
+        });
         let config = object([
+            ("tenants", Json::List(tenants.collect())),
             ("version", number(version)),
             ("routes", Json::List(routes.collect())),
             ("services", Json::List(services.collect())),
@@ -210,7 +229,9 @@
         path: &str,
         body: &str,
     ) -> Option<(u16, String)> {
-        let headers = [("Host", HOST), ("X-Deadline-Ms", "3000")];
+        // Where tenants are known, each queue is used by one of them.
+        let key = format!("Bearer {}", key_of(path));
+        let headers = [("Host", HOST), ("X-Deadline-Ms", "3000"), ("Authorization", &key)];
         let address = self.fronts[front].callers;
         let answer = http::call(address, method, path, &headers, body, Duration::from_secs(4));
         let shown = answer
