--- a/review/stand-in-3/src/cases.rs
+++ b/review/stand-in-3/src/cases.rs
@@ -31,6 +31,7 @@
         "handover" => handover(record, has_trouble),
         "dropped-route" => dropped_route(record, has_trouble),
         "waiting" => waiting(record, has_trouble),
+        "moved-job" => moved_job(record, has_trouble),
         "schedule" => schedule(record, has_trouble),
         "late-acknowledgement" => late_acknowledgement(record, has_trouble),
         "foreign-cancel" => foreign_cancel(record, has_trouble, false),
@@ -387,3 +388,54 @@
         None => Ok(Verdict::Held(format!("{} jobs, {open} open", accepted.len()))),
     }
 }
+
+/// A client cancels its job in one queue, hands it in to another one under the same identifier,
+/// and the holder's entry host is restarted as planned.
+fn moved_job(record: &Record, has_trouble: bool) -> Outcome {
+    let site = Site::new(record, Duration::from_millis(20));
+    add_machines(&site, "press", 4, 64_000);
+    add_machines(&site, "proof", 4, 64_000);
+    let routes = [Route::new("press-a", "press"), Route::new("proof-a", "proof")];
+    site.configure(1, &routes, &["press", "proof"], 3000);
+    site.start()?;
+    let step = |after: &str| {
+        format!("{{\"count\":2,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":500{after}}}")
+    };
+    let steps = format!("[{},{}]", step(""), step(",\"after\":[0]"));
+    let job = format!("{{\"spec\":\"500:1000,6000:1000\",\"steps\":{steps}}}");
+    let first = "/press-a/5c0e7a21d94b36f8";
+    if !site.submit(first, &job) {
+        return Err("the job was not accepted".to_owned());
+    }
+    thread::sleep(Duration::from_secs(3));
+    let cancelled = site.call(0, "DELETE", first, "");
+    if cancelled.map(|(status, _)| status) != Some(200) {
+        return Err("the job was not cancelled".to_owned());
+    }
+    thread::sleep(Duration::from_secs(1));
+    let id = if has_trouble { "5c0e7a21d94b36f8" } else { "5c0e7a21d94b36f9" };
+    let path = format!("/proof-a/{id}");
+    if !site.submit(&path, &job) {
+        return Err("the job was not accepted in the other queue".to_owned());
+    }
+    thread::sleep(Duration::from_millis(300));
+    // Both entry hosts in turn, so that the holder's is among them.
+    site.restart("front-a-1");
+    thread::sleep(Duration::from_secs(9));
+    site.restart("front-b-1");
+    thread::sleep(Duration::from_secs(20));
+    let is_completed = site.look(&path, "state").as_str() == "completed";
+    let workers = site.platform.workers();
+    let of_service = workers.iter().filter(|worker| worker.kind.service == "proof");
+    let has_begun =
+        of_service.filter(|worker| worker.has_begun(&format!("{id}.0.0.0"))).count() > 0;
+    site.stop();
+    match (is_completed, has_begun) {
+        (true, false) => Ok(Verdict::Broken(
+            "MIXED, the job is shown as completed, and no task of its first step was started"
+                .to_owned(),
+        )),
+        (true, true) => Ok(Verdict::Held("the job ran and was completed".to_owned())),
+        (false, _) => Ok(Verdict::Broken("LOST, the accepted job is not completed".to_owned())),
+    }
+}
--- a/review/stand-in-3/src/site.rs
+++ b/review/stand-in-3/src/site.rs
@@ -4,10 +4,10 @@
     fs,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{self, Child, Command, Stdio},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
@@ -103,7 +103,7 @@
 impl Site {
     /// Starts the stand-ins; no process yet. The calls of the platform take `delay`.
     pub fn new(record: &Record, delay: Duration) -> Site {
-        let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("review-3-{}", process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let (store, store_address) = Store::start();
         let (platform, hosts) = Platform::start(&store, record, delay);
@@ -346,8 +346,20 @@
     file.map_or(Stdio::null(), Stdio::from)
 }
 
-/// Returns a loopback address whose port is free.
+/// First of the ports that are tried, and their number; they lie below those that the system gives to
+/// outgoing connections.
+const PORTS: (u32, u32) = (12_000, 19_000);
+/// Ports that were given out.
+static GIVEN: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a loopback address whose port is free. Cases that run beside each other begin at
+/// different ports.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free loopback port");
-    listener.local_addr().expect("the port is bound")
+    loop {
+        let number = process::id().wrapping_mul(61) + GIVEN.fetch_add(1, Ordering::Relaxed);
+        let port = u16::try_from(PORTS.0 + number % PORTS.1).unwrap_or_default();
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("the port is bound");
+        }
+    }
 }
--- a/review/stand-in-3/src/workers.rs
+++ b/review/stand-in-3/src/workers.rs
@@ -78,6 +78,8 @@
     noted: BTreeSet<String>,
     /// Starts of tasks whose end `done` had been taken note of.
     repeated: Vec<String>,
+    /// Tasks that were started.
+    begun: BTreeSet<String>,
     fence: u64,
     lease_until_ms: u64,
     running: BTreeMap<String, Run>,
@@ -102,6 +104,7 @@
             told: 0,
             noted: BTreeSet::new(),
             repeated: Vec::new(),
+            begun: BTreeSet::new(),
             fence: 0,
             lease_until_ms: 0,
             running: BTreeMap::new(),
@@ -227,6 +230,11 @@
         store.put("servers", &self.id, None);
     }
 
+    /// Returns whether a task was ever started in this life.
+    pub fn has_begun(&self, task: &str) -> bool {
+        self.state().begun.contains(task)
+    }
+
     /// Returns the tasks that run now.
     pub fn running(&self) -> Vec<String> {
         self.state().running.keys().cloned().collect()
@@ -430,6 +438,7 @@
         let ends_ms = length.map(|length| now_ms + length);
         state.running.insert(task.to_owned(), Run { run, millicores, ends_ms });
         self.record.line(&format!("worker {}: task {task} run {run} started", self.id));
+        state.begun.insert(task.to_owned());
         if state.noted.contains(task) {
             let repeated = format!("task {task} run {run} on {}", self.id);
             self.record.line(&format!("TWICE broken: {repeated} after its end was taken note of"));
