--- /dev/null
+++ b/review/stand-in-4/src/cases.rs
@@ -0,0 +1,7 @@
+//! The cases.
+
+pub mod excess_fills;
+pub mod foreign_cancel;
+pub mod foreign_entry;
+pub mod lasting_done;
+pub mod waiting_count;
