--- a/review/stand-in-4/src/cases.rs
+++ b/review/stand-in-4/src/cases.rs
@@ -4,4 +4,5 @@
 pub mod foreign_cancel;
 pub mod foreign_entry;
 pub mod lasting_done;
+pub mod lost_holder;
 pub mod waiting_count;
--- a/review/stand-in-4/src/main.rs
+++ b/review/stand-in-4/src/main.rs
@@ -31,6 +31,7 @@
         "lasting-done" => cases::lasting_done::play(has_trouble),
         "foreign-cancel" => cases::foreign_cancel::play(has_trouble),
         "foreign-entry" => cases::foreign_entry::play(has_trouble),
+        "lost-holder" => cases::lost_holder::play(has_trouble),
         "waiting-count" => cases::waiting_count::play(has_trouble),
         "excess-fills" => cases::excess_fills::play(has_trouble),
         _ => Err(io::Error::other("no such case")),
--- a/review/stand-in-4/src/site.rs
+++ b/review/stand-in-4/src/site.rs
@@ -46,29 +46,11 @@
 }
 
 impl Process {
-    /// Returns its id.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Returns whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
-
-    /// Returns its resident memory in MiB.
-    pub fn memory_mib(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
-        let kib = line.split_whitespace().nth(1).and_then(|kib| kib.parse::<u64>().ok());
-        kib.unwrap_or_default() / 1024
-    }
 }
 
 impl Drop for Process {
@@ -225,18 +207,13 @@
         Ok(())
     }
 
-    /// Returns the process of a program that was started last.
-    pub fn process(&mut self, program: Program) -> Option<&mut Process> {
-        let found = self.processes.iter_mut().rev().find(|(known, _)| *known == program);
-        found.map(|(_, process)| process)
-    }
-
-    /// Kills the process of a program that was started last.
-    pub fn kill(&mut self, program: Program) {
-        if let Some(process) = self.process(program) {
+    /// Kills the process of a program that was started first.
+    pub fn kill_first(&mut self, program: Program) {
+        let found = self.processes.iter_mut().find(|(known, _)| *known == program);
+        if let Some((_, process)) = found {
             process.kill();
         }
-        self.record.add(format!("{program:?} killed"));
+        self.record.add(format!("{program:?} killed for good"));
     }
 
     /// Waits until queues can be counted; fails if that takes too long.
--- a/review/stand-in-4/src/store.rs
+++ b/review/stand-in-4/src/store.rs
@@ -62,6 +62,13 @@
         self.state.1.notify_all();
     }
 
+    /// Removes the entry of a worker that is gone.
+    pub fn remove(&self, table: &str, key: &str) {
+        let key = (table.to_owned(), String::new(), key.to_owned());
+        self.state().write(vec![(key, None)]);
+        self.state.1.notify_all();
+    }
+
     fn handle(&self, request: &Request) -> Response {
         let is_write = request.path == "/rows-tx";
         if !self.state().admit(is_write) {
--- a/review/stand-in-4/src/worker.rs
+++ b/review/stand-in-4/src/worker.rs
@@ -7,7 +7,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -106,6 +109,7 @@
     pub born_ms: u64,
     start: Instant,
     state: Arc<Mutex<State>>,
+    is_gone: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -127,19 +131,23 @@
             born_ms: unix_ms(),
             start: Instant::now(),
             state: Arc::new(Mutex::new(state)),
+            is_gone: Arc::default(),
             record: record.clone(),
         };
         // The address is known only once the listener is bound, and no call needs it.
         let served = worker.clone();
-        worker.address = http::serve(move |request| Some(served.handle(request)))?;
+        worker.address =
+            http::serve(move |request| served.is_up().then(|| served.handle(request)))?;
         let (beating, store) = (worker.clone(), store.clone());
         thread::spawn(move || {
             let mut sequence = 0;
-            loop {
+            while beating.is_up() {
                 sequence += 1;
                 store.put("servers", &beating.identity.id, &beating.entry(sequence).to_string());
                 thread::sleep(HEARTBEAT);
             }
+            thread::sleep(HEARTBEAT * 2);
+            store.remove("servers", &beating.identity.id);
         });
         Ok(worker)
     }
@@ -209,6 +217,21 @@
         self.end_run(&mut state, task, how);
     }
 
+    /// Crashes the worker for good: everything on it ends, and it answers no more.
+    pub fn crash(&self) {
+        let mut state = self.state();
+        let running: Vec<String> = state.runs.keys().cloned().collect();
+        for task in running {
+            self.end_run(&mut state, &task, "lost with its worker");
+        }
+        self.is_gone.store(true, Ordering::SeqCst);
+        self.record.add(format!("{} is lost for good", self.identity.id));
+    }
+
+    fn is_up(&self) -> bool {
+        !self.is_gone.load(Ordering::SeqCst)
+    }
+
     /// Returns the tasks that run.
     pub fn running(&self) -> Vec<String> {
         self.state().runs.keys().cloned().collect()
