--- a/review/stand-in-4/src/cases.rs
+++ b/review/stand-in-4/src/cases.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
+pub mod early_cancel;
 pub mod excess_fills;
-pub mod foreign_cancel;
 pub mod foreign_entry;
 pub mod lasting_done;
 pub mod lost_holder;
--- a/review/stand-in-4/src/main.rs
+++ b/review/stand-in-4/src/main.rs
@@ -29,10 +29,11 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "lasting-done" => cases::lasting_done::play(has_trouble),
-        "foreign-cancel" => cases::foreign_cancel::play(has_trouble),
-        "foreign-entry" => cases::foreign_entry::play(has_trouble),
+        "foreign-entry" => cases::foreign_entry::play(has_trouble, false),
+        "foreign-entry-copy" => cases::foreign_entry::play(has_trouble, true),
         "lost-holder" => cases::lost_holder::play(has_trouble),
         "waiting-count" => cases::waiting_count::play(has_trouble),
+        "early-cancel" => cases::early_cancel::play(has_trouble),
         "excess-fills" => cases::excess_fills::play(has_trouble),
         _ => Err(io::Error::other("no such case")),
     };
