--- a/review/17/run.sh
+++ b/review/17/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-4/release/review-4
 [ -x "$program" ] || { echo "run review/build-4.sh first" >&2; exit 2; }
-exec "$program" foreign-entry review/17
+exec "$program" excess-fills review/17
