Log what holds waiting jobs back, by cause, and for how long

The logs did not tell whether the quota, the reserve for others, the share or a lack of room held them back.

A decision records the cause with each job, and since when. The lines 'load' and 'workspace load' count the jobs by cause.

--- a/crates/skylarkwick-planner/src/jobs/activity.rs
+++ b/crates/skylarkwick-planner/src/jobs/activity.rs
@@ -50,9 +50,11 @@
                 "runs" => load.runs, "planned" => load.planned, "starting" => load.starting,
                 "stopping" => load.stopping, "unmet_millicores" => load.unmet_millicores,
                 "hosts" => load.hosts, "hosts_needed" => load.hosts_needed,
-                "hosts_wanted" => load.hosts_wanted);
+                "hosts_wanted" => load.hosts_wanted, "held_by_quota" => load.held.quota,
+                "held_by_reserve" => load.held.reserve, "held_by_share" => load.held.share,
+                "held_by_room" => load.held.room, "held_ms" => millis(load.held.longest));
         }
-        for (name, load) in shard.workspace_loads() {
+        for (name, load) in shard.workspace_loads(now) {
             info!(log, "workspace load"; "workspace" => &*name, "jobs" => load.jobs,
                 "excess_jobs" => load.excess_jobs, "waiting_jobs" => load.waiting_jobs,
                 "millicores" => load.used.millicores,
@@ -61,7 +63,10 @@
                 "memory_mib" => load.used.memory_mib,
                 "memory_mib_limit" => load.limit.memory_mib,
                 "accelerators" => load.used.accelerators,
-                "accelerators_limit" => load.limit.accelerators);
+                "accelerators_limit" => load.limit.accelerators,
+                "held_by_quota" => load.held.quota, "held_by_reserve" => load.held.reserve,
+                "held_by_share" => load.held.share, "held_by_room" => load.held.room,
+                "held_ms" => millis(load.held.longest));
         }
     }
 }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -14,6 +14,7 @@
 mod fleet;
 mod gang;
 mod health;
+mod hold;
 mod host_list;
 mod label_hosts;
 mod liveness;
@@ -45,7 +46,7 @@
 pub mod effect;
 pub mod input;
 
-pub use self::workspace_load::WorkspaceLoad;
+pub use self::{hold::Holds, workspace_load::WorkspaceLoad};
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -341,7 +342,9 @@
         }
         for active in self.jobs.values() {
             if let Some(queue) = self.queues.get(&active.queue) {
-                pools.entry(Arc::clone(&queue.pool)).or_default().jobs += 1;
+                let pool = pools.entry(Arc::clone(&queue.pool)).or_default();
+                pool.jobs += 1;
+                pool.held.count(now, active);
             }
         }
         pools
@@ -377,6 +380,8 @@
 pub struct PoolLoad {
     /// Unfinished jobs of the pool's queues.
     pub jobs: usize,
+    /// Of these, those of which tasks could start and did not.
+    pub held: Holds,
     /// Backend servers.
     pub servers: usize,
     /// Backend servers that accept new work.
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -12,6 +12,7 @@
 };
 
 use super::{
+    hold::Hold,
     input::{AcceptedJob, Queue, ServerId},
     occurrence::{Occurrence, Task, TaskState},
     run_time_model::Estimate,
@@ -49,6 +50,8 @@
     /// Whether a server has started a task. A server that was only sent a start
     /// may not have.
     pub(super) has_started: bool,
+    /// What held its tasks back at the last decision.
+    pub(super) hold: Option<Hold>,
     pub(super) outcome: Option<State>,
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
     /// Number of occurrences that are due by this holder's time of day. Later
@@ -75,6 +78,7 @@
             recorded_servers: BTreeSet::new(),
             failed_writes: 0,
             has_started: false,
+            hold: None,
             outcome: None,
             occurrences: BTreeMap::new(),
             due_occurrences: 0,
--- a/crates/skylarkwick-request/src/shard/round.rs
+++ b/crates/skylarkwick-request/src/shard/round.rs
@@ -8,8 +8,8 @@
 use skylarkwick_version::moment::Moment;
 
 use super::{
-    Shard, placement::PlacementRequest, quota::Ledger, ranking::ReadyStep, server::Stage,
-    share::Shares, shortage::Shortage,
+    Shard, hold::Cause, placement::PlacementRequest, quota::Ledger, ranking::ReadyStep,
+    server::Stage, share::Shares, shortage::Shortage,
 };
 use crate::job::Step;
 
@@ -116,10 +116,17 @@
         let job = Arc::clone(&ready.job);
         let step = &job.steps[ready.step];
         let workspace = ready.workspace.clone();
-        let admitted = round.ledger.admit(workspace.as_ref(), step, ready.tasks.len());
+        let waiting = ready.tasks.len();
+        let admitted = round.ledger.admit(workspace.as_ref(), step, waiting);
         ready.tasks.truncate(admitted);
         ready.tasks.truncate(round.shares.admit(&ready));
+        let mut cause = match ready.tasks.len() {
+            left if left == waiting => None,
+            left if left < admitted => Some(Cause::Reserve),
+            _ => Some(Cause::Quota),
+        };
         if ready.tasks.is_empty() {
+            self.record_hold(round.now, &ready.job_id, cause);
             return;
         }
         // The members of a gang start together, so the last one may exceed the window.
@@ -154,7 +161,10 @@
                 round.lacking_room.insert(Arc::clone(pool));
             }
             self.add_unmet(pool, step, unplaced);
+            let is_above = round.shares.is_above(&ready);
+            cause = Some(if is_above { Cause::Share } else { Cause::Room });
         }
+        self.record_hold(round.now, &ready.job_id, cause);
     }
 
     /// Returns whether a host of mean size has room for one task of a step and
--- a/crates/skylarkwick-request/src/shard/workspace_load.rs
+++ b/crates/skylarkwick-request/src/shard/workspace_load.rs
@@ -2,9 +2,9 @@
 
 use std::{cmp::Reverse, collections::BTreeMap, sync::Arc};
 
-use skylarkwick_version::resources::Resources;
+use skylarkwick_version::{moment::Moment, resources::Resources};
 
-use super::Shard;
+use super::{Shard, hold::Holds};
 
 /// Workspaces that are told apart; the others count as one.
 const MAX_NAMED: usize = 8;
@@ -20,6 +20,8 @@
     pub excess_jobs: usize,
     /// Jobs of which no task has started.
     pub waiting_jobs: usize,
+    /// Of the unfinished jobs, those of which tasks could start and did not.
+    pub held: Holds,
     /// What may be running; zero without a quota.
     pub used: Resources,
     /// What it could have running now; zero without a quota.
@@ -34,6 +36,7 @@
         self.jobs += other.jobs;
         self.excess_jobs += other.excess_jobs;
         self.waiting_jobs += other.waiting_jobs;
+        self.held.add(&other.held);
         self.used = self.used + other.used;
         self.demand = self.demand + other.demand;
         self.limit = self.limit + other.limit;
@@ -42,7 +45,7 @@
 
 impl Shard {
     /// Returns the loads of the workspaces with most jobs, and of all others as one.
-    pub fn workspace_loads(&self) -> Vec<(Arc<str>, WorkspaceLoad)> {
+    pub fn workspace_loads(&self, now: Moment) -> Vec<(Arc<str>, WorkspaceLoad)> {
         let mut loads: BTreeMap<Arc<str>, WorkspaceLoad> = BTreeMap::new();
         for active in self.jobs.values() {
             if let Some(name) = &active.workspace {
@@ -50,6 +53,7 @@
                 load.jobs += 1;
                 load.excess_jobs += usize::from(active.is_excess);
                 load.waiting_jobs += usize::from(!active.has_started);
+                load.held.count(now, active);
             }
         }
         for (name, need) in self.quota_needs() {
