Count what runs reserve, not what they are charged for, against the reserve for others

Cause: Shares::admit took what runs are charged for (all that they request, for the quota) as what they use of the pool. A best-effort task reserves no processor time, so free cores counted as used.

Change: Charge and Reservation are types of their own (job::footprint), Tally sums both for a server, Usage for a group of servers. The reserve and the shares go by reservations, quotas by charges. share.rs is split: rate.rs has the token buckets, reserve.rs the reserve. The order by share is changed too; no test was found that shows a difference there.

--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -4,6 +4,7 @@
 //! succeeded, the job has failed or it was cancelled. See `docs/DESIGN.md`,
 //! section "Jobs".
 
+pub mod footprint;
 pub mod progress;
 pub mod task;
 
@@ -108,17 +109,6 @@
     pub max_unavailable: u32,
 }
 
-impl Step {
-    /// Returns the resources that a task reserves on its host. A best-effort task
-    /// reserves no processor time.
-    pub fn reserved_resources(&self) -> Resources {
-        match self.is_best_effort {
-            true => Resources { millicores: 0, ..self.resources },
-            false => self.resources,
-        }
-    }
-}
-
 /// Why a job is not valid: a number of steps, tasks or occurrences out of its limits, or a
 /// dependency that is not on an earlier step. The field is the number of the step, from zero.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -28,6 +28,8 @@
 mod polling;
 mod quota;
 mod ranking;
+mod rate;
+mod reserve;
 mod round;
 mod run_results;
 mod run_time_model;
@@ -38,8 +40,10 @@
 mod share;
 mod shortage;
 mod starts;
+mod tally;
 mod trend;
 mod unsettled;
+mod usage;
 mod wave;
 mod workspace_load;
 
@@ -58,11 +62,11 @@
     fleet::Fleet,
     input::Queue,
     quota::Quotas,
+    rate::Rates,
     run_time_model::RunTimeModel,
     save_queue::SaveQueue,
     send_window::SendWindow,
     server::{Server, Stage},
-    share::Rates,
 };
 use crate::job::{self, State, task};
 
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -341,7 +341,7 @@
             let left = tasks.iter().filter(|task| task.state != TaskState::Done).count();
             let each = millis(estimate.run_time(step));
             let left = u64::try_from(left).unwrap_or(u64::MAX);
-            let millicores = step.reserved_resources().millicores;
+            let millicores = step.reservation().millicores();
             work = work.saturating_add(left.saturating_mul(each).saturating_mul(millicores));
         }
         work
--- a/crates/skylarkwick-request/src/shard/demand.rs
+++ b/crates/skylarkwick-request/src/shard/demand.rs
@@ -56,7 +56,7 @@
         let unfinished = active.unfinished_long_running();
         unfinished
             .filter(|(step, _)| self.fleet.has_label(step.required_label.as_ref()))
-            .map(|(step, tasks)| match step.reserved_resources().count_within(&host) {
+            .map(|(step, tasks)| match step.reservation().resources().count_within(&host) {
                 Some(0) | None => 0,
                 Some(fit) => host.millicores.div_ceil(fit).saturating_mul(tasks),
             })
--- a/crates/skylarkwick-request/src/shard/overload.rs
+++ b/crates/skylarkwick-request/src/shard/overload.rs
@@ -124,7 +124,7 @@
             if self.is_usable(now, server) {
                 usable += 1;
                 let lasting = server.runs.values().filter(|run| run.is_long_running);
-                let reserved: u64 = lasting.map(|run| run.resources.millicores).sum();
+                let reserved: u64 = lasting.map(|run| run.reservation.millicores()).sum();
                 let capacity = server.info.capacity.millicores;
                 millicores = millicores.saturating_add(capacity.saturating_sub(reserved));
             }
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -158,7 +158,7 @@
         avoided: Option<&ServerId>,
     ) -> Option<ServerId> {
         let PlacementRequest { now, pool, step, allowed_servers, rack } = request;
-        let required = step.reserved_resources();
+        let required = step.reservation().resources();
         self.servers
             .values()
             .filter(|server| required.fits_within(&server.available()))
@@ -185,7 +185,7 @@
     /// enough resources, whatever else the request demands.
     pub(super) fn has_room(&self, request: PlacementRequest<'_>) -> bool {
         let PlacementRequest { now, pool, step, .. } = request;
-        let required = step.reserved_resources();
+        let required = step.reservation().resources();
         self.servers
             .values()
             .filter(|server| required.fits_within(&server.available()))
--- a/crates/skylarkwick-request/src/shard/quota.rs
+++ b/crates/skylarkwick-request/src/shard/quota.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{Shard, active::ActiveJob, occurrence::TaskState, server::ActiveRun};
-use crate::job::Step;
+use crate::job::{Step, footprint::Charge};
 
 /// The workspaces of the configuration, the limits of this shard, and the needs at the last
 /// decision.
@@ -64,10 +64,11 @@
         };
         let count = u64::try_from(tasks).unwrap_or(u64::MAX);
         let unit = if step.is_gang { count } else { 1 };
-        account.demand = account.demand + step.resources.times(count);
-        account.unit = account.unit.max_each(&step.resources.times(unit));
+        let charge = step.charge();
+        account.demand = account.demand + charge.times(count).resources();
+        account.unit = account.unit.max_each(&charge.times(unit).resources());
         let room = account.limit - account.used;
-        let fitting = step.resources.count_within(&room).unwrap_or(u64::MAX).min(count);
+        let fitting = charge.resources().count_within(&room).unwrap_or(u64::MAX).min(count);
         match step.is_gang && fitting < count {
             true => 0,
             false => usize::try_from(fitting).unwrap_or(tasks),
@@ -76,9 +77,8 @@
 
     /// Charges tasks of a step that were placed.
     pub(super) fn charge(&mut self, workspace: Option<&Arc<str>>, step: &Step, tasks: usize) {
-        if let Some(account) = workspace.and_then(|name| self.accounts.get_mut(name)) {
-            let charge = step.resources.times(u64::try_from(tasks).unwrap_or(u64::MAX));
-            account.used = account.used + charge;
+        if let Some(name) = workspace {
+            self.use_of(name, step.charge().times(u64::try_from(tasks).unwrap_or(u64::MAX)));
         }
     }
 
@@ -132,7 +132,10 @@
         }
         let mut unknown = 0;
         for server in self.servers.values() {
-            server.charged().iter().for_each(|(name, charge)| ledger.use_of(name, *charge));
+            server
+                .tally()
+                .accounts()
+                .for_each(|(name, account)| ledger.use_of(name, account.charge));
             unknown += server.runs.values().filter(|active_run| active_run.is_unknown).count();
         }
         if unknown > 0 {
@@ -160,56 +163,55 @@
 
     /// Returns the largest resources of a task of any workspace. A run whose job is over, which
     /// an earlier holder has not stopped yet, may have had as much.
-    fn largest_task(&self) -> Resources {
+    fn largest_task(&self) -> Charge {
         let jobs = self.jobs.values().filter(|active| active.workspace.is_some());
         let steps = jobs.flat_map(|active| &active.job.steps);
-        steps.fold(Resources::default(), |largest, step| largest.max_each(&step.resources))
+        steps.fold(Charge::default(), |largest, step| largest.max_each(step.charge()))
     }
 }
 
 impl Ledger {
-    fn use_of(&mut self, name: &Arc<str>, charge: Resources) {
+    fn use_of(&mut self, name: &Arc<str>, charge: Charge) {
         if let Some(account) = self.accounts.get_mut(name) {
-            account.used = account.used + charge;
+            account.used = account.used + charge.resources();
         }
     }
 
-    fn use_of_all(&mut self, charge: Resources) {
+    fn use_of_all(&mut self, charge: Charge) {
         for account in self.accounts.values_mut() {
-            account.used = account.used + charge;
+            account.used = account.used + charge.resources();
         }
     }
 }
 
 /// Returns the resources of all tasks of a job that an earlier holder may have started: those
 /// that are neither done nor known to run, of the steps whose turn has come.
-fn possibly_running(active: &ActiveJob) -> Resources {
-    let mut sum = Resources::default();
+fn possibly_running(active: &ActiveJob) -> Charge {
+    let mut sum = Charge::default();
     for occurrence in active.occurrences.values() {
         for (number, tasks) in occurrence.steps.iter().enumerate() {
             if occurrence.is_ready(&active.job, number) {
                 let waiting = tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
                 let count = u64::try_from(waiting).unwrap_or(u64::MAX);
-                sum = sum + active.job.steps[number].resources.times(count);
+                sum = sum + active.job.steps[number].charge().times(count);
             }
         }
     }
     sum
 }
 
-/// Returns what a run counts for its workspace: the workspace, and all that the task requests,
-/// also what it does not reserve on its host.
+/// Returns the workspace of a run, and what it counts for that.
 pub(super) fn charge(
     active: Option<&ActiveJob>,
     step: Option<&Step>,
-) -> Option<(Arc<str>, Resources)> {
+) -> Option<(Arc<str>, Charge)> {
     let workspace = active?.workspace.as_ref()?;
-    Some((Arc::clone(workspace), step?.resources))
+    Some((Arc::clone(workspace), step?.charge()))
 }
 
 impl ActiveRun {
     /// Returns the run with what it counts for its workspace.
-    pub(super) fn charged(self, charge: Option<(Arc<str>, Resources)>) -> ActiveRun {
+    pub(super) fn charged(self, charge: Option<(Arc<str>, Charge)>) -> ActiveRun {
         ActiveRun { charge, ..self }
     }
 }
--- a/crates/skylarkwick-request/src/shard/round.rs
+++ b/crates/skylarkwick-request/src/shard/round.rs
@@ -149,7 +149,7 @@
         round.remaining = round.remaining.saturating_sub(placed);
         round.ledger.charge(workspace.as_ref(), step, placed);
         let count = u64::try_from(placed).unwrap_or(u64::MAX);
-        round.shares.add(&ready, step.resources.times(count));
+        round.shares.add(&ready, step.reservation().times(count));
         let unplaced = ready.tasks.len() - placed;
         if unplaced > 0 {
             // That this job found no server may have reasons of its own, such as the
@@ -170,7 +170,7 @@
     /// Returns whether a host of mean size has room for one task of a step and
     /// for no second one.
     fn needs_most_of_host(&self, step: &Step) -> bool {
-        step.reserved_resources().count_within(&self.fleet.mean_capacity()) == Some(1)
+        step.reservation().resources().count_within(&self.fleet.mean_capacity()) == Some(1)
     }
 
     /// Returns the number of runs whose starts were not sent or not answered yet.
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -15,8 +15,13 @@
     effect::Target,
     health::Health,
     input::{ClockReading, HostId, ServerId, ServerInfo, StatusReport},
+    tally::Tally,
+};
+use crate::job::{
+    self, Step,
+    footprint::{Charge, Reservation},
+    task,
 };
-use crate::job::{self, Step, task};
 
 /// How long a server may wait for a run to end before it answers a poll. Until
 /// a server has answered this holder once, its polls ask for an answer at once.
@@ -78,10 +83,10 @@
     pub(super) id: task::RunId,
     pub(super) stage: Stage,
     pub(super) attribution: Attribution,
-    /// Reserved resources; zero for runs of unknown jobs.
-    pub(super) resources: Resources,
+    /// What it reserves; nothing for runs of unknown jobs.
+    pub(super) reservation: Reservation,
     /// The workspace of its job, and what it counts for that.
-    pub(super) charge: Option<(Arc<str>, Resources)>,
+    pub(super) charge: Option<(Arc<str>, Charge)>,
     /// Whether its job is not known, because it was over when the run was reported.
     pub(super) is_unknown: bool,
     pub(super) is_long_running: bool,
@@ -121,7 +126,7 @@
             id: run,
             stage,
             attribution: Attribution::Sent,
-            resources: step.map(Step::reserved_resources).unwrap_or_default(),
+            reservation: step.map(Step::reservation).unwrap_or_default(),
             charge: None,
             is_unknown: step.is_none(),
             is_long_running: step.is_some_and(|step| step.is_long_running),
@@ -165,10 +170,8 @@
     /// Whether an earlier incarnation was known.
     pub(super) is_restarted: bool,
     pub(super) runs: BTreeMap<task::Id, ActiveRun>,
-    /// Resources that all runs reserve together.
-    reserved: Resources,
-    /// What the runs count for their workspaces, by workspace.
-    charged: BTreeMap<Arc<str>, Resources>,
+    /// Sums over the runs.
+    tally: Tally,
     /// Latest reading of the server's clock.
     pub(super) clock_reading: Option<ClockReading>,
     /// Latest time, on the server's clock in milliseconds, at which a lease can
@@ -214,8 +217,7 @@
             since: now,
             is_restarted: false,
             runs: BTreeMap::new(),
-            reserved: Resources::default(),
-            charged: BTreeMap::new(),
+            tally: Tally::default(),
             clock_reading: None,
             lease_until_ms: None,
             last_seen_end: 0,
@@ -285,7 +287,7 @@
 
     /// Returns the resources of the host that no run on this server reserves.
     pub(super) fn available(&self) -> Resources {
-        self.info.capacity - self.reserved
+        self.info.capacity - self.tally.reserved().resources()
     }
 
     /// Counts the runs whose stage `is_counted` accepts.
@@ -297,36 +299,19 @@
     /// same task.
     pub(super) fn add(&mut self, task: task::Id, active_run: ActiveRun) {
         self.remove(&task);
-        self.reserved = self.reserved + active_run.resources;
-        if let Some((workspace, charge)) = &active_run.charge {
-            let charged = self.charged.entry(Arc::clone(workspace)).or_default();
-            *charged = *charged + *charge;
-        }
+        self.tally.add(&active_run);
         self.runs.insert(task, active_run);
     }
 
-    /// Returns what the runs count for their workspaces.
-    pub(super) fn charged(&self) -> &BTreeMap<Arc<str>, Resources> {
-        &self.charged
-    }
-
-    /// Takes a run out of what counts for its workspace.
-    fn discharge(&mut self, workspace: &Arc<str>, charge: Resources) {
-        if let Some(charged) = self.charged.get_mut(workspace) {
-            *charged = *charged - charge;
-            if *charged == Resources::default() {
-                self.charged.remove(workspace);
-            }
-        }
+    /// Returns the sums over the runs.
+    pub(super) fn tally(&self) -> &Tally {
+        &self.tally
     }
 
     /// Removes the run of a task, if there is one, and frees its resources.
     pub(super) fn remove(&mut self, task: &task::Id) {
         if let Some(active_run) = self.runs.remove(task) {
-            self.reserved = self.reserved - active_run.resources;
-            if let Some((workspace, charge)) = active_run.charge {
-                self.discharge(&workspace, charge);
-            }
+            self.tally.remove(&active_run);
         }
     }
 
--- a/crates/skylarkwick-request/src/shard/shortage.rs
+++ b/crates/skylarkwick-request/src/shard/shortage.rs
@@ -19,7 +19,7 @@
 impl Shortage {
     /// Returns whether no server can be found for the tasks of a step.
     pub(super) fn covers(&self, step: &Step) -> bool {
-        let required = step.reserved_resources();
+        let required = step.reservation().resources();
         let is_short = |label: &Option<Arc<str>>| {
             let known = self.unavailable.get(label);
             known.is_some_and(|known| known.iter().any(|less| less.fits_within(&required)))
@@ -31,6 +31,6 @@
     /// enough resources.
     pub(super) fn add(&mut self, step: &Step) {
         let label = step.required_label.clone();
-        self.unavailable.entry(label).or_default().push(step.reserved_resources());
+        self.unavailable.entry(label).or_default().push(step.reservation().resources());
     }
 }
--- /dev/null
+++ b/crates/skylarkwick-request/tests/excess_room.rs
@@ -0,0 +1,40 @@
+//! Jobs beyond the weight of their workspace start while enough room is free. See
+//! `docs/design/shares.md`.
+
+mod harness;
+
+use harness::{
+    load::{Load, weighted},
+    step,
+};
+use skylarkwick_request::job::Step;
+
+const HOT: &str = "hot";
+const OTHER: &str = "other";
+
+fn best_effort(count: u32, cores: u64) -> Step {
+    Step { is_long_running: true, is_best_effort: true, max_per_host: 1, ..step(count, cores) }
+}
+
+/// Submits jobs of one core beyond a weight; returns how many of all began at once.
+fn started_at_once(load: &mut Load, jobs: usize) -> usize {
+    for _ in 0..jobs {
+        load.submit(HOT, step(1, 1));
+    }
+    load.step();
+    load.started(HOT)
+}
+
+fn hot_beside_other() -> Load {
+    Load::new(weighted(&[(HOT, 1.0), (OTHER, 100.0)]))
+}
+
+/// Best-effort tasks reserve no processor time: jobs beyond a weight wait for none of it
+/// (review/17).
+#[test]
+fn best_effort_leaves_room() {
+    let mut load = hot_beside_other();
+    load.submit(OTHER, best_effort(2, 64));
+    load.step();
+    assert_eq!(started_at_once(&mut load, 20), 20);
+}
--- a/crates/skylarkwick-request/tests/harness/mod.rs
+++ b/crates/skylarkwick-request/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the harness")]
 
+pub(crate) mod load;
 pub(crate) mod waves;
 
 use std::{
--- a/crates/skylarkwick-request/tests/workspace_shares.rs
+++ b/crates/skylarkwick-request/tests/workspace_shares.rs
@@ -3,36 +3,19 @@
 
 mod harness;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
-use harness::{Harness, finished_run, step};
-use skylarkwick_request::{
-    job::{Step, task},
-    shard::input::AcceptedJob,
+use harness::{
+    load::{Load, RUN_TICKS, weighted},
+    step,
 };
-use skylarkwick_version::workspace::{Quota, Workspace, Workspaces};
+use skylarkwick_request::job::Step;
+use skylarkwick_version::workspace::Workspaces;
 
-/// Run time of a task, in ticks of 50 ms.
-const RUN_TICKS: u64 = 10;
 const CORES: u64 = 8;
 const QUIET: u64 = 19;
 const HOT: &str = "hot";
 
-/// A shard of two servers, its running tasks, and how long each workspace's jobs waited.
-struct Load {
-    harness: Harness,
-    tick: u64,
-    submitted: BTreeMap<String, u64>,
-    running: Vec<(String, task::Id, task::RunId, u64)>,
-    ended: BTreeMap<String, u64>,
-    waits: BTreeMap<String, Vec<u64>>,
-}
-
-fn weighted(weights: &[(&str, f64)]) -> Workspaces {
-    let workspace = |weight| Workspace { weight, quota: Quota::default() };
-    weights.iter().map(|(name, weight)| (Arc::from(*name), workspace(*weight))).collect()
-}
-
 /// The hot workspace and the quiet ones, each with twice the weight of its usual jobs a second.
 fn usual_workspaces() -> Workspaces {
     let quiet: Vec<String> = (0..QUIET).map(|number| format!("quiet-{number}")).collect();
@@ -41,72 +24,6 @@
     weighted(&weights)
 }
 
-impl Load {
-    fn new(workspaces: Workspaces) -> Load {
-        let mut harness = Harness::with_servers(&["a", "b"]);
-        harness.shard.set_workspaces(workspaces);
-        Load {
-            harness,
-            tick: 0,
-            submitted: BTreeMap::new(),
-            running: Vec::new(),
-            ended: BTreeMap::new(),
-            waits: BTreeMap::new(),
-        }
-    }
-
-    fn submit(&mut self, workspace: &str, step: Step) {
-        let number = self.submitted.len();
-        let id = format!("{workspace}/{number}");
-        self.submitted.insert(id.clone(), self.tick);
-        let workspace = Some(Arc::from(workspace));
-        let accepted = AcceptedJob { workspace, ..Harness::accepted_job(&id, vec![step]) };
-        self.harness.shard.add_job(self.harness.now, accepted);
-    }
-
-    /// Lets a tick pass: tasks end, and others start.
-    fn step(&mut self) {
-        self.tick += 1;
-        for server in ["a", "b"] {
-            let mut ends = Vec::new();
-            let mut left = Vec::new();
-            for (place, task, run, until) in std::mem::take(&mut self.running) {
-                match place == server && until <= self.tick {
-                    true => ends.push((task, run)),
-                    false => left.push((place, task, run, until)),
-                }
-            }
-            self.running = left;
-            let number = self.ended.entry(server.to_owned()).or_default();
-            let mut finished = Vec::new();
-            for (task, run) in ends {
-                *number += 1;
-                finished.push(finished_run(*number, task, run, task::RunOutcome::Done));
-            }
-            let here = self.running.iter().filter(|(place, ..)| place == server);
-            let running: Vec<_> = here.map(|(_, task, run, _)| (task.clone(), *run, 50)).collect();
-            self.harness.report(server, &running, &finished);
-        }
-        let effects = self.harness.decide();
-        for (server, start) in self.harness.confirm_starts(&effects) {
-            let job = start.task.job.as_str().to_owned();
-            let (workspace, _) = job.split_once('/').expect("a workspace");
-            let waited = self.tick - self.submitted[&job];
-            self.waits.entry(workspace.to_owned()).or_default().push(waited);
-            let until = self.tick + RUN_TICKS;
-            self.running.push((server.0.to_string(), start.task, start.run, until));
-        }
-    }
-
-    /// Returns the wait in ticks that 99 of 100 jobs of these workspaces did not exceed.
-    fn p99(&self, is_counted: impl Fn(&str) -> bool) -> u64 {
-        let counted = self.waits.iter().filter(|(name, _)| is_counted(name));
-        let mut waits: Vec<u64> = counted.flat_map(|(_, waits)| waits.iter().copied()).collect();
-        waits.sort_unstable();
-        waits[waits.len() * 99 / 100]
-    }
-}
-
 /// Returns the p99 wait of the quiet workspaces while one sends `multiple` times its usual 1.5
 /// jobs a second.
 fn quiet_wait(multiple: u64) -> u64 {
@@ -172,7 +89,7 @@
         load.submit("small", on_rack());
     }
     load.step();
-    let started = |name: &str| load.waits.get(name).map_or(0, Vec::len);
+    let started = |name: &str| load.started(name);
     // The rack has room for 8 tasks, half of the pool's.
     assert_eq!(started("large") + started("small"), 8);
     assert!(started("small") >= 2, "{:?}", load.waits);
