Count the runs of usable servers only against the reserve and the shares

Cause: the capacity was that of usable servers, what is used that of all.

Before: excess_room::silent_server_not_counted fails on (4 of 20 start). After: it passes; workspace_shares 6 passed.

--- a/crates/skylarkwick-request/src/shard/usage.rs
+++ b/crates/skylarkwick-request/src/shard/usage.rs
@@ -49,14 +49,14 @@
 }
 
 impl Shard {
-    /// Returns the usage of a group of servers now.
+    /// Returns the usage of a group of servers now. Servers that can't be used are left out, with
+    /// what runs there.
     pub(super) fn usage(&self, now: Moment, group: &Group) -> Usage {
         let mut usage = Usage::default();
         let servers = self.servers.values().filter(|server| server.info.pool == group.pool);
-        for server in servers.filter(|server| server.has_label(group.label.as_ref())) {
-            if self.is_usable(now, server) {
-                usage.capacity = usage.capacity + server.info.capacity;
-            }
+        let labelled = servers.filter(|server| server.has_label(group.label.as_ref()));
+        for server in labelled.filter(|server| self.is_usable(now, server)) {
+            usage.capacity = usage.capacity + server.info.capacity;
             let tally = server.tally();
             usage.reserved = usage.reserved + tally.reserved();
             for (name, account) in tally.accounts() {
--- a/crates/skylarkwick-request/tests/excess_room.rs
+++ b/crates/skylarkwick-request/tests/excess_room.rs
@@ -38,3 +38,24 @@
     load.step();
     assert_eq!(started_at_once(&mut load, 20), 20);
 }
+
+/// A silent server is no room, so what it runs takes none: together they would keep jobs beyond a
+/// weight waiting beside a free server.
+#[test]
+fn silent_server_not_counted() {
+    let mut load = hot_beside_other();
+    load.submit(OTHER, Step { is_long_running: true, ..step(1, 60) });
+    load.step();
+    load.step();
+    let effects = load.harness.decide();
+    assert!(harness::starts(&effects).is_empty());
+    for _ in 0..6 {
+        load.harness.advance(500);
+        load.harness.fail_poll("a");
+        load.harness.report("b", &[], &[]);
+    }
+    for _ in 0..20 {
+        load.submit(HOT, step(1, 1));
+    }
+    assert_eq!(harness::starts(&load.harness.decide()).len(), 20);
+}
