Start long-running tasks beyond a weight whenever there is room

Cause: the reserve for others looked at the mark of the job alone, also for long-running tasks, which come before all others by docs/design/shares.md and by the users' rules.

Change: the reserve holds back finite tasks only.

--- a/crates/skylarkwick-request/src/shard/share.rs
+++ b/crates/skylarkwick-request/src/shard/share.rs
@@ -42,10 +42,12 @@
     }
 
     /// Returns how many of its waiting tasks a step may start. What a workspace submits beyond its
-    /// weight leaves room for the jobs of others when they come.
+    /// weight leaves room for the jobs of others when they come, but for long-running tasks, which
+    /// come before all others.
     pub(super) fn admit(&self, ready: &ReadyStep) -> usize {
+        let is_long_running = ready.job.steps[ready.step].is_long_running;
         match self.groups.get(&ready.group()) {
-            Some(usage) if ready.is_excess => usage.admit_excess(ready),
+            Some(usage) if ready.is_excess && !is_long_running => usage.admit_excess(ready),
             _ => ready.tasks.len(),
         }
     }
--- a/crates/skylarkwick-request/tests/excess_room.rs
+++ b/crates/skylarkwick-request/tests/excess_room.rs
@@ -12,8 +12,12 @@
 const HOT: &str = "hot";
 const OTHER: &str = "other";
 
+fn long_running(count: u32, cores: u64) -> Step {
+    Step { is_long_running: true, max_per_host: 1, ..step(count, cores) }
+}
+
 fn best_effort(count: u32, cores: u64) -> Step {
-    Step { is_long_running: true, is_best_effort: true, max_per_host: 1, ..step(count, cores) }
+    Step { is_best_effort: true, ..long_running(count, cores) }
 }
 
 /// Submits jobs of one core beyond a weight; returns how many of all began at once.
@@ -44,7 +48,7 @@
 #[test]
 fn silent_server_not_counted() {
     let mut load = hot_beside_other();
-    load.submit(OTHER, Step { is_long_running: true, ..step(1, 60) });
+    load.submit(OTHER, long_running(1, 60));
     load.step();
     load.step();
     let effects = load.harness.decide();
@@ -59,3 +63,17 @@
     }
     assert_eq!(harness::starts(&load.harness.decide()).len(), 20);
 }
+
+/// Long-running tasks come before all other work, also beyond a weight: without that, one whose
+/// workspace had submitted too many jobs waited in a pool that is three quarters full.
+#[test]
+fn long_running_not_held() {
+    let mut load = hot_beside_other();
+    load.submit(OTHER, long_running(2, 48));
+    load.step();
+    for _ in 0..20 {
+        load.submit(HOT, long_running(1, 1));
+    }
+    load.step();
+    assert_eq!(load.started(HOT), 20);
+}
