Leave part of what endless tasks don't take to jobs beyond a weight

Cause: the reserve for others was a quarter of all cores. Where long-running tasks reserve three quarters, it left nothing, for good, to finite jobs beyond a weight. Change: at most half of what long-running tasks leave is kept free; up to half of the servers the reserve is what it was. Tally keeps the sum of long-running reservations, which overload.rs added up itself.

Ruled out: a quarter of what is left, which makes the reserve smaller beside any long-running task.

Before: excess_room::endless_tasks_leave_part fails on the commit before (4 start, 16 expected); reserve_kept_beside_lasting passes there. After: both pass; the crate's tests pass.

--- a/crates/skylarkwick-request/src/shard/overload.rs
+++ b/crates/skylarkwick-request/src/shard/overload.rs
@@ -123,8 +123,7 @@
         for server in self.servers.values().filter(|server| server.info.pool == *pool) {
             if self.is_usable(now, server) {
                 usable += 1;
-                let lasting = server.runs.values().filter(|run| run.is_long_running);
-                let reserved: u64 = lasting.map(|run| run.reservation.millicores()).sum();
+                let reserved = server.tally().long_running().millicores();
                 let capacity = server.info.capacity.millicores;
                 millicores = millicores.saturating_add(capacity.saturating_sub(reserved));
             }
--- a/crates/skylarkwick-request/src/shard/round.rs
+++ b/crates/skylarkwick-request/src/shard/round.rs
@@ -149,7 +149,7 @@
         round.remaining = round.remaining.saturating_sub(placed);
         round.ledger.charge(workspace.as_ref(), step, placed);
         let count = u64::try_from(placed).unwrap_or(u64::MAX);
-        round.shares.add(&ready, step.reservation().times(count));
+        round.shares.add(&ready, count);
         let unplaced = ready.tasks.len() - placed;
         if unplaced > 0 {
             // That this job found no server may have reasons of its own, such as the
--- a/crates/skylarkwick-request/src/shard/share.rs
+++ b/crates/skylarkwick-request/src/shard/share.rs
@@ -52,18 +52,23 @@
         }
     }
 
-    /// Records that a workspace wants room for a step, or has got it.
-    pub(super) fn add(&mut self, ready: &ReadyStep, reservation: Reservation) {
+    /// Records that a workspace wants room for a step, or has got it for some of its tasks.
+    pub(super) fn add(&mut self, ready: &ReadyStep, tasks: u64) {
+        if self.groups.is_empty() {
+            return;
+        }
+        let step = &ready.job.steps[ready.step];
+        let reservation = step.reservation().times(tasks);
         let workspace = ready.workspace.as_ref();
         let weighted = workspace.filter(|name| self.weights.contains_key(*name));
         let (pool, group) = (ready.whole_pool(), ready.group());
         if group != pool
             && let Some(usage) = self.groups.get_mut(&group)
         {
-            usage.add(weighted, reservation);
+            usage.add(weighted, step, reservation);
         }
         if let Some(usage) = self.groups.get_mut(&pool) {
-            usage.add(weighted, reservation);
+            usage.add(weighted, step, reservation);
         }
     }
 }
@@ -104,7 +109,7 @@
         });
         let mut shares = Shares { weights, groups: usages.collect() };
         for step in ready {
-            shares.add(step, Reservation::default());
+            shares.add(step, 0);
         }
         shares
     }
--- a/crates/skylarkwick-request/src/shard/tally.rs
+++ b/crates/skylarkwick-request/src/shard/tally.rs
@@ -5,10 +5,12 @@
 use super::server::ActiveRun;
 use crate::job::footprint::{Charge, Reservation};
 
-/// What the runs of a server reserve, and what those of each workspace count for it.
+/// What the runs of a server reserve, all and the long-running ones, and what those of each
+/// workspace count for it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Tally {
     reserved: Reservation,
+    long_running: Reservation,
     accounts: BTreeMap<Arc<str>, Account>,
 }
 
@@ -25,6 +27,9 @@
     /// Adds a run.
     pub(super) fn add(&mut self, run: &ActiveRun) {
         self.reserved = self.reserved + run.reservation;
+        if run.is_long_running {
+            self.long_running = self.long_running + run.reservation;
+        }
         if let Some((workspace, charge)) = &run.charge {
             let account = self.accounts.entry(Arc::clone(workspace)).or_default();
             account.charge = account.charge + *charge;
@@ -35,6 +40,9 @@
     /// Removes a run that was added.
     pub(super) fn remove(&mut self, run: &ActiveRun) {
         self.reserved = self.reserved - run.reservation;
+        if run.is_long_running {
+            self.long_running = self.long_running - run.reservation;
+        }
         let Some((workspace, charge)) = &run.charge else {
             return;
         };
@@ -52,6 +60,11 @@
         self.reserved
     }
 
+    /// Returns what the long-running ones reserve.
+    pub(super) fn long_running(&self) -> Reservation {
+        self.long_running
+    }
+
     /// Returns the runs of each workspace.
     pub(super) fn accounts(&self) -> impl Iterator<Item = (&Arc<str>, &Account)> {
         self.accounts.iter()
--- a/crates/skylarkwick-request/src/shard/usage.rs
+++ b/crates/skylarkwick-request/src/shard/usage.rs
@@ -6,7 +6,7 @@
 use skylarkwick_version::{moment::Moment, resources::Resources};
 
 use super::{Shard, ranking::ReadyStep};
-use crate::job::footprint::Reservation;
+use crate::job::{Step, footprint::Reservation};
 
 /// Servers that can run a step: those of a pool, with the label that the step requires.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -15,19 +15,28 @@
     label: Option<Arc<str>>,
 }
 
-/// The capacity of a group of servers, and what is reserved there: by all runs, and by those of
-/// each workspace that has or wants some of it.
+/// The capacity of a group of servers, and what is reserved there: by all runs, by the long-running
+/// ones, and by those of each workspace that has or wants some of it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Usage {
     pub(super) capacity: Resources,
     pub(super) reserved: Reservation,
+    pub(super) long_running: Reservation,
     pub(super) workspaces: BTreeMap<Arc<str>, Reservation>,
 }
 
 impl Usage {
-    /// Adds what runs reserve, those of a workspace to what it has here as well.
-    pub(super) fn add(&mut self, workspace: Option<&Arc<str>>, reservation: Reservation) {
+    /// Adds what tasks of a step reserve, also to what a workspace has here.
+    pub(super) fn add(
+        &mut self,
+        workspace: Option<&Arc<str>>,
+        step: &Step,
+        reservation: Reservation,
+    ) {
         self.reserved = self.reserved + reservation;
+        if step.is_long_running {
+            self.long_running = self.long_running + reservation;
+        }
         if let Some(name) = workspace {
             let own = self.workspaces.entry(Arc::clone(name)).or_default();
             *own = *own + reservation;
@@ -59,6 +68,7 @@
             usage.capacity = usage.capacity + server.info.capacity;
             let tally = server.tally();
             usage.reserved = usage.reserved + tally.reserved();
+            usage.long_running = usage.long_running + tally.long_running();
             for (name, account) in tally.accounts() {
                 let own = usage.workspaces.entry(Arc::clone(name)).or_default();
                 *own = *own + account.reservation;
--- a/crates/skylarkwick-request/tests/excess_room.rs
+++ b/crates/skylarkwick-request/tests/excess_room.rs
@@ -77,3 +77,23 @@
     load.step();
     assert_eq!(load.started(HOT), 20);
 }
+
+/// Tasks that never end must not use up what jobs beyond a weight may have: those would wait for
+/// good beside free cores.
+#[test]
+fn endless_tasks_leave_part() {
+    let mut load = hot_beside_other();
+    load.submit(OTHER, long_running(2, 48));
+    load.step();
+    // Of the 32 cores that are left, 16 stay free for others.
+    assert_eq!(started_at_once(&mut load, 30), 16);
+}
+
+/// Long-running tasks don't make the reserve for others smaller while they have half of a pool.
+#[test]
+fn reserve_kept_beside_lasting() {
+    let mut load = hot_beside_other();
+    load.submit(OTHER, long_running(2, 32));
+    load.step();
+    assert_eq!(started_at_once(&mut load, 60), 32);
+}
