Reserve room for one more task only while a pool is hardly used

Cause: the reserve is a quarter of the servers that can run a step. With a label these are few, and other work may fill three quarters of them for long beside a pool that is free: accepted jobs beyond a weight waited beside room for them twice over.

Change: while less than half of the pool is reserved, room for one more of the step's size is enough. Ruled out: no reserve there, which would leave no room at all to others that need the label.

Before: excess_room::labelled_room_used fails on (0 of 3 start). After: it passes. gang_beyond_weight and used_pool_keeps_reserve pass before and after.

--- a/crates/skylarkwick-request/src/shard/reserve.rs
+++ b/crates/skylarkwick-request/src/shard/reserve.rs
@@ -11,15 +11,27 @@
 const MAX_FINITE_RESERVE: u64 = 2;
 
 impl Usage {
+    /// Returns whether half of the processor time or more is reserved.
+    pub(super) fn is_half_used(&self) -> bool {
+        self.reserved.millicores() >= self.capacity.millicores / 2
+    }
+
     /// Returns how many of its waiting tasks a step beyond the weight may start here, so that the
     /// reserve stays free. A gang starts as a whole or not at all.
-    pub(super) fn admit_excess(&self, ready: &ReadyStep) -> usize {
+    ///
+    /// While less than half of the step's pool is used, only room for one more of its size is
+    /// reserved: a few servers with a label may be full beside many free ones.
+    pub(super) fn admit_excess(&self, ready: &ReadyStep, is_pool_half_used: bool) -> usize {
         let tasks = ready.tasks.len();
         let step = &ready.job.steps[ready.step];
-        let unit = if step.is_gang { u64::from(step.count) } else { 1 };
         let each = step.reservation().millicores();
-        let open = self.open_millicores();
-        if each.saturating_mul(unit) > open {
+        let unit = each.saturating_mul(if step.is_gang { u64::from(step.count) } else { 1 });
+        let reserve = match is_pool_half_used {
+            true => self.reserve_millicores(),
+            false => self.reserve_millicores().min(unit),
+        };
+        let open = self.for_finite_millicores().saturating_sub(reserve);
+        if unit > open {
             // It would never start.
             return tasks;
         }
@@ -31,13 +43,15 @@
         }
     }
 
-    /// Returns the processor time up to which finite tasks leave the reserve free, in thousandths of
-    /// a core.
-    fn open_millicores(&self) -> u64 {
-        let capacity = self.capacity.millicores;
-        let for_finite = capacity.saturating_sub(self.long_running.millicores());
-        let reserve = (capacity / EXCESS_RESERVE).min(for_finite / MAX_FINITE_RESERVE);
-        for_finite.saturating_sub(reserve)
+    /// Returns the processor time to keep free, in thousandths of a core.
+    fn reserve_millicores(&self) -> u64 {
+        let most = self.for_finite_millicores() / MAX_FINITE_RESERVE;
+        most.min(self.capacity.millicores / EXCESS_RESERVE)
+    }
+
+    /// Returns the processor time that long-running tasks leave, in thousandths of a core.
+    fn for_finite_millicores(&self) -> u64 {
+        self.capacity.millicores.saturating_sub(self.long_running.millicores())
     }
 
     /// Returns the processor time that finite tasks reserve, in thousandths of a core.
--- a/crates/skylarkwick-request/src/shard/share.rs
+++ b/crates/skylarkwick-request/src/shard/share.rs
@@ -46,8 +46,10 @@
     /// come before all others.
     pub(super) fn admit(&self, ready: &ReadyStep) -> usize {
         let is_long_running = ready.job.steps[ready.step].is_long_running;
-        match self.groups.get(&ready.group()) {
-            Some(usage) if ready.is_excess && !is_long_running => usage.admit_excess(ready),
+        match (self.groups.get(&ready.group()), self.groups.get(&ready.whole_pool())) {
+            (Some(usage), Some(pool)) if ready.is_excess && !is_long_running => {
+                usage.admit_excess(ready, pool.is_half_used())
+            }
             _ => ready.tasks.len(),
         }
     }
--- a/crates/skylarkwick-request/tests/excess_room.rs
+++ b/crates/skylarkwick-request/tests/excess_room.rs
@@ -3,14 +3,19 @@
 
 mod harness;
 
+use std::sync::Arc;
+
 use harness::{
     load::{Load, weighted},
     step,
 };
 use skylarkwick_request::job::Step;
+use skylarkwick_version::workspace::Workspaces;
 
 const HOT: &str = "hot";
 const OTHER: &str = "other";
+/// Jobs that the hot workspace submits at once before further ones are beyond its weight.
+const BURST_JOBS: usize = 4;
 
 fn long_running(count: u32, cores: u64) -> Step {
     Step { is_long_running: true, max_per_host: 1, ..step(count, cores) }
@@ -20,6 +25,13 @@
     Step { is_best_effort: true, ..long_running(count, cores) }
 }
 
+/// Submits the jobs that the hot workspace may have at once, which need no processor time.
+fn spend_burst(load: &mut Load) {
+    for _ in 0..BURST_JOBS {
+        load.submit(HOT, step(1, 0));
+    }
+}
+
 /// Submits jobs of one core beyond a weight; returns how many of all began at once.
 fn started_at_once(load: &mut Load, jobs: usize) -> usize {
     for _ in 0..jobs {
@@ -29,8 +41,12 @@
     load.started(HOT)
 }
 
+fn hot_and_other() -> Workspaces {
+    weighted(&[(HOT, 1.0), (OTHER, 100.0)])
+}
+
 fn hot_beside_other() -> Load {
-    Load::new(weighted(&[(HOT, 1.0), (OTHER, 100.0)]))
+    Load::new(hot_and_other())
 }
 
 /// Best-effort tasks reserve no processor time: jobs beyond a weight wait for none of it
@@ -97,3 +113,47 @@
     load.step();
     assert_eq!(started_at_once(&mut load, 60), 32);
 }
+
+/// Few servers have the label that a job beyond a weight needs, and work of others fills three
+/// quarters of them: it must not wait with room for it twice over in a pool that is hardly used.
+#[test]
+fn labelled_room_used() {
+    let mut load = Load::with_servers(&["a", "b", "c", "d"], hot_and_other());
+    load.label_servers(1, "r1");
+    let on_rack = |step| Step { required_label: Some(Arc::from("r1")), ..step };
+    spend_burst(&mut load);
+    load.submit(OTHER, on_rack(step(1, 48)));
+    for _ in 0..30 {
+        load.submit(HOT, on_rack(step(1, 4)));
+    }
+    load.step();
+    // Room for one more stays free.
+    assert_eq!(load.started(HOT), BURST_JOBS + 3);
+}
+
+/// In a pool that is used by half, a whole quarter stays free.
+#[test]
+fn used_pool_keeps_reserve() {
+    let mut load = hot_beside_other();
+    load.submit(OTHER, step(2, 48));
+    load.step();
+    assert_eq!(started_at_once(&mut load, 30), 4);
+}
+
+/// A gang beyond a weight starts as a whole once it has room, and waits as a whole.
+#[test]
+fn gang_beyond_weight() {
+    for (used, started) in [(28, 32), (64, 0)] {
+        let mut load = Load::new(weighted(&[(HOT, 0.1), (OTHER, 100.0)]));
+        spend_burst(&mut load);
+        load.submit(OTHER, step(2, used));
+        load.submit(HOT, Step { is_gang: true, ..step(32, 1) });
+        load.step();
+        load.step();
+        assert_eq!(
+            load.started(HOT),
+            BURST_JOBS + started,
+            "{used} of 64 cores are used on each server"
+        );
+    }
+}
--- a/crates/skylarkwick-request/tests/harness/load.rs
+++ b/crates/skylarkwick-request/tests/harness/load.rs
@@ -1,4 +1,4 @@
-//! A shard of two servers under load, in virtual time.
+//! A shard under load, in virtual time.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -19,9 +19,10 @@
     is_long_running: bool,
 }
 
-/// A shard of two servers, its running tasks, and how long each workspace's jobs waited.
+/// A shard, its running tasks, and how long each workspace's jobs waited.
 pub(crate) struct Load {
     pub(crate) harness: Harness,
+    servers: Vec<&'static str>,
     pub(crate) tick: u64,
     submitted: BTreeMap<String, Submission>,
     running: Vec<(String, task::Id, task::RunId, u64)>,
@@ -35,11 +36,17 @@
 }
 
 impl Load {
+    /// Creates a shard of two servers.
     pub(crate) fn new(workspaces: Workspaces) -> Load {
-        let mut harness = Harness::with_servers(&["a", "b"]);
+        Load::with_servers(&["a", "b"], workspaces)
+    }
+
+    pub(crate) fn with_servers(names: &[&'static str], workspaces: Workspaces) -> Load {
+        let mut harness = Harness::with_servers(names);
         harness.shard.set_workspaces(workspaces);
         Load {
             harness,
+            servers: names.to_vec(),
             tick: 0,
             submitted: BTreeMap::new(),
             running: Vec::new(),
@@ -61,7 +68,7 @@
     /// Lets a tick pass: tasks end, and others start.
     pub(crate) fn step(&mut self) {
         self.tick += 1;
-        for server in ["a", "b"] {
+        for server in self.servers.clone() {
             let mut ends = Vec::new();
             let mut left = Vec::new();
             for (place, task, run, until) in std::mem::take(&mut self.running) {
@@ -96,6 +103,14 @@
         }
     }
 
+    /// Gives the first servers of the list a label.
+    pub(crate) fn label_servers(&mut self, count: usize, label: &str) {
+        for server in self.harness.servers.iter_mut().take(count) {
+            server.labels.insert(Arc::from(label));
+        }
+        self.harness.shard.set_servers(self.harness.now, self.harness.servers.clone());
+    }
+
     /// Returns how many tasks of a workspace have started.
     pub(crate) fn started(&self, workspace: &str) -> usize {
         self.waits.get(workspace).map_or(0, Vec::len)
--- a/crates/skylarkwick-request/tests/workspace_shares.rs
+++ b/crates/skylarkwick-request/tests/workspace_shares.rs
@@ -81,9 +81,7 @@
 fn rack_shared_by_weight() {
     let mut load = Load::new(weighted(&[("large", 300.0), ("small", 100.0)]));
     let on_rack = || Step { required_label: Some(Arc::from("r1")), ..step(1, CORES) };
-    let mut servers = load.harness.servers.clone();
-    servers[0].labels.insert(Arc::from("r1"));
-    load.harness.shard.set_servers(load.harness.now, servers);
+    load.label_servers(1, "r1");
     for _ in 0..100 {
         load.submit("large", on_rack());
         load.submit("small", on_rack());
