Run overdue jobs beyond a weight one at a time whatever the reserve

Cause: the mark of a job beyond its workspace's weight never ends, and the reserve held it back at any age. Beside others that use more than three quarters of a pool at all times, accepted jobs never began.

Change: a job whose result has lost its value while it waited is overdue. It ranks last; one task or gang of a workspace's overdue jobs in a pool runs at a time without regard to the reserve, in the order of their objectives.

Ruled out by a run: ending the mark at the expiry fails hot_workspace_waits_itself, others wait for the overdue jobs that fill the pool.

Before: excess_room::overdue_one_by_one fails on (4 jobs within the weight start, 14 expected). After: it passes; workspace_shares 6 passed, all tests of the crate passed.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -21,6 +21,7 @@
 mod membership;
 mod occurrence;
 mod order_results;
+mod overdue;
 mod overload;
 mod pace;
 mod persistence;
@@ -208,7 +209,7 @@
             return;
         }
         let mut active = ActiveJob::new(now, accepted);
-        active.is_excess = self.is_excess(&active);
+        active.is_beyond_weight = self.is_beyond_weight(&active);
         self.jobs.insert(id.clone(), active);
         self.update_outcome(&id);
     }
@@ -218,21 +219,6 @@
         self.shard_count = count.max(1);
     }
 
-    /// Returns whether the workspace of a new job has submitted more jobs lately than its weight
-    /// allows. Its jobs spread over the shards, each of which counts its part.
-    fn is_excess(&mut self, active: &ActiveJob) -> bool {
-        let Some(name) = &active.workspace else {
-            return false;
-        };
-        match self.quotas.workspaces.get(name) {
-            Some(workspace) if workspace.weight > 0.0 => {
-                let jobs_per_s = workspace.weight / f64::from(self.shard_count);
-                self.rates.is_exceeded(name, jobs_per_s, active.accepted_at)
-            }
-            _ => false,
-        }
-    }
-
     /// Removes a job that was cancelled or has finished: its planned runs are
     /// dropped, stops of its other runs are due from `now`, and no further
     /// write is made for it. `add_job` ignores it for `FINISHED_RETENTION` (60
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -33,8 +33,8 @@
     pub(super) id: Id,
     pub(super) queue: Arc<str>,
     pub(super) workspace: Option<Arc<str>>,
-    /// Whether its workspace had submitted more jobs lately than its weight allows.
-    pub(super) is_excess: bool,
+    /// Whether its workspace had submitted more jobs lately than its weight allowed when it came.
+    pub(super) is_beyond_weight: bool,
     pub(super) job: Arc<Job>,
     pub(super) revision: Revision,
     pub(super) progress_revision: Revision,
@@ -69,7 +69,7 @@
             id: accepted.id,
             queue: accepted.queue,
             workspace: accepted.workspace,
-            is_excess: false,
+            is_beyond_weight: false,
             job: accepted.job,
             revision: accepted.revision,
             progress_revision: accepted.progress_revision,
@@ -212,6 +212,13 @@
         runs
     }
 
+    /// Returns whether any task is assigned to a server.
+    pub(super) fn has_assigned_tasks(&self) -> bool {
+        let tasks =
+            self.occurrences.values().flat_map(|occurrence| occurrence.steps.iter().flatten());
+        tasks.into_iter().any(|task| matches!(task.state, TaskState::Assigned(_)))
+    }
+
     /// Returns whether any task is assigned to a server, is done or has
     /// progress.
     pub(super) fn has_scheduled_tasks(&self) -> bool {
--- a/crates/skylarkwick-request/src/shard/overload.rs
+++ b/crates/skylarkwick-request/src/shard/overload.rs
@@ -69,8 +69,7 @@
 
     /// Returns the weight of a workspace; 1 if it has none.
     fn weight(&self, name: &str) -> f64 {
-        let weight = self.quotas.workspaces.get(name).map_or(0.0, |workspace| workspace.weight);
-        if weight > 0.0 { weight } else { 1.0 }
+        self.quotas.weight(name).unwrap_or(1.0)
     }
 
     /// Returns the jobs of each pool that could end in time alone, by workspace; by the empty name
@@ -83,7 +82,7 @@
                 continue;
             };
             let has_room = !self.fleet.unmet_millicores.contains_key(&queue.pool);
-            if has_room || active.outcome.is_some() || active.is_excess {
+            if has_room || active.outcome.is_some() || self.is_excess(active) {
                 continue;
             }
             if let Some(work) = self.timely_work(now, active, queue) {
--- a/crates/skylarkwick-request/src/shard/quota.rs
+++ b/crates/skylarkwick-request/src/shard/quota.rs
@@ -30,6 +30,12 @@
         self.workspaces.values().any(|workspace| !workspace.quota.is_unlimited())
     }
 
+    /// Returns the weight of a workspace; `None` if it has none, so that its jobs are not limited.
+    pub(super) fn weight(&self, name: &str) -> Option<f64> {
+        let weight = self.workspaces.get(name)?.weight;
+        (weight > 0.0).then_some(weight)
+    }
+
     /// Returns what a workspace may have running in this shard. One that the configuration no
     /// longer has may run what was accepted.
     fn limit(&self, name: &Arc<str>) -> Resources {
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -16,7 +16,7 @@
 /// How timely the result of a task is if the task starts now, best first:
 /// long-running, before the job's objective (the time by which it should
 /// finish), before its expiry (after which its result has lost its value), of a
-/// workspace that has submitted too many jobs, or expired.
+/// workspace that has submitted too many jobs, expired, or both.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timeliness {
     /// Long-running tasks, which serve callers of their own.
@@ -31,6 +31,8 @@
     Excess,
     /// The result has lost its value.
     Expired,
+    /// The result of a job that waited for those of others has lost its value.
+    Overdue,
 }
 
 /// Sort key of a step; the lowest is placed first. The fields are compared in
@@ -57,6 +59,18 @@
         self.is_started.0
     }
 
+    /// Returns whether the step waits for those of other workspaces, because its own had submitted
+    /// more than its weight allows.
+    pub(super) fn is_excess(&self) -> bool {
+        matches!(self.timeliness, Timeliness::Excess | Timeliness::Overdue)
+    }
+
+    /// Returns whether the result has lost its value while the step waited for those of other
+    /// workspaces.
+    pub(super) fn is_overdue(&self) -> bool {
+        self.timeliness == Timeliness::Overdue
+    }
+
     /// Returns whether a step is as timely as another one of queues of the same priority.
     pub(super) fn is_as_timely_as(&self, other: &Rank) -> bool {
         (self.timeliness, self.priority) == (other.timeliness, other.priority)
@@ -72,8 +86,6 @@
     pub(super) pool: Arc<str>,
     /// Workspace of the job's caller.
     pub(super) workspace: Option<Arc<str>>,
-    /// Whether the workspace had submitted more than its weight allows.
-    pub(super) is_excess: bool,
     pub(super) job_id: job::Id,
     pub(super) job: Arc<job::Job>,
     pub(super) occurrence: u32,
@@ -119,7 +131,6 @@
                         rank,
                         pool: Arc::clone(&queue.pool),
                         workspace: active.workspace.clone(),
-                        is_excess: active.is_excess,
                         job_id: id.clone(),
                         job: Arc::clone(&active.job),
                         occurrence: number,
@@ -163,13 +174,18 @@
         let end = now + active.remaining_time(occurrence, estimate);
         let timeliness = match () {
             () if active.job.steps[step].is_long_running => Timeliness::LongRunning,
-            () if active.is_excess && end <= expiry => Timeliness::Excess,
+            () if self.is_excess(active) && end > expiry => Timeliness::Overdue,
+            () if self.is_excess(active) => Timeliness::Excess,
             () if end <= objective && !is_postponed => Timeliness::OnTime,
             () if end <= expiry => Timeliness::Late,
             () => Timeliness::Expired,
         };
         let is_started = Reverse(active.has_scheduled_tasks());
-        let remaining_work = active.remaining_work(occurrence, estimate);
+        let remaining_work = match timeliness {
+            // One at a time, so that none is overtaken for ever.
+            Timeliness::Overdue => 0,
+            _ => active.remaining_work(occurrence, estimate),
+        };
         Rank { timeliness, priority: queue.priority, is_started, remaining_work, objective }
     }
 }
--- a/crates/skylarkwick-request/src/shard/rate.rs
+++ b/crates/skylarkwick-request/src/shard/rate.rs
@@ -4,6 +4,8 @@
 
 use skylarkwick_version::moment::Moment;
 
+use super::{Shard, active::ActiveJob};
+
 /// Time for which a workspace may save up jobs that it did not submit.
 const BURST: Duration = Duration::from_secs(2);
 /// Jobs that it may save up at least: the jobs of a small one fall to the shards by chance, so that
@@ -50,3 +52,26 @@
         }
     }
 }
+
+impl Shard {
+    /// Returns whether the workspace of a new job has submitted more jobs lately than its weight
+    /// allows. Its jobs spread over the shards, each of which counts its part.
+    pub(super) fn is_beyond_weight(&mut self, active: &ActiveJob) -> bool {
+        let Some(name) = &active.workspace else {
+            return false;
+        };
+        match self.quotas.weight(name) {
+            Some(weight) => {
+                let jobs_per_s = weight / f64::from(self.shard_count);
+                self.rates.is_exceeded(name, jobs_per_s, active.accepted_at)
+            }
+            None => false,
+        }
+    }
+
+    /// Returns whether a job waits for those of other workspaces: it came beyond the weight of its
+    /// own.
+    pub(super) fn is_excess(&self, active: &ActiveJob) -> bool {
+        active.is_beyond_weight
+    }
+}
--- a/crates/skylarkwick-request/src/shard/share.rs
+++ b/crates/skylarkwick-request/src/shard/share.rs
@@ -9,6 +9,7 @@
 
 use super::{
     Shard,
+    overdue::Overdue,
     ranking::ReadyStep,
     usage::{Group, Usage},
 };
@@ -20,6 +21,7 @@
 pub(super) struct Shares {
     weights: BTreeMap<Arc<str>, f64>,
     groups: BTreeMap<Group, Usage>,
+    overdue: Overdue,
 }
 
 impl Shares {
@@ -42,13 +44,12 @@
     }
 
     /// Returns how many of its waiting tasks a step may start. What a workspace submits beyond its
-    /// weight leaves room for the jobs of others when they come, but for long-running tasks, which
-    /// come before all others.
+    /// weight leaves room for the jobs of others when they come.
     pub(super) fn admit(&self, ready: &ReadyStep) -> usize {
-        let is_long_running = ready.job.steps[ready.step].is_long_running;
         match (self.groups.get(&ready.group()), self.groups.get(&ready.whole_pool())) {
-            (Some(usage), Some(pool)) if ready.is_excess && !is_long_running => {
-                usage.admit_excess(ready, pool.is_half_used())
+            (Some(usage), Some(pool)) if ready.rank.is_excess() => {
+                let admitted = usage.admit_excess(ready, pool.is_half_used());
+                admitted.max(self.overdue.admit(ready))
             }
             _ => ready.tasks.len(),
         }
@@ -59,6 +60,9 @@
         if self.groups.is_empty() {
             return;
         }
+        if tasks > 0 {
+            self.overdue.add(ready);
+        }
         let step = &ready.job.steps[ready.step];
         let reservation = step.reservation().times(tasks);
         let workspace = ready.workspace.as_ref();
@@ -101,7 +105,8 @@
             return Shares::default();
         }
         let full_pools = self.full_pools(ready);
-        let is_contended = |step: &&ReadyStep| step.is_excess || full_pools.contains(&step.pool);
+        let is_contended =
+            |step: &&ReadyStep| step.rank.is_excess() || full_pools.contains(&step.pool);
         let contended = ready.iter().filter(is_contended);
         let groups: BTreeSet<Group> =
             contended.flat_map(|step| [step.whole_pool(), step.group()]).collect();
@@ -109,7 +114,11 @@
             let usage = self.usage(now, &group);
             (group, usage)
         });
-        let mut shares = Shares { weights, groups: usages.collect() };
+        let overdue = match ready.iter().any(|step| step.rank.is_overdue()) {
+            true => self.overdue_runs(now),
+            false => Overdue::default(),
+        };
+        let mut shares = Shares { weights, groups: usages.collect(), overdue };
         for step in ready {
             shares.add(step, 0);
         }
--- a/crates/skylarkwick-request/src/shard/workspace_load.rs
+++ b/crates/skylarkwick-request/src/shard/workspace_load.rs
@@ -51,7 +51,7 @@
             if let Some(name) = &active.workspace {
                 let load = loads.entry(Arc::clone(name)).or_default();
                 load.jobs += 1;
-                load.excess_jobs += usize::from(active.is_excess);
+                load.excess_jobs += usize::from(active.is_beyond_weight);
                 load.waiting_jobs += usize::from(!active.has_started);
                 load.held.count(now, active);
             }
--- a/crates/skylarkwick-request/tests/excess_room.rs
+++ b/crates/skylarkwick-request/tests/excess_room.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use harness::{
-    load::{Load, weighted},
+    load::{Load, RUN_TICKS, weighted},
     step,
 };
 use skylarkwick_request::job::Step;
@@ -157,3 +157,26 @@
         );
     }
 }
+
+/// The wait of a job beyond a weight is bounded, however long others use what it may have: once its
+/// result has lost its value, those of a workspace run one by one.
+#[test]
+fn overdue_one_by_one() {
+    let mut load = hot_beside_other();
+    spend_burst(&mut load);
+    let waiting = 10;
+    for _ in 0..waiting {
+        load.submit(HOT, step(1, 4));
+    }
+    for tick in 0..300 {
+        if tick % RUN_TICKS == 0 {
+            // 112 of the 128 cores are used at all times.
+            load.submit(OTHER, step(2, 56));
+        }
+        load.step();
+    }
+    assert_eq!(load.started(HOT), BURST_JOBS + waiting);
+    let mut starts = load.waits[HOT][BURST_JOBS..].to_vec();
+    starts.sort_unstable();
+    assert!(starts.windows(2).all(|pair| pair[1] - pair[0] >= RUN_TICKS), "{starts:?}");
+}
