Hold jobs for their weight only while their workspace has one

Cause: the mark of a job beyond the weight was read without a look at the configuration of now, so a workspace whose weight was taken away still left room to others. Change: Shard::is_excess asks for the weight too; Quotas::weight is the one place that tells whether there is one.

--- a/crates/skylarkwick-request/src/shard/rate.rs
+++ b/crates/skylarkwick-request/src/shard/rate.rs
@@ -70,8 +70,9 @@
     }
 
     /// Returns whether a job waits for those of other workspaces: it came beyond the weight of its
-    /// own.
+    /// own, which still has one.
     pub(super) fn is_excess(&self, active: &ActiveJob) -> bool {
-        active.is_beyond_weight
+        let workspace = active.workspace.as_ref().filter(|_| active.is_beyond_weight);
+        workspace.is_some_and(|name| self.quotas.weight(name).is_some())
     }
 }
--- a/crates/skylarkwick-request/tests/excess_room.rs
+++ b/crates/skylarkwick-request/tests/excess_room.rs
@@ -180,3 +180,20 @@
     starts.sort_unstable();
     assert!(starts.windows(2).all(|pair| pair[1] - pair[0] >= RUN_TICKS), "{starts:?}");
 }
+
+/// A workspace whose weight is taken away has no limit, also for the jobs that came before.
+#[test]
+fn lifted_weight_ends_hold() {
+    let mut load = hot_beside_other();
+    load.submit(OTHER, step(2, 48));
+    spend_burst(&mut load);
+    load.step();
+    for _ in 0..20 {
+        load.submit(HOT, step(1, 1));
+    }
+    load.step();
+    assert_eq!(load.started(HOT), BURST_JOBS);
+    load.harness.shard.set_workspaces(weighted(&[(HOT, 0.0), (OTHER, 100.0)]));
+    load.step();
+    assert_eq!(load.started(HOT), BURST_JOBS + 20);
+}
