Count what tasks would reserve as the unmet demand of a pool

Cause: add_unmet counted all that a task requests. A best-effort task that lacked memory made a pool with free cores look short of them in the logs. Decisions ask only whether there is unmet demand, so nothing else changes.

Before: held_jobs::best_effort_lacks_memory fails on (60000, 1 expected). After: it passes.

--- a/crates/skylarkwick-request/src/shard/round.rs
+++ b/crates/skylarkwick-request/src/shard/round.rs
@@ -179,12 +179,12 @@
         self.servers.values().map(|server| server.count_stage(is_unconfirmed)).sum()
     }
 
-    /// Adds the processor time that this many tasks of a step request, at least
+    /// Adds the processor time that this many tasks of a step reserve, at least
     /// a thousandth of a core each, to the unmet demand of a pool, which is
     /// limited to `MAX_UNMET_MILLICORES`.
     fn add_unmet(&mut self, pool: &Arc<str>, step: &Step, tasks: usize) {
         let tasks = u64::try_from(tasks).unwrap_or(u64::MAX);
-        let missing_millicores = step.resources.millicores.max(1).saturating_mul(tasks);
+        let missing_millicores = step.reservation().millicores().max(1).saturating_mul(tasks);
         let unmet_millicores = self.fleet.unmet_millicores.entry(Arc::clone(pool)).or_default();
         *unmet_millicores =
             unmet_millicores.saturating_add(missing_millicores).min(MAX_UNMET_MILLICORES);
--- a/crates/skylarkwick-request/tests/held_jobs.rs
+++ b/crates/skylarkwick-request/tests/held_jobs.rs
@@ -6,7 +6,7 @@
 
 use harness::{Harness, POOL, finished_run, ms, step};
 use skylarkwick_request::{
-    job::task,
+    job::{Step, task},
     shard::{Holds, input::AcceptedJob},
 };
 use skylarkwick_version::{
@@ -76,3 +76,19 @@
     harness.decide();
     assert_eq!(held(&harness)["quiet"], Holds::default());
 }
+
+/// A best-effort task that finds no memory lacks no processor time; the logs showed a pool with
+/// free cores as one that is short of them.
+#[test]
+fn best_effort_lacks_memory() {
+    let mut harness = Harness::with_servers(&["a"]);
+    let memory = |memory_mib| Resources { millicores: 60_000, memory_mib, accelerators: 0 };
+    let best_effort = Step { is_best_effort: true, ..step(1, 60) };
+    for (id, memory_mib) in [("large", 65_000), ("next", 1000)] {
+        let resources = memory(memory_mib);
+        harness.submit(id, vec![Step { resources, ..best_effort.clone() }]);
+    }
+    harness.decide();
+    let load = harness.shard.pool_loads(harness.now)[POOL];
+    assert_eq!((load.runs, load.held.room, load.unmet_millicores), (1, 1, 1));
+}
