Rate jobs against the weights in the order of acceptance, once the weights are known

What callers saw, by reading: after a change of the holder the backlog of a workspace that sends too much came among the jobs of others. Cause: a new holder adds the stored jobs before it knows any weight, and in the order of their identifiers, so none was in excess.

Change: new jobs wait for a rating until the next decision that knows the weights, and are rated by when they were accepted.

The identifiers of tests/harness/load.rs have leading zeros now, as those of jobs that are accepted at one moment decide their order.

Before: workspace_shares::takeover_keeps_excess fails on the commit before (0 in excess, 41 expected). After: it passes; all tests of the crate passed.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -208,8 +208,8 @@
         if self.jobs.contains_key(&id) || self.finished_jobs.contains_key(&id) {
             return;
         }
-        let mut active = ActiveJob::new(now, accepted);
-        active.is_beyond_weight = self.is_beyond_weight(&active);
+        let active = ActiveJob::new(now, accepted);
+        self.await_rating(&active);
         self.jobs.insert(id.clone(), active);
         self.update_outcome(&id);
     }
@@ -261,6 +261,7 @@
         }
         self.finished_jobs.retain(|_, since| now.since(*since) < FINISHED_RETENTION);
         self.open_occurrences(unix_ms);
+        self.rate_jobs();
         self.place_tasks(now, is_exclusive);
         if now.since(self.last_housekeeping) >= HOUSEKEEPING_PERIOD {
             self.last_housekeeping = now;
--- a/crates/skylarkwick-request/src/shard/quota.rs
+++ b/crates/skylarkwick-request/src/shard/quota.rs
@@ -102,11 +102,6 @@
 }
 
 impl Shard {
-    /// Replaces the workspaces of the configuration.
-    pub fn set_workspaces(&mut self, workspaces: Workspaces) {
-        self.quotas.workspaces = workspaces;
-    }
-
     /// Returns the workspaces of the configuration.
     pub fn workspaces(&self) -> &Workspaces {
         &self.quotas.workspaces
--- a/crates/skylarkwick-request/tests/harness/load.rs
+++ b/crates/skylarkwick-request/tests/harness/load.rs
@@ -57,7 +57,7 @@
 
     pub(crate) fn submit(&mut self, workspace: &str, step: Step) {
         let number = self.submitted.len();
-        let id = format!("{workspace}/{number}");
+        let id = format!("{workspace}/{number:04}");
         let is_long_running = step.is_long_running;
         self.submitted.insert(id.clone(), Submission { tick: self.tick, is_long_running });
         let workspace = Some(Arc::from(workspace));
--- a/crates/skylarkwick-request/tests/workspace_shares.rs
+++ b/crates/skylarkwick-request/tests/workspace_shares.rs
@@ -6,10 +6,11 @@
 use std::sync::Arc;
 
 use harness::{
+    Harness,
     load::{Load, RUN_TICKS, weighted},
-    step,
+    ms, step,
 };
-use skylarkwick_request::job::Step;
+use skylarkwick_request::{job::Step, shard::input::AcceptedJob};
 use skylarkwick_version::workspace::Workspaces;
 
 const CORES: u64 = 8;
@@ -130,3 +131,30 @@
     }
     assert!(load.waits[HOT].len() > before);
 }
+
+/// A new holder reads the jobs before the configuration, in the order of their identifiers: those
+/// beyond the weight are known again, and no others. Without that, the backlog of a workspace that
+/// sends too much comes before the jobs of others after each change of the holder.
+#[test]
+fn takeover_keeps_excess() {
+    let mut harness = harness::taken_shard();
+    for number in 0..20 {
+        // Accepted every 100 ms, the last identifier first.
+        let age = ms(1000 + 100 * number);
+        for (workspace, burst) in [("even", 1), ("hot", 4)] {
+            for copy in 0..burst {
+                let id = format!("{workspace}/{number:02}/{copy}");
+                let workspace = Some(Arc::from(workspace));
+                let accepted = Harness::accepted_job(&id, vec![step(1, 1)]);
+                harness.shard.add_job(harness.now, AcceptedJob { workspace, age, ..accepted });
+            }
+        }
+    }
+    harness.decide();
+    harness.shard.set_workspaces(weighted(&[("even", 10.0), ("hot", 10.0)]));
+    harness.decide();
+    let loads = harness.shard.workspace_loads(harness.now);
+    let excess: Vec<_> = loads.iter().map(|(name, load)| (&**name, load.excess_jobs)).collect();
+    // 80 jobs in 1.9 s, of which the weight and the burst allow 20 + 19.
+    assert_eq!(excess, [("hot", 41), ("even", 0)]);
+}
