--- a/crates/skylarkwick-request/tests/excess_room.rs
+++ b/crates/skylarkwick-request/tests/excess_room.rs
@@ -85,7 +85,8 @@
 #[test]
 fn long_running_not_held() {
     let mut load = hot_beside_other();
-    load.submit(OTHER, long_running(2, 48));
+    load.submit(OTHER, long_running(2, 32));
+    load.submit(OTHER, step(2, 20));
     load.step();
     for _ in 0..20 {
         load.submit(HOT, long_running(1, 1));
