Know a job by its queue and its identifier

Cause: the store keeps jobs by queue and identifier, the holder by the identifier alone, in the feed of rows, the jobs that ended lately, the results of writes and the progress read at a takeover. Change: job::Key, with private parts, in rows, events and updates.

remove_job and merge_stored_progress take a key; tests that call them name the harness's queue, with the same checks.

--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -36,7 +36,7 @@
     /// The store has a job that is not finished; it may be one that the shard knows.
     JobAdded(Box<AcceptedJob>),
     /// A job is finished or was cancelled, or its row was removed or changed.
-    JobRemoved(job::Id),
+    JobRemoved(job::Key),
     /// The servers in the platform's list.
     ServersListed(Vec<ServerInfo>),
     /// The hosts in the platform's list, and when the list was requested.
@@ -61,7 +61,7 @@
     BatchNotSaved(Box<Batch>),
     /// Current revision of a job's progress row, and its value if another write had
     /// changed it.
-    ProgressStored(job::Id, Revision, Option<Progress>),
+    ProgressStored(job::Key, Revision, Option<Progress>),
     /// Result of an order for a host; busy if it was not sent.
     HostOrderResult(HostId, HostOrderResult),
     /// Result of storing the progress of a wave.
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -334,7 +334,7 @@
             }
             Event::WaveRequested(wave) => self.shard.add_wave(now, wave),
             Event::JobAdded(accepted) => self.shard.add_job(now, *accepted),
-            Event::JobRemoved(id) => self.shard.remove_job(now, &id),
+            Event::JobRemoved(key) => self.shard.remove_job(now, &key),
             Event::ServersListed(servers) => self.shard.set_servers(now, servers),
             Event::HostsListed(hosts, requested) => self.shard.set_hosts(requested, hosts),
             Event::StatusReported(report) => self.shard.handle_status_report(now, *report),
@@ -356,8 +356,8 @@
             Event::UpdatesSaved(updates) => self.shard.handle_updates_saved(now, &updates),
             Event::BatchSaved(batch) => self.shard.handle_batch_saved(now, &batch),
             Event::BatchNotSaved(batch) => self.shard.handle_batch_save_failed(&batch),
-            Event::ProgressStored(id, revision, stored) => {
-                self.shard.merge_stored_progress(&id, revision, stored.as_ref())
+            Event::ProgressStored(key, revision, stored) => {
+                self.shard.merge_stored_progress(&key, revision, stored.as_ref())
             }
             Event::HostOrderResult(host, result) => {
                 self.shard.handle_host_order_result(now, &host, result)
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -70,12 +70,13 @@
     /// Combines the rows of jobs and of their progress.
     fn loaded_state(&self, pool_sizes: BTreeMap<Arc<str>, usize>, log: &Logger) -> LoadedState {
         let jobs = self.jobs.page();
-        let by_job = progress_by_job(self.progress.page(), log);
+        let by_job = progress_by_job(self.progress.page(), self.keyspace, log);
         let mut loaded = LoadedState { jobs: Vec::new(), revision: jobs.revision, pool_sizes };
         for row in &jobs.rows {
             let decoded = decode_job(row, self.keyspace, jobs.now_ms, log);
             if let Some(StoredJob::Active(mut accepted)) = decoded {
-                if let Some((revision, progress)) = by_job.get(&accepted.id) {
+                let key = job::Key::new(Arc::clone(&accepted.queue), accepted.id.clone());
+                if let Some((revision, progress)) = by_job.get(&key) {
                     accepted.progress = progress.clone();
                     accepted.progress_revision = *revision;
                 }
@@ -137,11 +138,17 @@
 
 /// Decodes the progress rows of a page, by job, each with its revision; removed and invalid
 /// rows are left out.
-fn progress_by_job(page: &Page, log: &Logger) -> BTreeMap<job::Id, (Revision, Progress)> {
+fn progress_by_job(
+    page: &Page,
+    keyspace: Keyspace,
+    log: &Logger,
+) -> BTreeMap<job::Key, (Revision, Progress)> {
     let mut by_job = BTreeMap::new();
     for row in &page.rows {
-        if let Some(progress) = decode_progress(row, log) {
-            by_job.insert(job::Id::new(&row.key.name), (row.revision, progress));
+        let queue = keyspace.queue(&row.key.part);
+        if let (Some(queue), Some(progress)) = (queue, decode_progress(row, log)) {
+            let key = job::Key::new(queue, job::Id::new(&row.key.name));
+            by_job.insert(key, (row.revision, progress));
         }
     }
     by_job
@@ -167,7 +174,7 @@
     /// The job is not finished.
     Active(Box<AcceptedJob>),
     /// The job is finished, or its row was removed.
-    Finished(job::Id),
+    Finished(job::Key),
 }
 
 /// Decodes a job's row; returns `None` for one of another shard, and for an invalid one,
@@ -183,10 +190,12 @@
     let queue = keyspace.queue(&row.key.part)?;
     let id = job::Id::new(&row.key.name);
     let Some(value) = row.value.as_deref() else {
-        return Some(StoredJob::Finished(id));
+        return Some(StoredJob::Finished(job::Key::new(queue, id)));
     };
     let (accepted_ms, body, workspace) = match row::decode::<JobRow>(value) {
-        Ok(JobRow::Finished { .. }) => return Some(StoredJob::Finished(id)),
+        Ok(JobRow::Finished { .. }) => {
+            return Some(StoredJob::Finished(job::Key::new(queue, id)));
+        }
         Ok(JobRow::Active { accepted_ms, body, workspace }) => (accepted_ms, body, workspace),
         Err(error) => {
             warn!(log, "job row not decoded"; "job" => &*row.key.name, "error" => %error);
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -138,7 +138,7 @@
     fn save_batch(&self, batch: Batch) -> Event {
         let mut by_queue: BTreeMap<Arc<str>, Vec<JobUpdate>> = BTreeMap::new();
         for update in &batch.updates {
-            by_queue.entry(Arc::clone(&update.queue)).or_default().push(update.clone());
+            by_queue.entry(Arc::clone(update.key.queue())).or_default().push(update.clone());
         }
         let Batch { updates, cursors } = batch;
         let unsaved = self.writers.write(by_queue.into_values().collect()).unwrap_or(updates);
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -77,7 +77,7 @@
             for row in &page.rows {
                 let event = match load::decode_job(row, keyspace, page.now_ms, &log) {
                     Some(StoredJob::Active(accepted)) => Event::JobAdded(accepted),
-                    Some(StoredJob::Finished(id)) => Event::JobRemoved(id),
+                    Some(StoredJob::Finished(key)) => Event::JobRemoved(key),
                     None => continue,
                 };
                 if !send(&events, event) {
--- a/crates/skylarkwick-planner/src/jobs/writer.rs
+++ b/crates/skylarkwick-planner/src/jobs/writer.rs
@@ -179,7 +179,7 @@
                     return unsaved;
                 }
                 Err(error) => {
-                    let first = group.first().map_or("", |write| write.update.id.as_str());
+                    let first = group.first().map_or("", |write| write.update.key.id().as_str());
                     let is_unknown = matches!(error, store::Error::Unknown(_));
                     warn!(self.log, "job updates not saved"; "jobs" => group.len(),
                         "job" => first, "error" => %error, "in_doubt" => is_unknown);
@@ -196,7 +196,7 @@
         let updates: Vec<JobUpdate> = group.into_iter().map(|write| write.update).collect();
         for update in &updates {
             self.log_if_finished(update);
-            send(&self.events, Event::ProgressStored(update.id.clone(), revision, None));
+            send(&self.events, Event::ProgressStored(update.key.clone(), revision, None));
         }
         send(&self.events, Event::UpdatesSaved(updates));
     }
@@ -206,12 +206,12 @@
     /// changed progress row with its stored value and revision.
     fn find_conflict(&self, update: &JobUpdate, rows: &[Row]) -> ConflictKind {
         let find = |key| rows.iter().find(|row| row.key == key);
-        let (queue, id) = (&update.queue, update.id.as_str());
+        let (queue, id) = (update.key.queue(), update.key.id().as_str());
         let is_changed =
             find(self.keyspace.job(queue, id)).is_some_and(|row| row.revision != update.revision);
         if is_changed {
             // The job was cancelled, or an earlier write of this holder finished it.
-            send(&self.events, Event::JobRemoved(update.id.clone()));
+            send(&self.events, Event::JobRemoved(update.key.clone()));
             return ConflictKind::Job;
         }
         let progress = find(self.keyspace.progress(queue, id))
@@ -220,7 +220,7 @@
             None => ConflictKind::None,
             Some(row) => {
                 let stored = load::decode_progress(row, &self.log);
-                send(&self.events, Event::ProgressStored(update.id.clone(), row.revision, stored));
+                send(&self.events, Event::ProgressStored(update.key.clone(), row.revision, stored));
                 ConflictKind::Progress
             }
         }
@@ -230,7 +230,7 @@
     /// knew: it writes the progress of a job, or marks the job as finished and removes its
     /// progress row.
     fn transaction(&self, update: &JobUpdate) -> Transaction {
-        let (queue, id) = (&update.queue, update.id.as_str());
+        let (queue, id) = (update.key.queue(), update.key.id().as_str());
         let job = self.keyspace.job(queue, id);
         let progress = self.keyspace.progress(queue, id);
         match &update.change {
@@ -253,7 +253,7 @@
     /// Logs the end of a job if the update finishes it.
     fn log_if_finished(&self, update: &JobUpdate) {
         if let Change::Finished(state) = &update.change {
-            info!(self.log, "job over"; "job" => update.id.as_str(), "queue" => &*update.queue,
+            info!(self.log, "job over"; "job" => update.key.id().as_str(), "queue" => &**update.key.queue(),
                 "state" => ?state);
         }
     }
--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -46,6 +46,31 @@
     }
 }
 
+/// Identity of a job on a site: its queue and its identifier. Another queue may have a job with the
+/// same identifier, so neither stands for the job alone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    queue: Arc<str>,
+    id: Id,
+}
+
+impl Key {
+    /// Creates the identity of a job of this queue.
+    pub const fn new(queue: Arc<str>, id: Id) -> Key {
+        Key { queue, id }
+    }
+
+    /// Returns the queue of the job.
+    pub const fn queue(&self) -> &Arc<str> {
+        &self.queue
+    }
+
+    /// Returns the identifier that the caller of the job chose.
+    pub const fn id(&self) -> &Id {
+        &self.id
+    }
+}
+
 /// A job as its caller submitted it: what its tasks run, its steps and its schedule.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Job {
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -149,7 +149,7 @@
     /// Number of the next run.
     next_run: task::RunId,
     /// Finished and removed jobs, and when this shard learned of it.
-    finished_jobs: BTreeMap<job::Id, Moment>,
+    finished_jobs: BTreeMap<job::Key, Moment>,
     /// Jobs to write in the next batches.
     unsaved_jobs: SaveQueue,
     /// Whether a batch is being stored.
@@ -205,7 +205,8 @@
     /// began.
     pub fn add_job(&mut self, now: Moment, accepted: input::AcceptedJob) {
         let id = accepted.id.clone();
-        if self.jobs.contains_key(&id) || self.finished_jobs.contains_key(&id) {
+        let key = job::Key::new(Arc::clone(&accepted.queue), id.clone());
+        if self.jobs.contains_key(&id) || self.finished_jobs.contains_key(&key) {
             return;
         }
         let active = ActiveJob::new(now, accepted);
@@ -223,17 +224,29 @@
     /// dropped, stops of its other runs are due from `now`, and no further
     /// write is made for it. `add_job` ignores it for `FINISHED_RETENTION` (60
     /// s), also if it was not known here.
-    pub fn remove_job(&mut self, now: Moment, id: &job::Id) {
-        self.finished_jobs.insert(id.clone(), now);
-        let Some(active) = self.jobs.remove(id) else {
+    pub fn remove_job(&mut self, now: Moment, key: &job::Key) {
+        self.finished_jobs.insert(key.clone(), now);
+        let Some(active) = self.take_job(key) else {
             return;
         };
-        self.unsaved_jobs.remove(id);
+        self.unsaved_jobs.remove(key.id());
         for (server, task) in active.assigned_tasks() {
             self.request_stop(now, &server, &task);
         }
     }
 
+    /// Returns a job; `None` if it is unknown, also if another queue has one with its identifier.
+    pub(self) fn job_mut(&mut self, key: &job::Key) -> Option<&mut ActiveJob> {
+        self.jobs.get_mut(key.id()).filter(|active| active.queue == *key.queue())
+    }
+
+    /// Removes a job and returns it; `None` if it is unknown, also if another queue has one with
+    /// its identifier.
+    fn take_job(&mut self, key: &job::Key) -> Option<ActiveJob> {
+        self.job_mut(key)?;
+        self.jobs.remove(key.id())
+    }
+
     /// Decides what to do next and returns the effects, together with those
     /// that other calls have left since the last `decide`; the caller must
     /// carry out every effect. `unix_ms` is the time of day in Unix
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -18,7 +18,7 @@
     run_time_model::Estimate,
 };
 use crate::job::{
-    Id, Job, State, Step,
+    Id, Job, Key, State, Step,
     progress::{Progress, TaskPosition},
     task,
 };
@@ -91,6 +91,11 @@
         active
     }
 
+    /// Returns the identity of the job.
+    pub(super) fn key(&self) -> Key {
+        Key::new(Arc::clone(&self.queue), self.id.clone())
+    }
+
     /// Adds an occurrence and the earlier ones, which are due before it, with
     /// all tasks waiting. Those that are open already stay as they are; does
     /// nothing if the job has no such occurrence.
--- a/crates/skylarkwick-request/src/shard/effect.rs
+++ b/crates/skylarkwick-request/src/shard/effect.rs
@@ -148,9 +148,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobUpdate {
     /// Job to update.
-    pub id: job::Id,
-    /// Queue of the job.
-    pub queue: Arc<str>,
+    pub key: job::Key,
     /// Workspace of its caller, if the queue needs a key.
     pub workspace: Option<Arc<str>>,
     /// Expected revision of the job's row.
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -97,10 +97,10 @@
         for update in updates {
             match &update.change {
                 Change::Finished(_) => {
-                    self.jobs.remove(&update.id);
-                    self.finished_jobs.insert(update.id.clone(), now);
+                    self.take_job(&update.key);
+                    self.finished_jobs.insert(update.key.clone(), now);
                 }
-                Change::Progress(progress) => self.record_write_saved(now, &update.id, progress),
+                Change::Progress(progress) => self.record_write_saved(now, &update.key, progress),
             }
         }
     }
@@ -156,7 +156,7 @@
     /// write stores its final state.
     fn record_write_started(&mut self, update: &JobUpdate) {
         if let (Some(active), Change::Progress(progress)) =
-            (self.jobs.get_mut(&update.id), &update.change)
+            (self.job_mut(&update.key), &update.change)
         {
             active.recorded_servers.retain(|server| progress.servers.contains(&server.0));
         }
@@ -165,12 +165,12 @@
     /// Takes the servers of a stored progress as the recorded ones of the job,
     /// then sends or cancels the starts that waited for that, as in
     /// `send_planned_starts`. Does nothing if the job is unknown.
-    fn record_write_saved(&mut self, now: Moment, id: &job::Id, progress: &Progress) {
-        if let Some(active) = self.jobs.get_mut(id) {
+    fn record_write_saved(&mut self, now: Moment, key: &job::Key, progress: &Progress) {
+        if let Some(active) = self.job_mut(key) {
             active.failed_writes = 0;
             active.recorded_servers =
                 progress.servers.iter().map(|id| ServerId(Arc::clone(id))).collect();
-            self.send_planned_starts(now, id);
+            self.send_planned_starts(now, key.id());
         }
     }
 
@@ -180,13 +180,14 @@
     /// recomputed, and it is stored again. Does nothing if the job is unknown.
     pub fn merge_stored_progress(
         &mut self,
-        id: &job::Id,
+        key: &job::Key,
         revision: Revision,
         other: Option<&Progress>,
     ) {
-        let Some(active) = self.jobs.get_mut(id) else {
+        let Some(active) = self.job_mut(key) else {
             return;
         };
+        let id = key.id();
         active.progress_revision = revision;
         if let Some(other) = other {
             active.merge_progress(other);
@@ -203,14 +204,14 @@
     pub fn handle_batch_save_failed(&mut self, batch: &Batch) {
         self.is_saving = false;
         for update in &batch.updates {
-            if let Some(active) = self.jobs.get_mut(&update.id) {
+            if let Some(active) = self.job_mut(&update.key) {
                 active.failed_writes = active.failed_writes.saturating_add(1);
-                self.unsaved_jobs.insert(update.id.clone());
+                self.unsaved_jobs.insert(update.key.id().clone());
             }
         }
         let is_failing =
             |id: &&job::Id| self.jobs.get(*id).is_some_and(ActiveJob::is_write_failing);
-        let updates = batch.updates.iter().map(|update| &update.id);
+        let updates = batch.updates.iter().map(|update| update.key.id());
         let failing: BTreeSet<&job::Id> = updates.filter(is_failing).collect();
         if !failing.is_empty() {
             self.cancel_planned(|task| failing.contains(&task.job));
@@ -252,8 +253,7 @@
             None => Change::Progress(active.progress()),
         };
         Some(JobUpdate {
-            id: id.clone(),
-            queue: active.queue.clone(),
+            key: active.key(),
             workspace: active.workspace.clone(),
             revision: active.revision,
             progress_revision: active.progress_revision,
--- a/crates/skylarkwick-request/tests/harness/mod.rs
+++ b/crates/skylarkwick-request/tests/harness/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use skylarkwick_request::{
-    job::{Id, Job, Step, progress::Progress, task},
+    job::{Id, Job, Key, Step, progress::Progress, task},
     shard::{
         Shard, Term, Timings,
         effect::{Batch, Effect, Start, Target},
@@ -74,6 +74,11 @@
     task::Id { job: Id::new(job), occurrence: 0, step, index }
 }
 
+/// The identity of a job of the harness's queue.
+pub(crate) fn job_key(id: &str) -> Key {
+    Key::new(Arc::from(QUEUE), Id::new(id))
+}
+
 pub(crate) fn server_info(name: &str, pool: &str, host_name: &str) -> ServerInfo {
     ServerInfo {
         id: server(name),
--- a/crates/skylarkwick-request/tests/job_lifecycle.rs
+++ b/crates/skylarkwick-request/tests/job_lifecycle.rs
@@ -3,7 +3,7 @@
 
 mod harness;
 
-use harness::{Harness, batches, finished_run, starts, step, stops, task};
+use harness::{Harness, batches, finished_run, job_key, starts, step, stops, task};
 use skylarkwick_request::{
     job::{
         Id, Job, State, Step,
@@ -91,7 +91,7 @@
     let mut harness = Harness::with_servers(&["a"]);
     harness.submit("job", vec![step(3, 4)]);
     start_first(&mut harness);
-    harness.shard.remove_job(harness.now, &Id::new("job"));
+    harness.shard.remove_job(harness.now, &job_key("job"));
     let effects = harness.decide();
     assert_eq!(stops(&effects).len(), 3);
     assert!(starts(&effects).is_empty());
@@ -165,7 +165,7 @@
     let batch = batches(&harness.decide()).remove(0);
     harness.shard.handle_batch_saved(harness.now, &batch);
     harness.submit("cancelled", vec![step(1, 4)]);
-    harness.shard.remove_job(harness.now, &Id::new("cancelled"));
+    harness.shard.remove_job(harness.now, &job_key("cancelled"));
     // A read of all rows that began before both jobs finished returns them again.
     harness.submit("done", vec![step(1, 4)]);
     harness.submit("cancelled", vec![step(1, 4)]);
@@ -191,7 +191,7 @@
     harness.report("a", &[], &results);
     let batch = batches(&harness.decide()).remove(0);
     assert!(batch.updates.len() * ROWS_PER_UPDATE <= MAX_ROWS);
-    let is_stored = |job: &Id| batch.updates.iter().any(|update| update.id == *job);
+    let is_stored = |job: &Id| batch.updates.iter().any(|update| update.key.id() == job);
     let first_unstored = results.iter().find(|result| !is_stored(&result.task.job)).unwrap();
     let cursor = batch.cursors.first().expect("a cursor up to the last end that is stored");
     assert_eq!(cursor.number, first_unstored.number - 1, "later ends are not stored yet");
--- a/crates/skylarkwick-request/tests/run_takeover.rs
+++ b/crates/skylarkwick-request/tests/run_takeover.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 
 use harness::{
-    Harness, POOL, earlier_job, earlier_job_on_a, finished_run, ms, starts, step, stops,
+    Harness, POOL, earlier_job, earlier_job_on_a, finished_run, job_key, ms, starts, step, stops,
     taken_shard, task, timings,
 };
 use skylarkwick_request::{
     job::{
-        Id, Step,
+        Step,
         progress::{Progress, TaskPosition, TaskProgress},
         task::{RunId, RunOutcome},
     },
@@ -205,7 +205,7 @@
     // The previous holder was still active and has started the task elsewhere.
     let servers = [Arc::from("gone")].into();
     let stored = Progress { servers, ..Progress::default() };
-    harness.shard.merge_stored_progress(&Id::new("job"), Revision(12), Some(&stored));
+    harness.shard.merge_stored_progress(&job_key("job"), Revision(12), Some(&stored));
     harness.shard.handle_batch_save_failed(&batch);
     harness.advance(100);
     let effects = harness.decide();
@@ -224,7 +224,7 @@
         position,
         TaskProgress { is_done: true, last_ended_run: RunId(5), ..TaskProgress::default() },
     );
-    harness.shard.merge_stored_progress(&Id::new("job"), Revision(12), Some(&stored));
+    harness.shard.merge_stored_progress(&job_key("job"), Revision(12), Some(&stored));
     harness.shard.handle_batch_save_failed(&batch);
     let started = starts(&harness.decide());
     assert_eq!(started.len(), 1);
--- a/crates/skylarkwick-request/tests/save_failures.rs
+++ b/crates/skylarkwick-request/tests/save_failures.rs
@@ -17,7 +17,7 @@
         let next = harness.decide_unsaved();
         for Batch { updates, cursors } in batches(&next) {
             let (bad, good): (Vec<_>, Vec<_>) =
-                updates.into_iter().partition(|update| update.id.as_str() == "bad");
+                updates.into_iter().partition(|update| update.key.id().as_str() == "bad");
             harness.shard.handle_updates_saved(harness.now, &good);
             let rest = Batch { updates: bad, cursors };
             match rest.updates.is_empty() {
--- a/crates/skylarkwick-request/tests/save_order.rs
+++ b/crates/skylarkwick-request/tests/save_order.rs
@@ -14,7 +14,7 @@
         harness.submit(&format!("job{number:02}"), vec![step(1, 1)]);
     }
     let batch = batches(&harness.decide_unsaved()).remove(0);
-    let stored: Vec<&str> = batch.updates.iter().map(|update| update.id.as_str()).collect();
+    let stored: Vec<&str> = batch.updates.iter().map(|update| update.key.id().as_str()).collect();
     assert!(stored.contains(&"zzz"), "stored first: {stored:?}");
 }
 
@@ -30,7 +30,7 @@
     let repeats = second
         .updates
         .iter()
-        .filter(|update| first.updates.iter().any(|other| other.id == update.id))
+        .filter(|update| first.updates.iter().any(|other| other.key == update.key))
         .count();
     let left = 60 - first.updates.len();
     assert_eq!(second.updates.len() - repeats, left, "jobs left out before come first");
--- a/crates/skylarkwick-request/tests/server_blame.rs
+++ b/crates/skylarkwick-request/tests/server_blame.rs
@@ -2,9 +2,9 @@
 
 mod harness;
 
-use harness::{Harness, finished_run, server, starts, step, stops, task};
+use harness::{Harness, finished_run, job_key, server, starts, step, stops, task};
 use skylarkwick_request::{
-    job::{Id, task::RunOutcome},
+    job::task::RunOutcome,
     shard::{
         effect::Effect,
         input::{OrderResult, RejectReason},
@@ -149,7 +149,7 @@
     harness.submit("job", vec![step(1, 4)]);
     let effects = harness.decide();
     harness.confirm_starts(&effects);
-    harness.shard.remove_job(harness.now, &Id::new("job"));
+    harness.shard.remove_job(harness.now, &job_key("job"));
     let (id, task, run) = stops(&harness.decide()).remove(0);
     let result = OrderResult::Refused(RejectReason::NotSent, None);
     harness.shard.handle_stop_result(harness.now, &id, &task, run, result);
--- a/crates/skylarkwick-request/tests/simulation/world/rows.rs
+++ b/crates/skylarkwick-request/tests/simulation/world/rows.rs
@@ -31,15 +31,15 @@
     pub(super) fn store(&mut self, number: u64, update: &JobUpdate, is_answered: bool) -> bool {
         let is_told = is_answered && self.is_at_work(number);
         let shard = &mut self.harness.shard;
-        let Some(stored) = self.stored.get_mut(&update.id) else {
+        let Some(stored) = self.stored.get_mut(update.key.id()) else {
             if is_told {
-                shard.remove_job(self.harness.now, &update.id);
+                shard.remove_job(self.harness.now, &update.key);
             }
             return true;
         };
         if stored.revision != update.progress_revision {
             if is_told {
-                shard.merge_stored_progress(&update.id, stored.revision, Some(&stored.progress));
+                shard.merge_stored_progress(&update.key, stored.revision, Some(&stored.progress));
             }
             return false;
         }
@@ -49,12 +49,12 @@
                 stored.progress = progress.clone();
                 stored.revision = Revision(self.revision);
                 if is_told {
-                    shard.merge_stored_progress(&update.id, stored.revision, None);
+                    shard.merge_stored_progress(&update.key, stored.revision, None);
                 }
             }
             Change::Finished(_) => {
-                self.stored.remove(&update.id);
-                self.finished.insert(update.id.clone());
+                self.stored.remove(update.key.id());
+                self.finished.insert(update.key.id().clone());
             }
         }
         true
--- a/crates/skylarkwick-request/tests/workspace_quotas.rs
+++ b/crates/skylarkwick-request/tests/workspace_quotas.rs
@@ -5,10 +5,10 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use harness::{Harness, earlier_job_on_a, finished_run, starts, step, taken_shard, task};
+use harness::{Harness, earlier_job_on_a, finished_run, job_key, starts, step, taken_shard, task};
 use skylarkwick_request::{
     job::{
-        Id, Step,
+        Step,
         task::{RunId, RunOutcome},
     },
     shard::input::AcceptedJob,
@@ -103,7 +103,7 @@
     submit(&mut harness, "old", vec![step(2, 4)]);
     let effects = harness.decide();
     let started = harness.confirm_starts(&effects);
-    harness.shard.remove_job(harness.now, &Id::new("old"));
+    harness.shard.remove_job(harness.now, &job_key("old"));
     submit(&mut harness, "new", vec![step(2, 4)]);
     assert_eq!(count_starts(&mut harness), 0, "the cancelled job still runs");
     let running: Vec<_> =
