Run jobs of two queues with one identifier one after the other

Cause: tasks are named by the job's identifier alone, and a holder dropped a second job of the same identifier as a repeated row. It was accepted, and not run by that holder. Change: it waits until the first is over and nothing of it runs; a new holder goes on with the one that has begun.

--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -83,6 +83,8 @@
                 loaded.jobs.push(*accepted);
             }
         }
+        // Of two queues' jobs with one identifier, the one that has begun goes on.
+        loaded.jobs.sort_by_key(|accepted| accepted.progress_revision == Revision::ABSENT);
         loaded
     }
 }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -19,6 +19,7 @@
 mod label_hosts;
 mod liveness;
 mod membership;
+mod namesake;
 mod occurrence;
 mod order_results;
 mod overdue;
@@ -62,6 +63,7 @@
     effect::Effect,
     fleet::Fleet,
     input::Queue,
+    namesake::Namesakes,
     quota::Quotas,
     rate::Rates,
     run_time_model::RunTimeModel,
@@ -150,6 +152,8 @@
     next_run: task::RunId,
     /// Finished and removed jobs, and when this shard learned of it.
     finished_jobs: BTreeMap<job::Key, Moment>,
+    /// Jobs that wait for one of another queue with the same identifier.
+    namesakes: Namesakes,
     /// Jobs to write in the next batches.
     unsaved_jobs: SaveQueue,
     /// Whether a batch is being stored.
@@ -179,6 +183,7 @@
             send_window: SendWindow::default(),
             next_run: task::RunId::first_of_term(term.number),
             finished_jobs: BTreeMap::new(),
+            namesakes: Namesakes::default(),
             unsaved_jobs: SaveQueue::default(),
             is_saving: false,
             effects: Vec::new(),
@@ -199,16 +204,22 @@
 
     /// Adds an unfinished job with its stored progress, which may decide its
     /// outcome. Does nothing if the job is known, or has finished or was
-    /// removed within the last `FINISHED_RETENTION` (60 s).
+    /// removed within the last `FINISHED_RETENTION` (60 s). While another queue's
+    /// job with its identifier is not over, it waits.
     ///
     /// A read of all rows may return a job that has finished since the read
     /// began.
     pub fn add_job(&mut self, now: Moment, accepted: input::AcceptedJob) {
         let id = accepted.id.clone();
         let key = job::Key::new(Arc::clone(&accepted.queue), id.clone());
-        if self.jobs.contains_key(&id) || self.finished_jobs.contains_key(&key) {
+        if self.finished_jobs.contains_key(&key) {
             return;
         }
+        match self.jobs.get(&id) {
+            Some(known) if known.queue == accepted.queue => return,
+            Some(_) => return self.namesakes.insert(now, key, accepted),
+            None => {}
+        }
         let active = ActiveJob::new(now, accepted);
         self.await_rating(&active);
         self.jobs.insert(id.clone(), active);
@@ -226,6 +237,7 @@
     /// s), also if it was not known here.
     pub fn remove_job(&mut self, now: Moment, key: &job::Key) {
         self.finished_jobs.insert(key.clone(), now);
+        self.namesakes.remove(key);
         let Some(active) = self.take_job(key) else {
             return;
         };
@@ -273,6 +285,7 @@
             false => self.cancel_planned(|_| true),
         }
         self.finished_jobs.retain(|_, since| now.since(*since) < FINISHED_RETENTION);
+        self.admit_namesakes(now);
         self.open_occurrences(unix_ms);
         self.rate_jobs();
         self.place_tasks(now, is_exclusive);
@@ -315,6 +328,9 @@
                 waiting.entry(Arc::clone(&active.queue)).or_default().push(id.clone());
             }
         }
+        for (queue, id) in self.namesakes.keys() {
+            waiting.entry(Arc::clone(queue)).or_default().push(id.clone());
+        }
         waiting
     }
 
--- a/crates/skylarkwick-request/tests/same_ids.rs
+++ b/crates/skylarkwick-request/tests/same_ids.rs
@@ -4,8 +4,11 @@
 
 use std::sync::Arc;
 
-use harness::{Harness, POOL, QUEUE, job_key, queue, starts, step, stops};
-use skylarkwick_request::job::{Id, Key};
+use harness::{Harness, POOL, QUEUE, finished_run, job_key, queue, starts, step, stops};
+use skylarkwick_request::{
+    job::{Id, Key, task::RunOutcome},
+    shard::input::AcceptedJob,
+};
 
 const OTHER: &str = "other";
 
@@ -43,3 +46,28 @@
     harness.submit("job", vec![step(1, 4)]);
     assert_eq!(starts(&harness.decide()).len(), 1);
 }
+
+/// Guards against an accepted job that never runs because another queue's job has its identifier,
+/// and against its tasks being taken for those of the other.
+#[test]
+fn namesakes_take_turns() {
+    let mut harness = two_queues();
+    harness.submit("job", vec![step(1, 4)]);
+    let accepted = Harness::accepted_job("job", vec![step(1, 8)]);
+    let queue: Arc<str> = Arc::from(OTHER);
+    harness.shard.add_job(harness.now, AcceptedJob { queue, ..accepted });
+    let effects = harness.decide();
+    let (_, first) = harness.confirm_starts(&effects).remove(0);
+    assert_eq!(harness.shard.backlog()[OTHER], [Id::new("job")]);
+
+    let (task, run) = (first.task.clone(), first.run);
+    harness.shard.remove_job(harness.now, &job_key("job"));
+    harness.report("a", &[(task.clone(), run, 10)], &[]);
+    assert!(starts(&harness.decide()).is_empty(), "the first is being stopped");
+    harness.report("a", &[], &[finished_run(1, task, run, RunOutcome::Stopped)]);
+    let effects = harness.decide();
+    let started = harness.confirm_starts(&effects);
+    assert_eq!(started.len(), 1);
+    assert!(started[0].1.run > run);
+    assert!(harness.shard.backlog()[OTHER].is_empty());
+}
