Split the placement of a step by job; no hold of jobs whose outcome is decided

place_step had grown by the causes of holds: what may start, what is placed and what is counted are functions of their own. A job whose outcome is decided waits for nothing, so it is not logged as held. No decision changes; the crate's tests pass.

--- a/crates/skylarkwick-planner/src/jobs/writer.rs
+++ b/crates/skylarkwick-planner/src/jobs/writer.rs
@@ -253,8 +253,8 @@
     /// Logs the end of a job if the update finishes it.
     fn log_if_finished(&self, update: &JobUpdate) {
         if let Change::Finished(state) = &update.change {
-            info!(self.log, "job over"; "job" => update.key.id().as_str(), "queue" => &**update.key.queue(),
-                "state" => ?state);
+            info!(self.log, "job over"; "job" => update.key.id().as_str(),
+                "queue" => &**update.key.queue(), "state" => ?state);
         }
     }
 }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -248,7 +248,7 @@
     }
 
     /// Returns a job; `None` if it is unknown, also if another queue has one with its identifier.
-    pub(self) fn job_mut(&mut self, key: &job::Key) -> Option<&mut ActiveJob> {
+    fn job_mut(&mut self, key: &job::Key) -> Option<&mut ActiveJob> {
         self.jobs.get_mut(key.id()).filter(|active| active.queue == *key.queue())
     }
 
--- a/crates/skylarkwick-request/src/shard/hold.rs
+++ b/crates/skylarkwick-request/src/shard/hold.rs
@@ -43,9 +43,9 @@
 }
 
 impl Holds {
-    /// Counts a job if it is held back.
+    /// Counts a job if it is held back. One whose outcome is decided waits for nothing.
     pub(super) fn count(&mut self, now: Moment, active: &ActiveJob) {
-        let Some(hold) = active.hold else {
+        let Some(hold) = active.hold.filter(|_| active.outcome.is_none()) else {
             return;
         };
         let count = match hold.cause {
--- a/crates/skylarkwick-request/src/shard/round.rs
+++ b/crates/skylarkwick-request/src/shard/round.rs
@@ -31,6 +31,34 @@
     lacking_room: BTreeSet<Arc<str>>,
 }
 
+impl Round {
+    /// Leaves of the waiting tasks of a step those that its workspace and the send window let start
+    /// now; returns what holds back the others, `None` also for the window.
+    fn admit(&mut self, ready: &mut ReadyStep, step: &Step) -> Option<Cause> {
+        let waiting = ready.tasks.len();
+        let by_quota = self.ledger.admit(ready.workspace.as_ref(), step, waiting);
+        ready.tasks.truncate(by_quota);
+        ready.tasks.truncate(self.shares.admit(ready));
+        let cause = match ready.tasks.len() {
+            admitted if admitted == waiting => None,
+            admitted if admitted < by_quota => Some(Cause::Reserve),
+            _ => Some(Cause::Quota),
+        };
+        // The members of a gang start together, so the last one may exceed the window.
+        if !step.is_gang {
+            ready.tasks.truncate(self.remaining);
+        }
+        cause
+    }
+
+    /// Counts tasks of a step that were placed.
+    fn charge(&mut self, ready: &ReadyStep, step: &Step, placed: usize) {
+        self.remaining = self.remaining.saturating_sub(placed);
+        self.ledger.charge(ready.workspace.as_ref(), step, placed);
+        self.shares.add(ready, u64::try_from(placed).unwrap_or(u64::MAX));
+    }
+}
+
 /// Returns the step to place next. One whose workspace is above its share is deferred behind
 /// those that are as timely.
 fn next_in_order(
@@ -111,28 +139,26 @@
     }
 
     /// Places the tasks of a step, as far as the quota of its workspace, the send window and the
-    /// servers have room.
+    /// servers have room, and records what held back the others.
     fn place_step(&mut self, mut ready: ReadyStep, round: &mut Round) {
         let job = Arc::clone(&ready.job);
         let step = &job.steps[ready.step];
-        let workspace = ready.workspace.clone();
-        let waiting = ready.tasks.len();
-        let admitted = round.ledger.admit(workspace.as_ref(), step, waiting);
-        ready.tasks.truncate(admitted);
-        ready.tasks.truncate(round.shares.admit(&ready));
-        let mut cause = match ready.tasks.len() {
-            left if left == waiting => None,
-            left if left < admitted => Some(Cause::Reserve),
-            _ => Some(Cause::Quota),
-        };
-        if ready.tasks.is_empty() {
-            self.record_hold(round.now, &ready.job_id, cause);
-            return;
-        }
-        // The members of a gang start together, so the last one may exceed the window.
-        if !step.is_gang {
-            ready.tasks.truncate(round.remaining);
+        let mut cause = round.admit(&mut ready, step);
+        if !ready.tasks.is_empty() {
+            let placed = self.place_admitted(&ready, step, round);
+            let unplaced = ready.tasks.len() - placed;
+            if unplaced > 0 {
+                self.add_unmet(&ready.pool, step, unplaced);
+                let is_above = round.shares.is_above(&ready);
+                cause = Some(if is_above { Cause::Share } else { Cause::Room });
+            }
         }
+        self.record_hold(round.now, &ready.job_id, cause);
+    }
+
+    /// Places the tasks of a step that may start, as far as the servers have room; returns how many
+    /// it placed.
+    fn place_admitted(&mut self, ready: &ReadyStep, step: &Step, round: &mut Round) -> usize {
         let pool = &ready.pool;
         let shortage = round.shortages.entry(Arc::clone(pool)).or_default();
         let active = self.jobs.get(&ready.job_id);
@@ -143,15 +169,10 @@
         let request = PlacementRequest { now: round.now, pool, step, allowed_servers, rack: None };
         let placed = match () {
             () if shortage.covers(step) => 0,
-            () if step.is_gang => self.place_gang(request, &ready),
-            () => self.place_independent_tasks(request, &ready),
+            () if step.is_gang => self.place_gang(request, ready),
+            () => self.place_independent_tasks(request, ready),
         };
-        round.remaining = round.remaining.saturating_sub(placed);
-        round.ledger.charge(workspace.as_ref(), step, placed);
-        let count = u64::try_from(placed).unwrap_or(u64::MAX);
-        round.shares.add(&ready, count);
-        let unplaced = ready.tasks.len() - placed;
-        if unplaced > 0 {
+        if placed < ready.tasks.len() {
             // That this job found no server may have reasons of its own, such as the
             // servers that it is recorded with.
             if !shortage.covers(step) && !self.has_room(request) {
@@ -160,11 +181,9 @@
             if shortage.covers(step) && self.needs_most_of_host(step) {
                 round.lacking_room.insert(Arc::clone(pool));
             }
-            self.add_unmet(pool, step, unplaced);
-            let is_above = round.shares.is_above(&ready);
-            cause = Some(if is_above { Cause::Share } else { Cause::Room });
         }
-        self.record_hold(round.now, &ready.job_id, cause);
+        round.charge(ready, step, placed);
+        placed
     }
 
     /// Returns whether a host of mean size has room for one task of a step and
