--- a/crates/skylarkwick-request/tests/workspace_shares.rs
+++ b/crates/skylarkwick-request/tests/workspace_shares.rs
@@ -158,3 +158,19 @@
     // 80 jobs in 1.9 s, of which the weight and the burst allow 20 + 19.
     assert_eq!(excess, [("hot", 41), ("even", 0)]);
 }
+
+/// The jobs of a workspace spread over the shards of a site, so each allows its part of the weight;
+/// all of it in each would let a workspace that sends too much through.
+#[test]
+fn shards_divide_weight() {
+    for (shards, excess) in [(1, 0), (4, 10)] {
+        let mut load = Load::new(weighted(&[(HOT, 40.0)]));
+        load.harness.shard.set_shard_count(shards);
+        for _ in 0..30 {
+            load.submit(HOT, step(1, 1));
+        }
+        load.step();
+        let loads = load.harness.shard.workspace_loads(load.harness.now);
+        assert_eq!(loads[0].1.excess_jobs, excess, "{shards} shards");
+    }
+}
