--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -182,7 +182,7 @@
         };
         let is_started = Reverse(active.has_scheduled_tasks());
         let remaining_work = match timeliness {
-            // One at a time, so that none is overtaken for ever.
+            // They start one at a time, and smaller ones must not overtake others for ever.
             Timeliness::Overdue => 0,
             _ => active.remaining_work(occurrence, estimate),
         };
