Keep what runs of a job, not what its numbers multiply to

Cause: every occurrence that was due was opened, with an entry for each task; only few may start at once. Related: wide jobs without a schedule took as much for each waiting task, progress held an entry for each task that is done and a number for each occurrence that is done.

Change: tasks that wait take no memory, what is done is kept as ranges, occurrences open as their turn comes; what is due and not open still counts for demand and quotas.

--- a/crates/skylarkwick-connection/src/store/row/progress.rs
+++ b/crates/skylarkwick-connection/src/store/row/progress.rs
@@ -6,15 +6,13 @@
 //! range, and checkpoints are left out if they do not fit. The holder limits the other tasks
 //! (`skylarkwick_request::shard`, module `unsettled`). See `docs/DESIGN.md`, section "Rows".
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{ops::Range, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use skylarkwick_request::job::{
     self,
     progress::{Progress, TaskPosition, TaskProgress},
+    ranges::Ranges,
     task::RunId,
 };
 
@@ -22,6 +20,8 @@
 
 /// Largest row of progress, in bytes; the platform accepts 64 KiB.
 const MAX_PROGRESS_BYTES: usize = 65_000;
+/// Fewest bytes of a task in the form that earlier releases read too.
+const MIN_TASK_BYTES: usize = 7;
 /// Bits of a byte.
 const BYTE_BITS: usize = 8;
 
@@ -36,8 +36,7 @@
     /// Tasks that have succeeded, by step; only in the compact form.
     #[serde(deserialize_with = "decode_later_field")]
     done_steps: Vec<DoneRow>,
-    /// Ranges of occurrences that are done, the first one and their number; only in the compact
-    /// form.
+    /// Ranges of occurrences that are done, the first one and their number.
     #[serde(deserialize_with = "decode_later_field")]
     done_occurrences: Vec<(u32, u32)>,
 }
@@ -74,9 +73,11 @@
 /// left out, those of the last tasks first, if the row is too large with them: the tasks then
 /// start anew after a change of the holder.
 pub fn encode_progress(progress: &Progress) -> Vec<u8> {
-    let bytes = encode(&ProgressRow::from(progress));
-    if bytes.len() <= MAX_PROGRESS_BYTES {
-        return bytes;
+    if count_entries(progress) <= MAX_PROGRESS_BYTES / MIN_TASK_BYTES {
+        let bytes = encode(&ProgressRow::from(progress));
+        if bytes.len() <= MAX_PROGRESS_BYTES {
+            return bytes;
+        }
     }
     let mut compact = ProgressRow::compact(progress);
     let bytes = encode(&compact);
@@ -89,31 +90,29 @@
     }
 }
 
+/// Returns the number of tasks that the form for earlier releases has an entry for.
+fn count_entries(progress: &Progress) -> usize {
+    progress.tasks.len() + progress.done_tasks.values().map(Ranges::len).sum::<usize>()
+}
+
 impl ProgressRow {
     /// Creates the compact form.
     fn compact(progress: &Progress) -> ProgressRow {
-        let mut done: BTreeMap<(u32, usize), BTreeSet<usize>> = BTreeMap::new();
-        let mut tasks = Vec::new();
-        for (position, task) in &progress.tasks {
-            match task.is_done {
-                _ if progress.done_occurrences.contains(&position.occurrence) => {}
-                true => {
-                    let step = done.entry((position.occurrence, position.step)).or_default();
-                    step.insert(position.index);
-                }
-                false => tasks.push(TaskRow::new(position, task)),
-            }
-        }
+        let Progress { tasks, mut done_tasks, done_occurrences, servers } =
+            progress.clone().compacted();
+        let is_open = |occurrence| !done_occurrences.contains(occurrence);
+        done_tasks.retain(|(occurrence, _), _| is_open(*occurrence));
+        let tasks = tasks.iter().filter(|(position, _)| is_open(position.occurrence));
         let done_row = |((occurrence, step), indices)| DoneRow {
             occurrence,
             step,
             tasks: DoneTasks::new(&indices),
         };
         ProgressRow {
-            tasks,
-            servers: progress.servers.iter().map(ToString::to_string).collect(),
-            done_steps: done.into_iter().map(done_row).collect(),
-            done_occurrences: ranges(&progress.done_occurrences),
+            tasks: tasks.map(|(position, task)| TaskRow::new(position, task)).collect(),
+            servers: servers.iter().map(ToString::to_string).collect(),
+            done_steps: done_tasks.into_iter().map(done_row).collect(),
+            done_occurrences: done_occurrences.iter().map(first_and_count).collect(),
         }
     }
 
@@ -145,52 +144,62 @@
 
 impl DoneTasks {
     /// Creates the shorter form of some tasks of a step.
-    fn new(indices: &BTreeSet<usize>) -> DoneTasks {
-        let count = indices.len();
-        let last = indices.last().copied().unwrap_or_default();
-        match u32::try_from(count) {
-            Ok(first) if last < count => DoneTasks::First(first),
-            _ => {
-                let mut bits = vec![0; last / BYTE_BITS + 1];
-                for index in indices {
-                    bits[index / BYTE_BITS] |= 1 << (index % BYTE_BITS);
-                }
-                DoneTasks::Bits(bits)
-            }
+    fn new(indices: &Ranges) -> DoneTasks {
+        let last = indices.iter().last().unwrap_or_default();
+        if indices.first_absent(0) == last.end {
+            return DoneTasks::First(last.end);
+        }
+        let mut bits = vec![0; index(last.end).div_ceil(BYTE_BITS)];
+        for index in indices.iter().flatten().map(index) {
+            bits[index / BYTE_BITS] |= 1 << (index % BYTE_BITS);
         }
+        DoneTasks::Bits(bits)
     }
 
     /// Returns the indices of the tasks in their step.
-    fn indices(&self) -> Vec<usize> {
+    fn indices(&self) -> Ranges {
+        let mut indices = Ranges::default();
         match self {
-            DoneTasks::First(count) => (0..usize::try_from(*count).unwrap_or_default()).collect(),
+            DoneTasks::First(count) => indices.insert_range(0..*count),
             DoneTasks::Bits(bits) => {
-                let is_set = |index: &usize| bits[index / BYTE_BITS] >> (index % BYTE_BITS) & 1 > 0;
-                (0..bits.len() * BYTE_BITS).filter(is_set).collect()
+                let bit_of = |number: u32| bits.get(index(number) / BYTE_BITS);
+                for (number, byte) in (0_u32..).map_while(|number| Some((number, bit_of(number)?)))
+                {
+                    if byte >> (index(number) % BYTE_BITS) & 1 > 0 {
+                        indices.insert(number);
+                    }
+                }
             }
         }
+        indices
     }
 }
 
-/// Returns the ranges of successive numbers: the first one, and how many there are.
-fn ranges(numbers: &BTreeSet<u32>) -> Vec<(u32, u32)> {
-    let mut ranges: Vec<(u32, u32)> = Vec::new();
-    for &number in numbers {
-        match ranges.last_mut() {
-            Some((first, count)) if *first + *count == number => *count += 1,
-            _ => ranges.push((number, 1)),
-        }
-    }
-    ranges
+/// Returns a range of successive numbers as the first one and how many there are.
+fn first_and_count(range: Range<u32>) -> (u32, u32) {
+    (range.start, range.end - range.start)
+}
+
+/// Returns the number of a task as an index.
+fn index(number: u32) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
 }
 
 impl From<&Progress> for ProgressRow {
-    /// Creates the form that earlier releases read.
+    /// Creates the form with an entry for each task, also for those that have succeeded, but not
+    /// for those of occurrences that are done.
     fn from(progress: &Progress) -> ProgressRow {
-        let tasks = progress.tasks.iter();
+        let mut tasks = progress.tasks.clone();
+        for (&(occurrence, step), done) in &progress.done_tasks {
+            for index in done.iter().flatten().map(index) {
+                let position = TaskPosition { occurrence, step, index };
+                tasks.entry(position).or_default().is_done = true;
+            }
+        }
         ProgressRow {
-            tasks: tasks.map(|(position, task)| TaskRow::new(position, task)).collect(),
+            tasks: tasks.iter().map(|(position, task)| TaskRow::new(position, task)).collect(),
             servers: progress.servers.iter().map(ToString::to_string).collect(),
+            done_occurrences: progress.done_occurrences.iter().map(first_and_count).collect(),
             ..ProgressRow::default()
         }
     }
@@ -237,17 +246,14 @@
             if matches!(tasks, DoneTasks::First(count) if count > job::MAX_TASKS) {
                 return Err(job::Error::Count(step));
             }
-            for index in tasks.indices() {
-                let position = TaskPosition { occurrence, step, index };
-                progress.tasks.entry(position).or_default().is_done = true;
-            }
+            progress.done_tasks.entry((occurrence, step)).or_default().extend(&tasks.indices());
         }
         for (first, count) in row.done_occurrences {
             let end = first.saturating_add(count);
             if end > job::MAX_OCCURRENCES {
                 return Err(job::Error::Occurrences);
             }
-            progress.done_occurrences.extend(first..end);
+            progress.done_occurrences.insert_range(first..end);
         }
         Ok(progress)
     }
--- a/crates/skylarkwick-connection/tests/progress_size.rs
+++ b/crates/skylarkwick-connection/tests/progress_size.rs
@@ -6,6 +6,7 @@
 use skylarkwick_connection::store::row::{self, ProgressRow};
 use skylarkwick_request::job::{
     progress::{Progress, TaskPosition, TaskProgress},
+    ranges::Ranges,
     task::RunId,
 };
 
@@ -57,6 +58,11 @@
     Progress::try_from(row).expect("it is valid")
 }
 
+/// Returns the number of tasks that are done or have progress.
+fn count(progress: &Progress) -> usize {
+    progress.tasks.len() + progress.done_tasks.values().map(Ranges::len).sum::<usize>()
+}
+
 /// Guards against a job that stands still for good, because its ended tasks outgrow a row.
 #[test]
 fn ended_tasks_fit() {
@@ -65,8 +71,8 @@
         progress.tasks.insert(position(0, task), done());
     }
     let read = read_back(&progress);
-    assert_eq!(read.tasks.len(), 15_499);
-    assert!(read.tasks.values().all(|task| task.is_done));
+    assert_eq!(count(&read), 15_499);
+    assert!(progress.tasks.keys().all(|position| read.is_done(*position)));
     assert_eq!(read.servers, progress.servers);
 }
 
@@ -81,10 +87,10 @@
         }
         fail_tasks(&mut progress, 0, failures);
         let read = read_back(&progress);
-        assert_eq!(read.tasks.len(), progress.tasks.len());
-        for (position, task) in &read.tasks {
-            assert_eq!(task.is_done, progress.tasks[position].is_done);
-            assert!(task.is_done || task.failed_runs == progress.tasks[position].failed_runs);
+        assert_eq!(count(&read), progress.tasks.len());
+        for (position, task) in &progress.tasks {
+            assert_eq!(read.is_done(*position), task.is_done);
+            assert!(task.is_done || read.tasks[position].failed_runs == task.failed_runs);
         }
     }
 }
@@ -118,6 +124,7 @@
     }
     let read = read_back(&progress);
     assert_eq!(read.done_occurrences, progress.done_occurrences);
-    let left: Vec<u32> = read.tasks.keys().map(|position| position.occurrence).collect();
-    assert_eq!(left, [7; 6], "the last task of that occurrence is not done");
+    let left = read.done_tasks.iter().map(|(step, done)| (*step, done.len()));
+    assert_eq!(left.collect::<Vec<_>>(), [((7, 0), 6)], "one occurrence is not done");
+    assert!(read.tasks.is_empty());
 }
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -167,6 +167,7 @@
             warn!(log, "progress row not decoded"; "job" => &*row.key.name, "error" => error)
         })
         .ok()
+        .map(Progress::compacted)
 }
 
 /// A job according to its row: active (not finished) with what the shard needs of it, or
--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -6,6 +6,7 @@
 
 pub mod footprint;
 pub mod progress;
+pub mod ranges;
 pub mod task;
 
 use std::{fmt, sync::Arc, time::Duration};
@@ -228,6 +229,21 @@
         self.schedule.map_or(1, |schedule| schedule.count.max(1))
     }
 
+    /// Returns how many occurrences are due by a time of day, in Unix milliseconds; one if the job
+    /// has no schedule.
+    pub fn due_occurrences(&self, unix_ms: u64) -> u32 {
+        let Some(schedule) = self.schedule else {
+            return 1;
+        };
+        let interval = u64::try_from(schedule.interval.as_millis()).unwrap_or(u64::MAX);
+        let elapsed = unix_ms.checked_sub(schedule.first_ms);
+        let due = elapsed.map_or(0, |elapsed| match elapsed.checked_div(interval) {
+            Some(later) => later.saturating_add(1),
+            None => u64::MAX,
+        });
+        u32::try_from(due).unwrap_or(u32::MAX).min(self.occurrences())
+    }
+
     /// Returns the due time of an occurrence, numbered from zero, in Unix milliseconds, or
     /// `None` if the job has no schedule. The number is not checked against the count.
     pub fn due_ms(&self, occurrence: u32) -> Option<u64> {
--- a/crates/skylarkwick-request/src/job/progress.rs
+++ b/crates/skylarkwick-request/src/job/progress.rs
@@ -8,7 +8,7 @@
     sync::Arc,
 };
 
-use super::task::RunId;
+use super::{ranges::Ranges, task::RunId};
 
 /// Position of a task in its job: its occurrence, step and index in the step, all from zero.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -52,17 +52,39 @@
 /// Progress of the tasks of a job, and the backend servers that may run them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Progress {
-    /// Progress by task; no run of a task without an entry has ended, but of an occurrence that
-    /// is done.
+    /// Progress by task; no run of a task without an entry has ended, but of those that are done.
     pub tasks: BTreeMap<TaskPosition, TaskProgress>,
+    /// Tasks that have succeeded, by occurrence and step, whether they have an entry or not.
+    pub done_tasks: BTreeMap<(u32, usize), Ranges>,
     /// Occurrences of which every task has succeeded, whether it has an entry or not.
-    pub done_occurrences: BTreeSet<u32>,
+    pub done_occurrences: Ranges,
     /// Backend servers that may run tasks of the job. A server is added before the
     /// first start there, so that the next holder knows which servers to poll.
     pub servers: BTreeSet<Arc<str>>,
 }
 
 impl Progress {
+    /// Returns whether a task has succeeded.
+    pub fn is_done(&self, position: TaskPosition) -> bool {
+        let TaskPosition { occurrence, step, index } = position;
+        let is_in = |done: &Ranges| u32::try_from(index).is_ok_and(|index| done.contains(index));
+        self.done_occurrences.contains(occurrence)
+            || self.done_tasks.get(&(occurrence, step)).is_some_and(is_in)
+            || self.tasks.get(&position).is_some_and(|task| task.is_done)
+    }
+
+    /// Moves tasks that have succeeded from their entries, which take memory each, to the ranges.
+    #[must_use]
+    pub fn compacted(mut self) -> Progress {
+        let done = self.tasks.extract_if(.., |_, task| task.is_done);
+        for (TaskPosition { occurrence, step, index }, _) in done {
+            if let Ok(index) = u32::try_from(index) {
+                self.done_tasks.entry((occurrence, step)).or_default().insert(index);
+            }
+        }
+        self
+    }
+
     /// Merges the progress that another holder of the shard has stored: keeps the servers,
     /// successes, done occurrences and failed runs of both, and the later last run of each
     /// task. A task not done here takes the other's checkpoint if its last run recorded there
@@ -70,6 +92,9 @@
     pub fn merge(&mut self, other: &Progress) {
         self.servers.extend(other.servers.iter().cloned());
         self.done_occurrences.extend(&other.done_occurrences);
+        for (&step, done) in &other.done_tasks {
+            self.done_tasks.entry(step).or_default().extend(done);
+        }
         for (&position, stored) in &other.tasks {
             let task = self.tasks.entry(position).or_default();
             if task.last_ended_run < stored.last_ended_run && !task.is_done {
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -14,20 +14,22 @@
 use super::{
     hold::Hold,
     input::{AcceptedJob, Queue, ServerId},
-    occurrence::{Occurrence, Task, TaskState},
+    occurrence::{Occurrence, StepTasks, Task, TaskState},
     run_time_model::Estimate,
 };
 use crate::job::{
     Id, Job, Key, State, Step,
     progress::{Progress, TaskPosition},
+    ranges::Ranges,
     task,
 };
 
 /// A job that is not stored as finished: what was submitted, the revisions of
 /// its stored rows, the servers on which its tasks may already have been
 /// started or may be started now, its outcome once decided, and its open
-/// occurrences by number. An occurrence opens when it is due, or when an earlier
-/// holder has started tasks of it, and stays open after its tasks are done.
+/// occurrences by number. An occurrence opens when it is due and its turn has come, see
+/// [`ActiveJob::open_due`], or when an earlier holder has started tasks of it; it is closed once
+/// its tasks are done.
 #[derive(Clone, Debug)]
 pub(super) struct ActiveJob {
     pub(super) id: Id,
@@ -53,7 +55,12 @@
     /// What held its tasks back at the last decision.
     pub(super) hold: Option<Hold>,
     pub(super) outcome: Option<State>,
+    /// Open occurrences, none of which is done.
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
+    /// Occurrences that are done.
+    pub(super) done_occurrences: Ranges,
+    /// All occurrences with lower numbers are open or done.
+    pub(super) first_unopened: u32,
     /// Number of occurrences that are due by this holder's time of day. Later
     /// ones may be open, because an earlier holder whose clock was ahead has
     /// started tasks of them; their other tasks wait.
@@ -81,6 +88,8 @@
             hold: None,
             outcome: None,
             occurrences: BTreeMap::new(),
+            done_occurrences: Ranges::default(),
+            first_unopened: 0,
             due_occurrences: 0,
         };
         if active.job.schedule.is_none() {
@@ -96,50 +105,53 @@
         Key::new(Arc::clone(&self.queue), self.id.clone())
     }
 
-    /// Adds an occurrence and the earlier ones, which are due before it, with
-    /// all tasks waiting. Those that are open already stay as they are; does
-    /// nothing if the job has no such occurrence.
+    /// Adds an occurrence with all tasks waiting. Does nothing if it is open or done, or if the job
+    /// has no such occurrence.
     pub(super) fn open_occurrence(&mut self, occurrence: u32) {
-        if occurrence >= self.job.occurrences() {
-            return;
+        if occurrence < self.job.occurrences() && !self.done_occurrences.contains(occurrence) {
+            let job = &self.job;
+            self.occurrences.entry(occurrence).or_insert_with(|| Occurrence::new(job));
         }
-        for number in self.next_occurrence()..=occurrence {
-            self.occurrences.insert(number, Occurrence::new(&self.job));
+    }
+
+    /// Closes an occurrence if it is open and done.
+    fn close_if_done(&mut self, occurrence: u32) {
+        if self.occurrences.get(&occurrence).is_some_and(Occurrence::is_done) {
+            self.occurrences.remove(&occurrence);
+            self.done_occurrences.insert(occurrence);
         }
     }
 
     /// Takes over stored progress in place of the progress of the tasks that it
-    /// names, and opens their occurrences with all earlier ones. Finished tasks
+    /// names, and opens their occurrences. Finished tasks
     /// become done, and servers in it become unverified: an earlier holder may
     /// have started tasks there. Tasks that the job does not have are ignored.
     fn restore_progress(&mut self, progress: Progress) {
-        self.has_started |= !progress.tasks.is_empty() || !progress.done_occurrences.is_empty();
+        let progress = progress.compacted();
+        self.has_started |= !progress.tasks.is_empty()
+            || !progress.done_tasks.is_empty()
+            || !progress.done_occurrences.is_empty();
         self.unverified_servers.extend(progress.servers.into_iter().map(ServerId));
+        for occurrence in progress.done_occurrences.iter() {
+            self.done_occurrences.insert_range(occurrence.start..occurrence.end);
+        }
+        self.occurrences.retain(|&number, _| !progress.done_occurrences.contains(number));
         for (position, task_progress) in progress.tasks {
             self.open_occurrence(position.occurrence);
-            let Some(task) = self.task_mut(position) else {
-                continue;
-            };
-            if task_progress.is_done {
-                task.state = TaskState::Done;
+            if let Some(task) = self.task_mut(position) {
+                task.progress = task_progress;
             }
-            task.progress = task_progress;
         }
-        for number in progress.done_occurrences {
-            self.open_occurrence(number);
-            if let Some(occurrence) = self.occurrences.get_mut(&number) {
-                occurrence.complete();
+        for ((occurrence, step), done) in progress.done_tasks {
+            self.open_occurrence(occurrence);
+            if let Some(tasks) = self.step_mut(occurrence, step) {
+                tasks.complete_all(&done);
             }
+            self.close_if_done(occurrence);
         }
         self.unite_gang_checkpoints();
     }
 
-    /// Returns the number after the highest open occurrence; 0 if none is open.
-    /// All lower ones are open, as [`ActiveJob::open_occurrence`] leaves no gap.
-    pub(super) fn next_occurrence(&self) -> u32 {
-        self.occurrences.keys().next_back().map_or(0, |last| last + 1)
-    }
-
     /// Merges the progress that another holder has stored into that of the job.
     /// Servers in it become unverified, and no server counts as recorded until
     /// a write of the job is confirmed.
@@ -150,43 +162,94 @@
         self.restore_progress(progress);
     }
 
-    /// Returns a task by its position, for changes; `None` if the occurrence is
-    /// not open or the job has no such task.
+    /// Returns the tasks of a step; `None` if the occurrence is not open or the job has no such
+    /// step.
+    pub(super) fn step(&self, occurrence: u32, step: usize) -> Option<&StepTasks> {
+        self.occurrences.get(&occurrence)?.steps.get(step)
+    }
+
+    /// Returns the tasks of a step, for changes; `None` as for [`ActiveJob::step`].
+    pub(super) fn step_mut(&mut self, occurrence: u32, step: usize) -> Option<&mut StepTasks> {
+        self.occurrences.get_mut(&occurrence)?.steps.get_mut(step)
+    }
+
+    /// Returns a task by its position, for changes; `None` if the occurrence is not
+    /// open, the job has no such task or it is done.
     pub(super) fn task_mut(&mut self, position: TaskPosition) -> Option<&mut Task> {
-        self.occurrences
-            .get_mut(&position.occurrence)?
-            .steps
-            .get_mut(position.step)?
-            .get_mut(position.index)
+        self.step_mut(position.occurrence, position.step)?.task_mut(position.index)
+    }
+
+    /// Returns a task by its position; `None` if nothing has happened to it yet, the
+    /// occurrence is not open, the job has no such task or it is done.
+    pub(super) fn touched(&self, position: TaskPosition) -> Option<&Task> {
+        self.step(position.occurrence, position.step)?.touched(position.index)
+    }
+
+    /// Returns whether a task of an open occurrence has no server and is not done.
+    pub(super) fn is_waiting(&self, position: TaskPosition) -> bool {
+        let tasks = self.step(position.occurrence, position.step);
+        tasks.is_some_and(|tasks| tasks.is_waiting(position.index))
+    }
+
+    /// Returns whether a task of an open occurrence is not done.
+    pub(super) fn is_unfinished(&self, position: TaskPosition) -> bool {
+        let tasks = self.step(position.occurrence, position.step);
+        tasks.is_some_and(|tasks| tasks.is_unfinished(position.index))
     }
 
-    /// Returns a task by its position; `None` if the occurrence is not open or
-    /// the job has no such task.
-    pub(super) fn task(&self, position: TaskPosition) -> Option<&Task> {
-        self.occurrences.get(&position.occurrence)?.steps.get(position.step)?.get(position.index)
+    /// Marks a task as done.
+    pub(super) fn complete(&mut self, position: TaskPosition) {
+        if let Some(tasks) = self.step_mut(position.occurrence, position.step) {
+            tasks.complete(position.index);
+        }
+        self.close_if_done(position.occurrence);
+    }
+
+    /// Returns a task that is assigned to this server to waiting; returns whether it was assigned
+    /// there. With `avoid_server`, its next run prefers another server.
+    pub(super) fn unassign(
+        &mut self,
+        position: TaskPosition,
+        server: &ServerId,
+        avoid_server: bool,
+    ) -> bool {
+        let is_assigned = |task: &Task| task.state == TaskState::Assigned(server.clone());
+        if !self.touched(position).is_some_and(is_assigned) {
+            return false;
+        }
+        let Some(tasks) = self.step_mut(position.occurrence, position.step) else {
+            return false;
+        };
+        if let Some(task) = tasks.task_mut(position.index) {
+            task.state = TaskState::Waiting;
+            if avoid_server {
+                task.avoided_server = Some(server.clone());
+            }
+        }
+        tasks.forget_untouched(position.index);
+        true
     }
 
     /// Returns the progress to store: that of the tasks with an ended run or a
-    /// checkpoint or that are done, the occurrences that are done, and the servers
+    /// checkpoint, the tasks and the occurrences that are done, and the servers
     /// that may run tasks of the job, which are those assigned and those
     /// unverified.
     pub(super) fn progress(&self) -> Progress {
-        let mut progress = Progress::default();
+        let done_occurrences = self.done_occurrences.clone();
+        let mut progress = Progress { done_occurrences, ..Progress::default() };
         progress.servers.extend(self.unverified_servers.iter().map(|server| Arc::clone(&server.0)));
         for (&number, occurrence) in &self.occurrences {
-            if occurrence.is_done() {
-                progress.done_occurrences.insert(number);
-            }
             for (step, tasks) in occurrence.steps.iter().enumerate() {
-                for (index, task) in tasks.iter().enumerate() {
+                if !tasks.done().is_empty() {
+                    progress.done_tasks.insert((number, step), tasks.done().clone());
+                }
+                for (index, task) in tasks.all_touched() {
                     if let TaskState::Assigned(server) = &task.state {
                         progress.servers.insert(Arc::clone(&server.0));
                     }
                     if !task.progress.is_empty() {
-                        progress.tasks.insert(
-                            TaskPosition { occurrence: number, step, index },
-                            task.progress.clone(),
-                        );
+                        let position = TaskPosition { occurrence: number, step, index };
+                        progress.tasks.insert(position, task.progress.clone());
                     }
                 }
             }
@@ -206,7 +269,7 @@
         let mut runs = Vec::new();
         for (&number, occurrence) in &self.occurrences {
             for (step, tasks) in occurrence.steps.iter().enumerate() {
-                for (index, task) in tasks.iter().enumerate() {
+                for (index, task) in tasks.all_touched() {
                     if let TaskState::Assigned(server) = &task.state {
                         let id = task::Id { job: self.id.clone(), occurrence: number, step, index };
                         runs.push((server.clone(), id));
@@ -219,15 +282,14 @@
 
     /// Returns whether any task is assigned to a server.
     pub(super) fn has_assigned_tasks(&self) -> bool {
-        let tasks =
-            self.occurrences.values().flat_map(|occurrence| occurrence.steps.iter().flatten());
-        tasks.into_iter().any(|task| matches!(task.state, TaskState::Assigned(_)))
+        let mut tasks = self.occurrences.values().flat_map(Occurrence::all_touched);
+        tasks.any(|task| matches!(task.state, TaskState::Assigned(_)))
     }
 
     /// Returns whether any task is assigned to a server, is done or has
     /// progress.
     pub(super) fn has_scheduled_tasks(&self) -> bool {
-        self.occurrences.values().any(Occurrence::has_begun)
+        !self.done_occurrences.is_empty() || self.occurrences.values().any(Occurrence::has_begun)
     }
 
     /// Computes the job's outcome, unless it was decided before, and keeps it;
@@ -240,11 +302,12 @@
         let has_failed = self.occurrences.values().any(|occurrence| {
             occurrence.steps.iter().zip(&job.steps).any(|(tasks, step)| {
                 !step.is_long_running
-                    && tasks.iter().any(|task| has_exhausted_attempts(task, max_attempts))
+                    && tasks
+                        .all_touched()
+                        .any(|(_, task)| has_exhausted_attempts(task, max_attempts))
             })
         });
-        let done = self.occurrences.values().filter(|occurrence| occurrence.is_done()).count();
-        let is_done = u32::try_from(done).is_ok_and(|done| done >= job.occurrences());
+        let is_done = self.done_occurrences.first_absent(0) >= job.occurrences();
         self.outcome = match self.outcome {
             Some(outcome) => Some(outcome),
             None if has_failed => Some(State::Failed),
@@ -305,14 +368,17 @@
     ) -> u64 {
         let (objective, expiry) = self.deadlines(queue, estimate);
         let mut millicores = 0_u64;
-        for occurrence in self.occurrences.values() {
+        let unopened = self.count_unopened();
+        let untouched = (unopened > 0).then(|| Occurrence::new(&self.job));
+        let occurrences = self.occurrences.values().map(|occurrence| (occurrence, 1));
+        for (occurrence, count) in occurrences.chain(untouched.iter().map(|one| (one, unopened))) {
             let critical_path = self.remaining_time(occurrence, estimate).max(MIN_CRITICAL_PATH);
             let span = match now + critical_path {
                 end if end <= objective => objective.since(now).mul_f64(ON_TIME_SHARE),
                 end if end <= expiry => expiry.since(now).mul_f64(LATE_SHARE),
                 _ => EXPIRED_JOB_SPAN,
             };
-            let work = self.remaining_work(occurrence, estimate);
+            let work = self.remaining_work(occurrence, estimate).saturating_mul(count);
             millicores = millicores.saturating_add(work / millis(span.max(critical_path)));
         }
         millicores
@@ -332,16 +398,18 @@
     }
 
     /// Returns the long-running steps with their numbers of tasks that have not succeeded, for
-    /// each open occurrence.
+    /// each open occurrence, and for all together that are due and not open.
     pub(super) fn unfinished_long_running(&self) -> impl Iterator<Item = (&Step, u64)> {
         let steps = self
             .occurrences
             .values()
             .flat_map(|occurrence| occurrence.steps.iter().zip(&self.job.steps));
-        steps.filter(|(_, step)| step.is_long_running).map(|(tasks, step)| {
-            let left = tasks.iter().filter(|task| task.state != TaskState::Done).count();
-            (step, u64::try_from(left).unwrap_or_default())
-        })
+        let open = steps.filter(|(_, step)| step.is_long_running).map(|(tasks, step)| {
+            (step, u64::try_from(tasks.count_unfinished()).unwrap_or_default())
+        });
+        let unopened = self.count_unopened();
+        let steps = self.job.steps.iter().filter(move |step| step.is_long_running && unopened > 0);
+        open.chain(steps.map(move |step| (step, u64::from(step.count).saturating_mul(unopened))))
     }
 
     /// Returns the work of all unfinished tasks that are not long-running, each
@@ -350,9 +418,8 @@
         let mut work = 0_u64;
         let finite_steps = occurrence.steps.iter().zip(&self.job.steps);
         for (tasks, step) in finite_steps.filter(|(_, step)| !step.is_long_running) {
-            let left = tasks.iter().filter(|task| task.state != TaskState::Done).count();
             let each = millis(estimate.run_time(step));
-            let left = u64::try_from(left).unwrap_or(u64::MAX);
+            let left = u64::try_from(tasks.count_unfinished()).unwrap_or(u64::MAX);
             let millicores = step.reservation().millicores();
             work = work.saturating_add(left.saturating_mul(each).saturating_mul(millicores));
         }
@@ -378,10 +445,7 @@
 /// its objective; both count from acceptance.
 const EXPIRY_FACTOR: u32 = 3;
 
-/// Returns whether a task that has not succeeded has failed as often as its
-/// queue allows, at least once.
+/// Returns whether a task has failed as often as its queue allows, at least once.
 fn has_exhausted_attempts(task: &Task, max_attempts: u32) -> bool {
-    task.state != TaskState::Done
-        && task.progress.failed_runs.len()
-            >= usize::try_from(max_attempts.max(1)).unwrap_or(usize::MAX)
+    task.progress.failed_runs.len() >= usize::try_from(max_attempts.max(1)).unwrap_or(usize::MAX)
 }
--- a/crates/skylarkwick-request/src/shard/drain.rs
+++ b/crates/skylarkwick-request/src/shard/drain.rs
@@ -171,7 +171,7 @@
     /// report is too old (see `is_report_current`).
     fn is_available(&self, now: Moment, task: &task::Id) -> bool {
         let task_status =
-            self.jobs.get(&task.job).and_then(|active| active.task(TaskPosition::of(task)));
+            self.jobs.get(&task.job).and_then(|active| active.touched(TaskPosition::of(task)));
         let Some(TaskState::Assigned(server)) = task_status.map(|task_status| &task_status.state)
         else {
             return false;
--- a/crates/skylarkwick-request/src/shard/gang.rs
+++ b/crates/skylarkwick-request/src/shard/gang.rs
@@ -10,7 +10,7 @@
     Shard,
     active::ActiveJob,
     input::ServerId,
-    occurrence::{Task, TaskState},
+    occurrence::{StepTasks, Task},
 };
 use crate::job::{
     progress::{TaskPosition, TaskProgress},
@@ -50,13 +50,8 @@
     /// has succeeded and is left to the caller: they end together, and the ends
     /// of the others may be lost with their servers.
     pub(super) fn complete_gang(&mut self, position: TaskPosition) {
-        let occurrence = self.occurrences.get_mut(&position.occurrence);
-        let members = occurrence.and_then(|occurrence| occurrence.steps.get_mut(position.step));
-        for (index, member) in members.into_iter().flatten().enumerate() {
-            if index != position.index {
-                member.state = TaskState::Done;
-                member.progress.is_done = true;
-            }
+        if let Some(members) = self.step_mut(position.occurrence, position.step) {
+            members.complete_others(position.index);
         }
     }
 
@@ -79,11 +74,11 @@
         let last = |task: &Task| task.progress.last_ended_run;
         match step.is_gang {
             true => {
-                let occurrence = self.occurrences.get(&position.occurrence);
-                let members = occurrence.and_then(|occurrence| occurrence.steps.get(position.step));
-                members.into_iter().flatten().map(last).max().unwrap_or_default()
+                let members = self.step(position.occurrence, position.step).into_iter();
+                let members = members.flat_map(StepTasks::all_touched);
+                members.map(|(_, member)| last(member)).max().unwrap_or_default()
             }
-            false => self.task(position).map(last).unwrap_or_default(),
+            false => self.touched(position).map(last).unwrap_or_default(),
         }
     }
 
@@ -96,16 +91,16 @@
             for &step in &gangs {
                 let members = &mut occurrence.steps[step];
                 let has_checkpoint = |progress: &&TaskProgress| !progress.checkpoint.is_empty();
-                let progress = members.iter().map(|member| &member.progress);
+                let progress = members.all_touched().map(|(_, member)| &member.progress);
                 let latest =
                     progress.filter(has_checkpoint).max_by_key(|latest| latest.last_ended_run);
                 let Some(checkpoint) = latest.map(|latest| latest.checkpoint.clone()) else {
                     continue;
                 };
-                for member in members.iter_mut() {
+                for member in members.all_touched_mut() {
                     member.progress.checkpoint = "".into();
                 }
-                if let Some(first) = members.first_mut() {
+                if let Some(first) = members.task_mut(0) {
                     first.progress.checkpoint = checkpoint;
                 }
             }
@@ -121,8 +116,7 @@
     }
     let is_incomplete = |task: &task::Id| {
         let members = &active.occurrences[&task.occurrence].steps[task.step];
-        active.job.steps[task.step].is_gang
-            && members.iter().any(|member| member.state == TaskState::Waiting)
+        active.job.steps[task.step].is_gang && members.count_waiting() > 0
     };
     active.assigned_tasks().into_iter().filter(|(_, task)| is_incomplete(task)).collect()
 }
--- a/crates/skylarkwick-request/src/shard/label_hosts.rs
+++ b/crates/skylarkwick-request/src/shard/label_hosts.rs
@@ -11,7 +11,6 @@
     active::ActiveJob,
     allocation::{Allocation, Allocations},
     input::{Host, HostId, HostState},
-    occurrence::TaskState,
 };
 
 /// Which hosts a pool has with a label that its jobs require.
@@ -138,9 +137,8 @@
     let steps = active.job.steps.iter().enumerate();
     steps.filter_map(|(number, step)| {
         let label = step.required_label.as_ref()?;
-        let is_unfinished = active.occurrences.values().any(|occurrence| {
-            occurrence.steps[number].iter().any(|task| task.state != TaskState::Done)
-        });
+        let mut occurrences = active.occurrences.values();
+        let is_unfinished = occurrences.any(|occurrence| !occurrence.is_step_done(number));
         is_unfinished.then_some(label)
     })
 }
--- a/crates/skylarkwick-request/src/shard/overdue.rs
+++ b/crates/skylarkwick-request/src/shard/overdue.rs
@@ -63,7 +63,9 @@
     fn is_overdue(&self, now: Moment, active: &ActiveJob, queue: &Queue) -> bool {
         let estimate = self.run_times.estimate(&active.queue);
         let (_, expiry) = active.deadlines(queue, estimate);
-        let mut open = active.occurrences.values().filter(|occurrence| !occurrence.is_done());
-        open.any(|occurrence| now + active.remaining_time(occurrence, estimate) > expiry)
+        active
+            .occurrences
+            .values()
+            .any(|occurrence| now + active.remaining_time(occurrence, estimate) > expiry)
     }
 }
--- a/crates/skylarkwick-request/src/shard/overload.rs
+++ b/crates/skylarkwick-request/src/shard/overload.rs
@@ -101,7 +101,7 @@
     fn timely_work(&self, now: Moment, active: &ActiveJob, queue: &Queue) -> Option<Work> {
         let estimate = self.run_times.estimate(&active.queue);
         let (objective, _) = active.deadlines(queue, estimate);
-        let open = || active.occurrences.values().filter(|occurrence| !occurrence.is_done());
+        let open = || active.occurrences.values();
         let left = open().map(|occurrence| active.remaining_time(occurrence, estimate)).max()?;
         let millicore_ms = open()
             .map(|occurrence| active.remaining_work(occurrence, estimate))
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -219,22 +219,11 @@
     }
 
     /// Opens the occurrences (executions of a job's steps) of scheduled jobs
-    /// that are due by `unix_ms`, in Unix milliseconds, job by job and in the
-    /// order of their numbers. Jobs without a schedule are left alone.
+    /// that are due by `unix_ms`, in Unix milliseconds, and whose turn has come, job by job and in
+    /// the order of their numbers. Jobs without a schedule are left alone.
     pub(super) fn open_occurrences(&mut self, unix_ms: u64) {
-        for active in self.jobs.values_mut() {
-            if active.job.schedule.is_none() {
-                continue;
-            }
-            for occurrence in active.due_occurrences..active.job.occurrences() {
-                match active.job.due_ms(occurrence) {
-                    Some(due_ms) if due_ms <= unix_ms => {
-                        active.open_occurrence(occurrence);
-                        active.due_occurrences = occurrence + 1;
-                    }
-                    _ => break,
-                }
-            }
+        for active in self.jobs.values_mut().filter(|active| active.job.schedule.is_some()) {
+            active.open_due(unix_ms);
         }
     }
 
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -225,7 +225,7 @@
     /// up with the server; `None` if this holder knows of none or the task is
     /// unknown. A run that was stopped does not change it.
     fn avoided_server(&self, task: &task::Id) -> Option<ServerId> {
-        self.jobs.get(&task.job)?.task(TaskPosition::of(task))?.avoided_server.clone()
+        self.jobs.get(&task.job)?.touched(TaskPosition::of(task))?.avoided_server.clone()
     }
 
     /// Returns a run number above those of all runs that this holder or an
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -242,9 +242,7 @@
         self.jobs.get(&task.job).is_some_and(|active| {
             active.outcome.is_none()
                 && !self.is_own_run(running.run)
-                && active
-                    .task(TaskPosition::of(task))
-                    .is_some_and(|task| task.state == TaskState::Waiting)
+                && active.is_waiting(TaskPosition::of(task))
         })
     }
 
@@ -296,15 +294,8 @@
             return;
         };
         let is_finished = active.outcome.is_some();
-        match active.task_mut(TaskPosition::of(task)) {
-            Some(task) if task.state == TaskState::Assigned(id.clone()) => {
-                task.state = TaskState::Waiting;
-                task.avoided_server =
-                    avoid_server.then(|| id.clone()).or_else(|| task.avoided_server.take());
-            }
-            _ => return,
-        }
-        if is_finished {
+        let was_assigned = active.unassign(TaskPosition::of(task), id, avoid_server);
+        if was_assigned && is_finished {
             self.unsaved_jobs.insert(task.job.clone());
         }
     }
--- a/crates/skylarkwick-request/src/shard/quota.rs
+++ b/crates/skylarkwick-request/src/shard/quota.rs
@@ -10,7 +10,7 @@
     workspace::{Quota, Workspaces},
 };
 
-use super::{Shard, active::ActiveJob, occurrence::TaskState, server::ActiveRun};
+use super::{Shard, active::ActiveJob, occurrence::Occurrence, server::ActiveRun};
 use crate::job::{Step, footprint::Charge};
 
 /// The workspaces of the configuration, the limits of this shard, and the needs at the last
@@ -189,12 +189,15 @@
 /// that are neither done nor known to run, of the steps whose turn has come.
 fn possibly_running(active: &ActiveJob) -> Charge {
     let mut sum = Charge::default();
-    for occurrence in active.occurrences.values() {
+    let unopened = active.count_unopened();
+    let untouched = (unopened > 0).then(|| Occurrence::new(&active.job));
+    let open = active.occurrences.values().map(|occurrence| (occurrence, 1));
+    for (occurrence, times) in open.chain(untouched.iter().map(|one| (one, unopened))) {
         for (number, tasks) in occurrence.steps.iter().enumerate() {
             if occurrence.is_ready(&active.job, number) {
-                let waiting = tasks.iter().filter(|task| task.state == TaskState::Waiting).count();
-                let count = u64::try_from(waiting).unwrap_or(u64::MAX);
-                sum = sum + active.job.steps[number].charge().times(count);
+                let waiting = u64::try_from(tasks.count_waiting()).unwrap_or(u64::MAX);
+                let charge = active.job.steps[number].charge();
+                sum = sum + charge.times(waiting.saturating_mul(times));
             }
         }
     }
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -8,8 +8,8 @@
     Shard,
     active::ActiveJob,
     input::Queue,
-    occurrence::{Occurrence, TaskState},
-    unsettled::Allowance,
+    occurrence::Occurrence,
+    unsettled::{self, Allowance},
 };
 use crate::job;
 
@@ -112,16 +112,11 @@
             let mut allowance = Allowance::of(active, queue.max_attempts);
             for (number, occurrence) in active.startable_occurrences() {
                 for (step, tasks) in occurrence.steps.iter().enumerate() {
-                    let is_waiting = |index: &usize| tasks[*index].state == TaskState::Waiting;
-                    let is_ready = (0..tasks.len()).any(|index| is_waiting(&index))
-                        && occurrence.is_ready(&active.job, step);
-                    if !is_ready {
+                    if tasks.count_waiting() == 0 || !occurrence.is_ready(&active.job, step) {
                         continue;
                     }
-                    let mut waiting: Vec<usize> = (0..tasks.len()).filter(is_waiting).collect();
-                    if let Some(allowance) = &mut allowance {
-                        allowance.limit(&active.job.steps[step], tasks, &mut waiting);
-                    }
+                    let definition = &active.job.steps[step];
+                    let waiting = unsettled::startable(allowance.as_mut(), definition, tasks);
                     if waiting.is_empty() {
                         continue;
                     }
--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -73,7 +73,7 @@
     /// has failed. The server is unknown if an earlier holder recorded the
     /// failure.
     fn earlier_failure(&self, task: &task::Id) -> Option<Option<ServerId>> {
-        let task = self.jobs.get(&task.job)?.task(TaskPosition::of(task))?;
+        let task = self.jobs.get(&task.job)?.touched(TaskPosition::of(task))?;
         let has_failed = !task.progress.failed_runs.is_empty();
         has_failed.then(|| task.avoided_server.clone())
     }
@@ -123,7 +123,7 @@
             active.complete_gang(TaskPosition::of(&finished.task));
         }
         let position = TaskPosition::of(&finished.task);
-        if active.task(position).is_none_or(|task| task.state == TaskState::Done) {
+        if !active.is_unfinished(position) {
             return;
         }
         let last_ended_run = active.last_ended_run(position);
@@ -146,29 +146,21 @@
             _ => None,
         };
         task.progress.last_ended_run = task.progress.last_ended_run.max(finished.run);
-        match finished.outcome {
-            task::RunOutcome::Done => {
-                task.state = TaskState::Done;
-                task.progress.is_done = true;
+        if finished.outcome == task::RunOutcome::Failed {
+            if !is_long_running {
+                task.progress.failed_runs.insert(finished.run);
             }
-            task::RunOutcome::Failed => {
-                if !is_long_running {
-                    task.progress.failed_runs.insert(finished.run);
-                }
-                task.avoided_server = Some(id.clone());
-            }
-            task::RunOutcome::Stopped => {}
+            task.avoided_server = Some(id.clone());
         }
-        match other_server {
-            Some(server) if finished.outcome == task::RunOutcome::Done => {
-                self.request_stop(now, &server, &finished.task)
-            }
-            None if finished.outcome == task::RunOutcome::Done && has_newer_run => {
-                self.request_stop(now, id, &finished.task)
-            }
-            None if finished.outcome != task::RunOutcome::Done && !has_newer_run => {
-                task.state = TaskState::Waiting
+        match (finished.outcome, other_server) {
+            (task::RunOutcome::Done, other_server) => {
+                active.complete(position);
+                let server = other_server.or_else(|| has_newer_run.then(|| id.clone()));
+                if let Some(server) = server {
+                    self.request_stop(now, &server, &finished.task);
+                }
             }
+            (_, None) if !has_newer_run => task.state = TaskState::Waiting,
             _ => {}
         }
         self.unsaved_jobs.insert(finished.task.job.clone());
--- a/crates/skylarkwick-request/tests/due_occurrences.rs
+++ b/crates/skylarkwick-request/tests/due_occurrences.rs
@@ -59,7 +59,7 @@
         panic!("the job is not finished");
     };
     let ended = TaskPosition { occurrence: 0, step: 0, index: 1 };
-    assert!(progress.tasks[&ended].is_done);
+    assert!(progress.is_done(ended));
 }
 
 /// Guards against tasks that start before their time, because an earlier holder whose clock
