Place each occurrence of a schedule by its own due time, and in turn

Cause: objectives counted from acceptance, and a job counted as begun by any of its occurrences. Ruled out: the order within a job, which is by number (kept_memory::past_in_order). Change: each occurrence is ranked by itself, from when it is due; among work of no more use, by how many occurrences of its job have begun.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -59,7 +59,7 @@
 use skylarkwick_version::{moment::Moment, shard_lease};
 
 use self::{
-    active::ActiveJob,
+    active::{ActiveJob, Time},
     effect::Effect,
     fleet::Fleet,
     input::Queue,
@@ -226,6 +226,11 @@
         self.update_outcome(&id);
     }
 
+    /// Returns a moment with the time of day, which is that of the last decision.
+    fn time(&self, now: Moment) -> Time {
+        Time { now, unix_ms: self.unix_ms }
+    }
+
     /// Sets the number of shards of the site; it is 1 unless set.
     pub fn set_shard_count(&mut self, count: u32) {
         self.shard_count = count.max(1);
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -24,6 +24,14 @@
     task,
 };
 
+/// A moment, and the time of day then.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Time {
+    pub(super) now: Moment,
+    /// Time of day, in Unix milliseconds.
+    pub(super) unix_ms: u64,
+}
+
 /// A job that is not stored as finished: what was submitted, the revisions of
 /// its stored rows, the servers on which its tasks may already have been
 /// started or may be started now, its outcome once decided, and its open
@@ -286,10 +294,10 @@
         tasks.any(|task| matches!(task.state, TaskState::Assigned(_)))
     }
 
-    /// Returns whether any task is assigned to a server, is done or has
-    /// progress.
-    pub(super) fn has_scheduled_tasks(&self) -> bool {
-        !self.done_occurrences.is_empty() || self.occurrences.values().any(Occurrence::has_begun)
+    /// Returns how many occurrences have begun, those that are done included.
+    pub(super) fn count_begun(&self) -> usize {
+        let open = self.occurrences.values().filter(|occurrence| occurrence.has_begun());
+        self.done_occurrences.len() + open.count()
     }
 
     /// Computes the job's outcome, unless it was decided before, and keeps it;
@@ -317,15 +325,33 @@
         self.outcome
     }
 
-    /// Returns when the job should finish (its objective) and when its result
-    /// loses its value (its expiry). Both count from acceptance: the objective
-    /// allows the critical path times the queue's stretch (limited to 1 to 100)
-    /// plus its target, the expiry `EXPIRY_FACTOR` (3) times as much.
-    pub(super) fn deadlines(&self, queue: &Queue, estimate: Estimate) -> (Moment, Moment) {
+    /// Returns when an occurrence should finish (its objective) and when its result
+    /// loses its value (its expiry). Both count from acceptance, or from when the occurrence is due
+    /// if that is later: the objective allows the critical path times the queue's stretch (limited
+    /// to 1 to 100) plus its target, the expiry `EXPIRY_FACTOR` (3) times as much.
+    pub(super) fn deadlines(
+        &self,
+        time: Time,
+        occurrence: u32,
+        queue: &Queue,
+        estimate: Estimate,
+    ) -> (Moment, Moment) {
         let critical_path = self.critical_path(|_| true, estimate);
         let stretch = if queue.stretch.is_nan() { 1.0 } else { queue.stretch.clamp(1.0, 100.0) };
         let objective = critical_path.mul_f64(stretch) + queue.target;
-        (self.accepted_at + objective, self.accepted_at + objective * EXPIRY_FACTOR)
+        let start = self.accepted_at.max(self.due_at(time, occurrence));
+        (start + objective, start + objective * EXPIRY_FACTOR)
+    }
+
+    /// Returns when an occurrence is due; the start of the clock if the job has no schedule.
+    fn due_at(&self, time: Time, occurrence: u32) -> Moment {
+        let Some(due_ms) = self.job.due_ms(occurrence) else {
+            return Moment::ZERO;
+        };
+        match due_ms.checked_sub(time.unix_ms) {
+            Some(ahead) => time.now + Duration::from_millis(ahead),
+            None => time.now - Duration::from_millis(time.unix_ms - due_ms),
+        }
     }
 
     /// Returns the run time that an occurrence still needs if no task has to
@@ -360,18 +386,15 @@
     ///
     /// Late and expired jobs are planned apart, to leave hosts for jobs that
     /// can still finish in time.
-    pub(super) fn required_millicores(
-        &self,
-        now: Moment,
-        queue: &Queue,
-        estimate: Estimate,
-    ) -> u64 {
-        let (objective, expiry) = self.deadlines(queue, estimate);
+    pub(super) fn required_millicores(&self, time: Time, queue: &Queue, estimate: Estimate) -> u64 {
+        let now = time.now;
         let mut millicores = 0_u64;
         let unopened = self.count_unopened();
         let untouched = (unopened > 0).then(|| Occurrence::new(&self.job));
-        let occurrences = self.occurrences.values().map(|occurrence| (occurrence, 1));
-        for (occurrence, count) in occurrences.chain(untouched.iter().map(|one| (one, unopened))) {
+        let open = self.occurrences.iter().map(|(&number, occurrence)| (number, occurrence, 1));
+        let unopened = untouched.iter().map(|one| (self.first_unopened, one, unopened));
+        for (number, occurrence, count) in open.chain(unopened) {
+            let (objective, expiry) = self.deadlines(time, number, queue, estimate);
             let critical_path = self.remaining_time(occurrence, estimate).max(MIN_CRITICAL_PATH);
             let span = match now + critical_path {
                 end if end <= objective => objective.since(now).mul_f64(ON_TIME_SHARE),
--- a/crates/skylarkwick-request/src/shard/demand.rs
+++ b/crates/skylarkwick-request/src/shard/demand.rs
@@ -36,7 +36,7 @@
                 let pool_demand = demand.entry(Arc::clone(&queue.pool)).or_default();
                 pool_demand.min_hosts = pool_demand.min_hosts.max(active.min_hosts());
                 let estimate = self.run_times.estimate(&active.queue);
-                let batch = active.required_millicores(now, queue, estimate);
+                let batch = active.required_millicores(self.time(now), queue, estimate);
                 pool_demand.batch_millicores = pool_demand.batch_millicores.saturating_add(batch);
                 let long_running = self.long_running_millicores(active, host);
                 pool_demand.long_running_millicores =
--- a/crates/skylarkwick-request/src/shard/overdue.rs
+++ b/crates/skylarkwick-request/src/shard/overdue.rs
@@ -62,10 +62,10 @@
     /// Returns whether an occurrence of a job can't end before its result has lost its value.
     fn is_overdue(&self, now: Moment, active: &ActiveJob, queue: &Queue) -> bool {
         let estimate = self.run_times.estimate(&active.queue);
-        let (_, expiry) = active.deadlines(queue, estimate);
-        active
-            .occurrences
-            .values()
-            .any(|occurrence| now + active.remaining_time(occurrence, estimate) > expiry)
+        let time = self.time(now);
+        active.occurrences.iter().any(|(&number, occurrence)| {
+            let (_, expiry) = active.deadlines(time, number, queue, estimate);
+            now + active.remaining_time(occurrence, estimate) > expiry
+        })
     }
 }
--- a/crates/skylarkwick-request/src/shard/overload.rs
+++ b/crates/skylarkwick-request/src/shard/overload.rs
@@ -100,18 +100,20 @@
     /// if none is left.
     fn timely_work(&self, now: Moment, active: &ActiveJob, queue: &Queue) -> Option<Work> {
         let estimate = self.run_times.estimate(&active.queue);
-        let (objective, _) = active.deadlines(queue, estimate);
-        let open = || active.occurrences.values();
-        let left = open().map(|occurrence| active.remaining_time(occurrence, estimate)).max()?;
-        let millicore_ms = open()
-            .map(|occurrence| active.remaining_work(occurrence, estimate))
-            .fold(0, u64::saturating_add);
-        (millicore_ms > 0 && now + left <= objective).then_some(Work {
-            priority: queue.priority,
-            is_started: active.has_scheduled_tasks(),
-            deadline: objective,
-            millicore_ms,
-        })
+        let time = self.time(now);
+        let mut work =
+            Work { priority: queue.priority, is_started: false, deadline: now, millicore_ms: 0 };
+        for (&number, occurrence) in &active.occurrences {
+            let (objective, _) = active.deadlines(time, number, queue, estimate);
+            if now + active.remaining_time(occurrence, estimate) > objective {
+                return None;
+            }
+            let left = active.remaining_work(occurrence, estimate);
+            work.millicore_ms = work.millicore_ms.saturating_add(left);
+            work.is_started |= occurrence.has_begun();
+            work.deadline = work.deadline.max(objective);
+        }
+        (work.millicore_ms > 0).then_some(work)
     }
 
     /// Returns the processor time of a pool for tasks that are not long-running: that of its
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -36,16 +36,19 @@
 }
 
 /// Sort key of a step; the lowest is placed first. The fields are compared in
-/// this order: timeliness, priority of the queue (0 first), jobs of which tasks
-/// were scheduled before, least remaining work, earliest objective.
+/// this order: timeliness, priority of the queue (0 first), occurrences of which tasks
+/// were scheduled before, fewest turns, least remaining work, earliest objective.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
     timeliness: Timeliness,
     /// Priority of the queue; 0 is placed first.
     priority: u32,
-    /// Whether any task of the job is assigned, done or has progress; true
+    /// Whether any task of the occurrence is assigned, done or has progress; true
     /// comes first.
     is_started: Reverse<bool>,
+    /// Number of occurrences of the job that have begun, if the result has lost its value: then
+    /// one with many that were due long ago must not keep others from their turn.
+    turns: usize,
     /// Work of the occurrence's unfinished tasks, in millicores times
     /// milliseconds; long-running tasks don't count.
     remaining_work: u64,
@@ -54,7 +57,7 @@
 }
 
 impl Rank {
-    /// Returns whether any task of the step's job is assigned, done or has progress.
+    /// Returns whether any task of the step's occurrence is assigned, done or has progress.
     pub(super) fn is_started(&self) -> bool {
         self.is_started.0
     }
@@ -121,7 +124,8 @@
                         continue;
                     }
                     let is_postponed = active.is_postponed(&postponed);
-                    let rank = self.rank(now, active, occurrence, step, queue, is_postponed);
+                    let rank =
+                        self.rank(now, active, (number, occurrence), step, queue, is_postponed);
                     ready.push(ReadyStep {
                         rank,
                         pool: Arc::clone(&queue.pool),
@@ -159,13 +163,13 @@
         &self,
         now: Moment,
         active: &ActiveJob,
-        occurrence: &Occurrence,
+        (number, occurrence): (u32, &Occurrence),
         step: usize,
         queue: &Queue,
         is_postponed: bool,
     ) -> Rank {
         let estimate = self.run_times.estimate(&active.queue);
-        let (objective, expiry) = active.deadlines(queue, estimate);
+        let (objective, expiry) = active.deadlines(self.time(now), number, queue, estimate);
         let end = now + active.remaining_time(occurrence, estimate);
         let timeliness = match () {
             () if active.job.steps[step].is_long_running => Timeliness::LongRunning,
@@ -175,12 +179,16 @@
             () if end <= expiry => Timeliness::Late,
             () => Timeliness::Expired,
         };
-        let is_started = Reverse(active.has_scheduled_tasks());
+        let is_started = Reverse(occurrence.has_begun());
         let remaining_work = match timeliness {
             // They start one at a time, and smaller ones must not overtake others for ever.
             Timeliness::Overdue => 0,
             _ => active.remaining_work(occurrence, estimate),
         };
-        Rank { timeliness, priority: queue.priority, is_started, remaining_work, objective }
+        let turns = match timeliness {
+            Timeliness::Expired | Timeliness::Overdue => active.count_begun(),
+            _ => 0,
+        };
+        Rank { timeliness, priority: queue.priority, is_started, turns, remaining_work, objective }
     }
 }
