Refuse submissions that a shard has no room for, at once and truthfully

Cause: an entry host accepted whatever fits in a row. Ruled out: the limits of one job, which say nothing of their number. Change: the holder publishes its room with the backlog, entry hosts accept their parts of it, and a refusal (503, Retry-After 2) is said once a row keeps late writes of earlier attempts out; such a row gives way to a later attempt. Counters: kept_jobs, kept_tasks, kept_bytes, refused.

The rows of the backlog and of jobs get a field and a state at their ends; BacklogRow::new and jobs::Config an argument, which tests pass.

Before: no_room_refused, stored_job_repeated, late_attempt_kept_out and refused_job_cancelled can't be refused (200 each, by reading; the field doesn't exist there). With the guard of Credit::renew taken out, accepted_work_bounded, stored_job_repeated and late_attempt_kept_out fail. After: 528 passed, 0 failed in the workspace.

--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -162,6 +162,10 @@
     /// Its caller cancelled it before it was stored. Its submission may still be under way,
     /// and must not be stored any more; until it arrives, no such job exists.
     Withdrawn,
+    /// It was refused before it was stored, because its shard had no room for it. An earlier
+    /// attempt of its submission may still be under way, and must not be stored any more; no such
+    /// job exists. A later attempt may store it.
+    Refused,
 }
 
 impl From<FinalState> for State {
@@ -169,7 +173,7 @@
         match final_state {
             FinalState::Completed => State::Completed,
             FinalState::Failed => State::Failed,
-            FinalState::Cancelled | FinalState::Withdrawn => State::Cancelled,
+            FinalState::Cancelled | FinalState::Withdrawn | FinalState::Refused => State::Cancelled,
         }
     }
 }
@@ -349,13 +353,17 @@
     pub written_ms: u64,
     /// Identifiers of the jobs of which no task is known to have started, by queue.
     pub waiting: BTreeMap<String, Vec<String>>,
+    /// Memory that the holder has for further jobs, in bytes; `None` in a row of an earlier
+    /// release, which ends before this field.
+    #[serde(deserialize_with = "decode_later_field")]
+    pub room: Option<u64>,
 }
 
 impl BacklogRow {
     /// Lists waiting jobs by queue, of each queue at most its equal part of what a row can
     /// hold, the first ones; `written_ms` is set when the row is saved. A job that is left out
-    /// counts as running for its caller.
-    pub fn new(waiting: BTreeMap<Arc<str>, Vec<job::Id>>) -> BacklogRow {
+    /// counts as running for its caller. `room` is the memory for further jobs, in bytes.
+    pub fn new(waiting: BTreeMap<Arc<str>, Vec<job::Id>>, room: usize) -> BacklogRow {
         let queues = waiting.values().filter(|ids| !ids.is_empty()).count();
         let budget = MAX_BACKLOG_BYTES / queues.max(1);
         let list = |(queue, ids): (Arc<str>, Vec<job::Id>)| {
@@ -369,7 +377,8 @@
             let listed = ids.iter().take_while(fits).map(|id| id.as_str().to_owned());
             (queue.to_string(), listed.collect())
         };
-        BacklogRow { written_ms: 0, waiting: waiting.into_iter().map(list).collect() }
+        let room = Some(u64::try_from(room).unwrap_or(u64::MAX));
+        BacklogRow { written_ms: 0, waiting: waiting.into_iter().map(list).collect(), room }
     }
 }
 
--- a/crates/skylarkwick-connection/tests/damaged_rows.rs
+++ b/crates/skylarkwick-connection/tests/damaged_rows.rs
@@ -158,7 +158,11 @@
         row::encode(&wave),
         row::encode(&ShardingRow { count: 3, seed: 4 }),
         row::encode(&PoolSizesRow { hosts: [("pool".to_owned(), 4)].into() }),
-        row::encode(&BacklogRow { written_ms: 1, waiting: [("q".to_owned(), Vec::new())].into() }),
+        row::encode(&BacklogRow {
+            written_ms: 1,
+            waiting: [("q".to_owned(), Vec::new())].into(),
+            room: Some(1),
+        }),
     ];
     let mut random = Random(3);
     for bytes in &samples {
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod group;
 pub mod hand_over;
+mod intake;
 mod neighbours;
 mod submission;
 
@@ -41,6 +42,7 @@
 use self::{
     access::{Access, Denial, View},
     backlog::Backlog,
+    intake::Intake,
     neighbours::Neighbours,
     submission::Gates,
 };
@@ -50,11 +52,13 @@
 /// Time since the last response of the store after which the entry host is not ready and
 /// stores no jobs.
 const STORE_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2200);
+/// `Retry-After` of jobs for which there is no room; holders publish their room more often.
+const ROOM_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// Maximum number of attempts at a cancellation that conflicts with other writers or whose
 /// result is unknown.
 const MAX_CANCEL_ATTEMPTS: u32 = 4;
 
-/// Result of submitting a job: accepted, in doubt, not valid or taken.
+/// Result of submitting a job: accepted, in doubt, not valid, taken or refused for want of room.
 ///
 /// There is no refusal for a store that gives no access: the caller may have submitted the
 /// job through another entry host before, which stored it without its answer arriving.
@@ -68,6 +72,8 @@
     Invalid(job::Error),
     /// Another workspace has a job with this identifier.
     Taken,
+    /// The job's shard has no room for it. It is not stored, and no earlier attempt will be.
+    Full,
 }
 
 /// Result of cancelling a job: done, unknown job or in doubt.
@@ -130,6 +136,8 @@
     store: S,
     shared: Arc<SharedState>,
     backlog: Arc<Backlog>,
+    /// How much it may accept for each shard.
+    intake: Arc<Intake>,
     /// Age of the configuration above which API keys are not trusted.
     max_configuration_age: Option<Duration>,
     /// Whether the store takes writes from this entry host.
@@ -173,6 +181,7 @@
             store,
             shared,
             backlog: Arc::default(),
+            intake: Arc::default(),
             max_configuration_age: None,
             gates: Arc::default(),
             neighbours: Arc::default(),
@@ -233,6 +242,11 @@
         RETRY_AFTER
     }
 
+    /// Returns the time after which callers should retry what there was no room for.
+    pub fn room_retry_after(&self) -> Duration {
+        ROOM_RETRY_AFTER
+    }
+
     /// Returns whether callers can be served: the configuration and the division into shards
     /// are known, the store has responded recently and the process is not stopping.
     pub fn is_ready(&self) -> bool {
@@ -293,7 +307,9 @@
         };
         match row::decode(&value) {
             Ok(row) if !reference.may_see(&row) => Ok(None),
-            Ok(JobRow::Finished { state: FinalState::Withdrawn, .. }) => Ok(None),
+            Ok(JobRow::Finished { state: FinalState::Withdrawn | FinalState::Refused, .. }) => {
+                Ok(None)
+            }
             Ok(JobRow::Finished { state, .. }) => Ok(Some(state.into())),
             Ok(JobRow::Active { accepted_ms, .. }) => {
                 let is_waiting = self.sharding().is_some_and(|sharding| {
@@ -345,6 +361,10 @@
             Some(Ok(JobRow::Finished { state: FinalState::Withdrawn, .. })) => {
                 return CancelOutcome::Unknown;
             }
+            // A later attempt of the submission would store it.
+            Some(Ok(JobRow::Finished { state: FinalState::Refused, .. })) => {
+                (FinalState::Withdrawn, CancelOutcome::Unknown)
+            }
             Some(Ok(JobRow::Finished { .. })) => return CancelOutcome::Done,
             Some(_) => (FinalState::Cancelled, CancelOutcome::Done),
         };
--- a/crates/skylarkwick-entry/src/jobs/backlog.rs
+++ b/crates/skylarkwick-entry/src/jobs/backlog.rs
@@ -12,7 +12,7 @@
     row::{self, BacklogRow, JobRow},
 };
 use skylarkwick_process::clock::{Boot, Clock};
-use skylarkwick_request::job::Id;
+use skylarkwick_request::{intake::Publication, job::Id};
 use skylarkwick_version::{
     moment::Moment,
     sharding::{ShardId, Sharding},
@@ -73,6 +73,16 @@
         Ok(count)
     }
 
+    /// Returns what the holder of a shard has published of its room.
+    pub(super) fn publication<S: Store>(
+        &self,
+        store: &S,
+        keyspace: Keyspace,
+    ) -> Result<Publication, store::Error> {
+        let list = self.list(store, keyspace)?;
+        Ok(Publication { written_ms: list.written_ms, room: list.room })
+    }
+
     /// Returns the list of a shard, read at most [`CACHE_TTL`] ago. It is empty if no holder
     /// has written one.
     fn list<S: Store>(
--- a/crates/skylarkwick-entry/src/jobs/neighbours.rs
+++ b/crates/skylarkwick-entry/src/jobs/neighbours.rs
@@ -68,6 +68,11 @@
         self.state().known.is_empty()
     }
 
+    /// Returns how many other entry hosts are known.
+    pub(super) fn len(&self) -> usize {
+        self.state().known.len()
+    }
+
     /// Returns the entry host that writes for others in a partition, after `asked` that were asked
     /// before; `None` if all are in trouble. The order is by a hash and the same at every entry
     /// host, so that the submissions for one partition meet at one, which writes them together.
--- a/crates/skylarkwick-entry/src/jobs/submission.rs
+++ b/crates/skylarkwick-entry/src/jobs/submission.rs
@@ -24,7 +24,9 @@
 use skylarkwick_version::revision::Revision;
 use slog::{info, warn};
 
-use super::{Api, Reference, SubmitOutcome, group::Written, is_taken, neighbours::Choice};
+use super::{
+    Api, Reference, SubmitOutcome, group::Written, intake::is_refused, is_taken, neighbours::Choice,
+};
 
 /// End of a caller's deadline that is kept free of retries, for sending the response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
@@ -52,9 +54,9 @@
 }
 
 /// A submission that is not settled: the job, its row's key, and what of it is in doubt.
-struct Pending<'a> {
-    reference: Reference<'a>,
-    key: Key,
+pub(super) struct Pending<'a> {
+    pub(super) reference: Reference<'a>,
+    pub(super) key: Key,
     body: JobBody,
     may_be_stored: bool,
 }
@@ -74,9 +76,13 @@
                 "because" => "the site is not divided into shards yet");
             return SubmitOutcome::InDoubt;
         };
-        let key = Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str());
+        let keyspace = Keyspace::of_job(sharding, id.as_str());
+        let key = keyspace.job(queue, id.as_str());
         let body = JobBody::from(job);
         let mut pending = Pending { reference, key, body, may_be_stored: false };
+        if !self.has_room(keyspace, job) {
+            return self.refuse(&pending);
+        }
         let outcome = self.settle(&mut pending, deadline.saturating_sub(RESPONSE_MARGIN));
         info!(self.log, "submitted"; "job" => id.as_str(), "queue" => queue,
             "workspace" => workspace.map(|name| &**name), "outcome" => ?outcome,
@@ -195,7 +201,7 @@
                 gate.record_answer(now, now.since(sent));
             }
         });
-        self.settle_written(pending.reference, written)
+        self.settle_written(pending, written)
     }
 
     /// Returns the encoded row of a submission.
@@ -214,36 +220,59 @@
     /// Returns how the write failed if that does not settle the submission.
     fn settle_written(
         &self,
-        reference: Reference<'_>,
+        pending: &Pending<'_>,
         written: Written,
     ) -> Result<SubmitOutcome, Failure> {
         match written {
             Written::Stored => Ok(SubmitOutcome::Accepted),
-            Written::Exists(row) => self.settle_existing(reference, row),
+            Written::Exists(row) => self.settle_existing(pending, row),
             Written::Rejected => Ok(SubmitOutcome::Invalid(job::Error::Size)),
             Written::Refused => Err(Failure::Refused),
             Written::Unanswered => Err(Failure::Unanswered),
         }
     }
 
-    /// Returns the outcome of a submission that met a row.
+    /// Returns the outcome of a submission that met a row. One that was refused for want of room
+    /// before is stored now.
     ///
     /// # Errors
     ///
-    /// Returns a refusal if the row is of a withdrawn job and could not be changed.
-    fn settle_existing(
+    /// Returns a refusal if the row is of a withdrawn or refused job and could not be changed.
+    pub(super) fn settle_existing(
         &self,
-        reference: Reference<'_>,
+        pending: &Pending<'_>,
         row: Row,
     ) -> Result<SubmitOutcome, Failure> {
+        if is_refused(&row) {
+            return self.replace_refused(pending, &row);
+        }
         let rows = [row];
-        match is_taken(reference, &rows) {
+        match is_taken(pending.reference, &rows) {
             true => Ok(SubmitOutcome::Taken),
             false if self.admit_withdrawn(&rows) => Ok(SubmitOutcome::Accepted),
             false => Err(Failure::Refused),
         }
     }
 
+    /// Stores a submission in place of the row of its refusal.
+    ///
+    /// # Errors
+    ///
+    /// Returns how that failed.
+    fn replace_refused(
+        &self,
+        pending: &Pending<'_>,
+        refused: &Row,
+    ) -> Result<SubmitOutcome, Failure> {
+        let key = pending.key.clone();
+        let change = Transaction::default().replace(key, refused.revision, self.row(pending));
+        match store::commit_with_retry(&self.store, &change) {
+            store::Outcome::Applied(_) => Ok(SubmitOutcome::Accepted),
+            store::Outcome::Conflict(_) => Err(Failure::Refused),
+            _ => Err(Failure::Unanswered),
+        }
+    }
+
     /// Hands a submission over to a neighbour, which has `time_left` for it.
     ///
     /// # Errors
@@ -298,7 +327,7 @@
         time_left: Duration,
     ) -> Result<SubmitOutcome, Failure> {
         let written = self.writer.write(pending.key.clone(), self.row(pending), time_left);
-        self.settle_written(pending.reference, written)
+        self.settle_written(pending, written)
     }
 
     /// Stores a submission that another entry host has handed over, together with others of the
@@ -315,6 +344,7 @@
             Ok(SubmitOutcome::Accepted) => Answer::Stored,
             Ok(SubmitOutcome::Taken) => Answer::Taken,
             Ok(SubmitOutcome::Invalid(_)) => Answer::TooLarge,
+            Ok(SubmitOutcome::Full) => Answer::NotStored,
             Ok(SubmitOutcome::InDoubt) | Err(Failure::Unanswered) => Answer::InDoubt,
             Err(Failure::Refused) => Answer::NotStored,
         }
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -86,6 +86,21 @@
     pub maintenance_duration: Duration,
     /// Time for which callers can read the result of a finished job.
     pub result_retention: Duration,
+    /// Memory of this process, in bytes; a part of it is for the jobs of shards.
+    pub memory_bytes: usize,
+}
+
+/// Part of the memory of a process that the jobs of all shards may take: one in this many bytes.
+/// A new holder reads rows and decodes jobs at the same time, and some are accepted meanwhile.
+const JOBS_MEMORY_DIVISOR: usize = 4;
+/// Memory for the jobs of a shard at the least, in bytes.
+const MIN_SHARD_BYTES: usize = 8 << 20;
+
+/// Returns the memory for the jobs of one shard, in bytes: one process may come to hold all shards
+/// of the site.
+fn shard_bytes(memory_bytes: usize, shards: u32) -> usize {
+    let shards = usize::try_from(shards.max(1)).unwrap_or(usize::MAX);
+    (memory_bytes / JOBS_MEMORY_DIVISOR / shards).max(MIN_SHARD_BYTES)
 }
 
 /// Competes for the leases of the site's shards, each the scheduling state of a part of the
--- a/crates/skylarkwick-planner/src/jobs/activity.rs
+++ b/crates/skylarkwick-planner/src/jobs/activity.rs
@@ -41,8 +41,10 @@
         if now < self.log_due {
             return;
         }
+        let kept = shard.kept();
         info!(log, "activity"; "events" => self.events, "decisions" => self.decisions,
-            "decision_ms" => millis(self.decision_time));
+            "decision_ms" => millis(self.decision_time), "kept_jobs" => kept.jobs,
+            "kept_tasks" => kept.tasks, "kept_bytes" => kept.bytes);
         *self = Activity { log_due: now + LOG_PERIOD, ..Activity::default() };
         for (pool, load) in shard.pool_loads(now) {
             info!(log, "load"; "pool" => &*pool, "jobs" => load.jobs,
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -147,6 +147,8 @@
     wall_clock: WallClock,
     /// When the backlog is next written.
     backlog_due: Moment,
+    /// Memory for the jobs of the shard, in bytes.
+    shard_bytes: usize,
     /// When the needs of the workspaces are next reported.
     quota_report_due: Moment,
     /// Number of the change of the limits that is in force.
@@ -257,6 +259,7 @@
             configuration_version: None,
             wall_clock: WallClock::new(Boot.now()),
             backlog_due: Moment::ZERO,
+            shard_bytes: super::shard_bytes(config.memory_bytes, keyspace.sharding().count()),
             quota_report_due: Moment::ZERO,
             quota_limits_version: 0,
             activity: Activity::default(),
@@ -425,15 +428,19 @@
         let _ = allotments.try_send(report);
     }
 
-    /// Requests a write of the identifiers of each queue's jobs of which no task has started,
-    /// for the entry hosts to read, if [`BACKLOG_PERIOD`] has passed since the last attempt.
+    /// Requests a write of the identifiers of each queue's jobs of which no task has started, and
+    /// of the room for further jobs, for the entry hosts to read, if [`BACKLOG_PERIOD`] has passed since the last attempt.
     /// It is skipped and logged if the saver's ring is full.
     fn publish_backlog(&mut self, now: Moment) {
         if now < self.backlog_due {
             return;
         }
         self.backlog_due = now + BACKLOG_PERIOD;
-        let row = BacklogRow::new(self.shard.backlog());
+        let room = self.shard_bytes.saturating_sub(self.shard.kept().bytes);
+        if room == 0 {
+            warn!(self.log, "no room for jobs"; "limit_bytes" => self.shard_bytes);
+        }
+        let row = BacklogRow::new(self.shard.backlog(), room);
         if self.saver.try_send(SaveRequest::Backlog(row)).is_err() {
             warn!(self.log, "backlog not saved"; "because" => "the saver's ring is full");
         }
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -5,7 +5,7 @@
 use skylarkwick_connection::store::{
     self, Page, Row, Store, TableReader,
     keyspace::{self, Keyspace},
-    row::{self, JobRow, PoolSizesRow, ProgressRow},
+    row::{self, FinalState, JobRow, PoolSizesRow, ProgressRow},
 };
 use skylarkwick_process::{
     clock::{Boot, Clock},
@@ -180,8 +180,8 @@
     Finished(job::Key),
 }
 
-/// Decodes a job's row; returns `None` for one of another shard, and for an invalid one,
-/// which is logged. An active job is returned
+/// Decodes a job's row; returns `None` for one of another shard, for a submission that was
+/// refused, and for an invalid row, which is logged. An active job is returned
 /// without progress, which has a row of its own. `now_ms` is the store's clock, from which
 /// the job's age is counted.
 pub(super) fn decode_job(
@@ -196,6 +196,7 @@
         return Some(StoredJob::Finished(job::Key::new(queue, id)));
     };
     let (accepted_ms, body, workspace) = match row::decode::<JobRow>(value) {
+        Ok(JobRow::Finished { state: FinalState::Refused, .. }) => return None,
         Ok(JobRow::Finished { .. }) => {
             return Some(StoredJob::Finished(job::Key::new(queue, id)));
         }
--- a/crates/skylarkwick-planner/tests/lease_clock.rs
+++ b/crates/skylarkwick-planner/tests/lease_clock.rs
@@ -71,6 +71,7 @@
         outage_threshold: Duration::from_secs(4),
         maintenance_duration: Duration::from_secs(2),
         result_retention: Duration::from_secs(120),
+        memory_bytes: 260 << 20,
     }
 }
 
--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -7,6 +7,7 @@
 pub mod footprint;
 pub mod progress;
 pub mod ranges;
+mod size;
 pub mod task;
 
 use std::{fmt, sync::Arc, time::Duration};
--- a/crates/skylarkwick-request/src/lib.rs
+++ b/crates/skylarkwick-request/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claim;
 pub mod estimate;
 pub mod id;
+pub mod intake;
 pub mod job;
 pub mod outcome;
 pub mod queue;
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -16,6 +16,7 @@
 mod health;
 mod hold;
 mod host_list;
+mod kept;
 mod label_hosts;
 mod liveness;
 mod membership;
@@ -52,7 +53,7 @@
 pub mod effect;
 pub mod input;
 
-pub use self::{hold::Holds, workspace_load::WorkspaceLoad};
+pub use self::{hold::Holds, kept::Kept, workspace_load::WorkspaceLoad};
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
--- a/crates/skylarkwick-request/src/shard/namesake.rs
+++ b/crates/skylarkwick-request/src/shard/namesake.rs
@@ -26,6 +26,11 @@
         self.waiting.remove(key);
     }
 
+    /// Returns the jobs.
+    pub(super) fn jobs(&self) -> impl Iterator<Item = &AcceptedJob> {
+        self.waiting.values().map(|(_, accepted)| accepted)
+    }
+
     /// Returns the queue and the identifier of each job.
     pub(super) fn keys(&self) -> impl Iterator<Item = (&Arc<str>, &job::Id)> {
         self.waiting.keys().map(|key| (key.queue(), key.id()))
