Run jobs of two queues with one identifier beside each other

Cause: jobs, pending writes, runs and unread ends inside a shard went by the identifier alone. Ruled out: ends that are sent late (the same ends are wrong when they come at once). Change: the identifier of such a job carries its queue inside the shard, no server gets tasks of both, and a report belongs to the job that is recorded with the server.

--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -203,11 +203,14 @@
         watch::hosts(hosts.clone(), keyspace, duty_events, duty_log, duty_stop)?;
         let loaded = load::load_with_retry(&store, keyspace, log, since, [term_end, stop]);
         let loaded = loaded.ok_or_else(load::error)?;
-        let LoadedState { jobs, revision, pool_sizes } = loaded;
+        let LoadedState { jobs, ended, revision, pool_sizes } = loaded;
         info!(log, "jobs loaded"; "jobs" => jobs.len(), "revision" => revision.0,
             "ms" => millis(Boot.now().since(since)));
         shard.set_pool_sizes(pool_sizes);
         for accepted in jobs {
+            if ended.contains(&accepted.id) {
+                shard.expect_namesake(&accepted.id);
+            }
             shard.add_job(Boot.now(), accepted);
         }
         let (duty_events, duty_log, duty_stop) = duty_context();
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -1,6 +1,11 @@
 //! Reads and decodes the rows that earlier holders have stored.
 
-use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    sync::Arc,
+    time::Duration,
+};
 
 use skylarkwick_connection::store::{
     self, Page, Row, Store, TableReader,
@@ -29,6 +34,8 @@
 #[derive(Debug)]
 pub(super) struct LoadedState {
     pub(super) jobs: Vec<AcceptedJob>,
+    /// Identifiers of jobs that are over, which may be those of other queues' jobs too.
+    pub(super) ended: BTreeSet<job::Id>,
     /// Later changes of jobs are to be followed from this revision.
     pub(super) revision: Revision,
     /// Number of hosts of each pool before any move; empty until the first holder stores
@@ -71,16 +78,26 @@
     fn loaded_state(&self, pool_sizes: BTreeMap<Arc<str>, usize>, log: &Logger) -> LoadedState {
         let jobs = self.jobs.page();
         let by_job = progress_by_job(self.progress.page(), self.keyspace, log);
-        let mut loaded = LoadedState { jobs: Vec::new(), revision: jobs.revision, pool_sizes };
+        let mut loaded = LoadedState {
+            jobs: Vec::new(),
+            ended: BTreeSet::new(),
+            revision: jobs.revision,
+            pool_sizes,
+        };
         for row in &jobs.rows {
-            let decoded = decode_job(row, self.keyspace, jobs.now_ms, log);
-            if let Some(StoredJob::Active(mut accepted)) = decoded {
-                let key = job::Key::new(Arc::clone(&accepted.queue), accepted.id.clone());
-                if let Some((revision, progress)) = by_job.get(&key) {
-                    accepted.progress = progress.clone();
-                    accepted.progress_revision = *revision;
+            match decode_job(row, self.keyspace, jobs.now_ms, log) {
+                Some(StoredJob::Active(mut accepted)) => {
+                    let key = job::Key::new(Arc::clone(&accepted.queue), accepted.id.clone());
+                    if let Some((revision, progress)) = by_job.get(&key) {
+                        accepted.progress = progress.clone();
+                        accepted.progress_revision = *revision;
+                    }
+                    loaded.jobs.push(*accepted);
+                }
+                Some(StoredJob::Finished(key)) => {
+                    loaded.ended.insert(key.id().clone());
                 }
-                loaded.jobs.push(*accepted);
+                None => {}
             }
         }
         // Of two queues' jobs with one identifier, the one that has begun goes on.
--- a/crates/skylarkwick-request/src/job.rs
+++ b/crates/skylarkwick-request/src/job.rs
@@ -25,26 +25,47 @@
 /// Maximum number of occurrences of one job, which are the repetitions of its schedule.
 pub const MAX_OCCURRENCES: u32 = 100_000;
 
-/// Identifier of a job, chosen by its caller.
+/// Identifier of a job, chosen by its caller. Inside a shard it may carry the job's queue, which
+/// tells the job from one of another queue whose caller chose the same text.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Id(Arc<str>);
+pub struct Id {
+    text: Arc<str>,
+    queue: Option<Arc<str>>,
+}
 
 impl Id {
     /// Creates an identifier from text, which is not checked.
     pub fn new(text: &str) -> Id {
-        Id(Arc::from(text))
+        Id { text: Arc::from(text), queue: None }
     }
 
     /// Returns the identifier as text.
     pub fn as_str(&self) -> &str {
-        &self.0
+        &self.text
+    }
+
+    /// Returns the identifier with the job's queue.
+    #[must_use]
+    pub(crate) fn in_queue(&self, queue: &Arc<str>) -> Id {
+        Id { text: Arc::clone(&self.text), queue: Some(Arc::clone(queue)) }
+    }
+
+    /// Returns the identifier without a queue.
+    #[must_use]
+    pub(crate) fn plain(&self) -> Id {
+        Id { text: Arc::clone(&self.text), queue: None }
+    }
+
+    /// Returns whether another job has the same text.
+    pub(crate) fn is_namesake_of(&self, other: &Id) -> bool {
+        self.text == other.text && self.queue != other.queue
     }
 }
 
 impl fmt::Display for Id {
     /// Writes the text of an [`Id`].
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        f.write_str(&self.text)
     }
 }
 
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -151,9 +151,9 @@
     send_window: SendWindow,
     /// Number of the next run.
     next_run: task::RunId,
-    /// Finished and removed jobs, and when this shard learned of it.
-    finished_jobs: BTreeMap<job::Key, Moment>,
-    /// Jobs that wait for one of another queue with the same identifier.
+    /// Finished and removed jobs by identifier and queue, and when this shard learned of it.
+    finished_jobs: BTreeMap<job::Id, BTreeMap<Arc<str>, Moment>>,
+    /// Identifiers that jobs of two queues have or had.
     namesakes: Namesakes,
     /// Jobs to write in the next batches.
     unsaved_jobs: SaveQueue,
@@ -205,23 +205,17 @@
 
     /// Adds an unfinished job with its stored progress, which may decide its
     /// outcome. Does nothing if the job is known, or has finished or was
-    /// removed within the last `FINISHED_RETENTION` (60 s). While another queue's
-    /// job with its identifier is not over, it waits.
+    /// removed within the last `FINISHED_RETENTION` (60 s).
     ///
     /// A read of all rows may return a job that has finished since the read
     /// began.
     pub fn add_job(&mut self, now: Moment, accepted: input::AcceptedJob) {
-        let id = accepted.id.clone();
-        let key = job::Key::new(Arc::clone(&accepted.queue), id.clone());
-        if self.finished_jobs.contains_key(&key) {
+        let key = job::Key::new(Arc::clone(&accepted.queue), accepted.id.clone());
+        if self.has_finished(&key) || self.known_id(&key).is_some() {
             return;
         }
-        match self.jobs.get(&id) {
-            Some(known) if known.queue == accepted.queue => return,
-            Some(_) => return self.namesakes.insert(now, key, accepted),
-            None => {}
-        }
-        let active = ActiveJob::new(now, accepted);
+        let id = self.new_id(&key);
+        let active = ActiveJob::new(now, input::AcceptedJob { id: id.clone(), ..accepted });
         self.await_rating(&active);
         self.jobs.insert(id.clone(), active);
         self.update_outcome(&id);
@@ -242,12 +236,11 @@
     /// write is made for it. `add_job` ignores it for `FINISHED_RETENTION` (60
     /// s), also if it was not known here.
     pub fn remove_job(&mut self, now: Moment, key: &job::Key) {
-        self.finished_jobs.insert(key.clone(), now);
-        self.namesakes.remove(key);
+        self.record_finished(now, key);
         let Some(active) = self.take_job(key) else {
             return;
         };
-        self.unsaved_jobs.remove(key.id());
+        self.unsaved_jobs.remove(&active.id);
         for (server, task) in active.assigned_tasks() {
             self.request_stop(now, &server, &task);
         }
@@ -255,14 +248,36 @@
 
     /// Returns a job; `None` if it is unknown, also if another queue has one with its identifier.
     fn job_mut(&mut self, key: &job::Key) -> Option<&mut ActiveJob> {
-        self.jobs.get_mut(key.id()).filter(|active| active.queue == *key.queue())
+        let id = self.known_id(key)?;
+        self.jobs.get_mut(&id)
     }
 
     /// Removes a job and returns it; `None` if it is unknown, also if another queue has one with
     /// its identifier.
     fn take_job(&mut self, key: &job::Key) -> Option<ActiveJob> {
-        self.job_mut(key)?;
-        self.jobs.remove(key.id())
+        let id = self.known_id(key)?;
+        self.jobs.remove(&id)
+    }
+
+    /// Returns whether a job has finished or was removed within `FINISHED_RETENTION` (60 s).
+    fn has_finished(&self, key: &job::Key) -> bool {
+        let queues = self.finished_jobs.get(key.id());
+        queues.is_some_and(|queues| queues.contains_key(key.queue()))
+    }
+
+    /// Remembers that a job has finished or was removed.
+    fn record_finished(&mut self, now: Moment, key: &job::Key) {
+        let queues = self.finished_jobs.entry(key.id().clone()).or_default();
+        queues.insert(Arc::clone(key.queue()), now);
+    }
+
+    /// Forgets the jobs that have finished or were removed longer ago than `FINISHED_RETENTION`.
+    fn forget_finished(&mut self, now: Moment) {
+        self.finished_jobs.retain(|_, queues| {
+            queues.retain(|_, since| now.since(*since) < FINISHED_RETENTION);
+            !queues.is_empty()
+        });
+        self.forget_namesakes();
     }
 
     /// Decides what to do next and returns the effects, together with those
@@ -290,8 +305,7 @@
             true => self.expire_leases(now),
             false => self.cancel_planned(|_| true),
         }
-        self.finished_jobs.retain(|_, since| now.since(*since) < FINISHED_RETENTION);
-        self.admit_namesakes(now);
+        self.forget_finished(now);
         self.open_occurrences(unix_ms);
         self.rate_jobs();
         self.place_tasks(now, is_exclusive);
@@ -331,12 +345,9 @@
             self.queues.keys().map(|queue| (Arc::clone(queue), Vec::new())).collect();
         for (id, active) in &self.jobs {
             if !active.has_started {
-                waiting.entry(Arc::clone(&active.queue)).or_default().push(id.clone());
+                waiting.entry(Arc::clone(&active.queue)).or_default().push(id.plain());
             }
         }
-        for (queue, id) in self.namesakes.keys() {
-            waiting.entry(Arc::clone(queue)).or_default().push(id.clone());
-        }
         waiting
     }
 
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -110,7 +110,7 @@
 
     /// Returns the identity of the job.
     pub(super) fn key(&self) -> Key {
-        Key::new(Arc::clone(&self.queue), self.id.clone())
+        Key::new(Arc::clone(&self.queue), self.id.plain())
     }
 
     /// Adds an occurrence with all tasks waiting. Does nothing if it is open or done, or if the job
--- a/crates/skylarkwick-request/src/shard/kept.rs
+++ b/crates/skylarkwick-request/src/shard/kept.rs
@@ -12,7 +12,7 @@
 /// both by estimate.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Kept {
-    /// Jobs, those that wait for one with the same identifier included.
+    /// Jobs.
     pub jobs: usize,
     /// Tasks of them that have begun and are not done.
     pub tasks: usize,
@@ -37,10 +37,6 @@
     pub fn kept(&self) -> Kept {
         let mut kept = Kept::default();
         self.jobs.values().for_each(|active| kept.add(active));
-        for accepted in self.namesakes.jobs() {
-            kept.jobs += 1;
-            kept.bytes += accepted.job.kept_bytes();
-        }
         kept
     }
 }
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -98,7 +98,7 @@
             match &update.change {
                 Change::Finished(_) => {
                     self.take_job(&update.key);
-                    self.finished_jobs.insert(update.key.clone(), now);
+                    self.record_finished(now, &update.key);
                 }
                 Change::Progress(progress) => self.record_write_saved(now, &update.key, progress),
             }
@@ -170,7 +170,8 @@
             active.failed_writes = 0;
             active.recorded_servers =
                 progress.servers.iter().map(|id| ServerId(Arc::clone(id))).collect();
-            self.send_planned_starts(now, key.id());
+            let id = active.id.clone();
+            self.send_planned_starts(now, &id);
         }
     }
 
@@ -187,13 +188,13 @@
         let Some(active) = self.job_mut(key) else {
             return;
         };
-        let id = key.id();
+        let id = active.id.clone();
         active.progress_revision = revision;
         if let Some(other) = other {
             active.merge_progress(other);
-            self.cancel_planned(|task| task.job == *id);
+            self.cancel_planned(|task| task.job == id);
             self.unsaved_jobs.insert(id.clone());
-            self.update_outcome(id);
+            self.update_outcome(&id);
         }
     }
 
@@ -206,13 +207,13 @@
         for update in &batch.updates {
             if let Some(active) = self.job_mut(&update.key) {
                 active.failed_writes = active.failed_writes.saturating_add(1);
-                self.unsaved_jobs.insert(update.key.id().clone());
+                let id = active.id.clone();
+                self.unsaved_jobs.insert(id);
             }
         }
-        let is_failing =
-            |id: &&job::Id| self.jobs.get(*id).is_some_and(ActiveJob::is_write_failing);
-        let updates = batch.updates.iter().map(|update| update.key.id());
-        let failing: BTreeSet<&job::Id> = updates.filter(is_failing).collect();
+        let is_failing = |id: &job::Id| self.jobs.get(id).is_some_and(ActiveJob::is_write_failing);
+        let updates = batch.updates.iter().filter_map(|update| self.known_id(&update.key));
+        let failing: BTreeSet<job::Id> = updates.filter(is_failing).collect();
         if !failing.is_empty() {
             self.cancel_planned(|task| failing.contains(&task.job));
         }
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -159,10 +159,12 @@
     ) -> Option<ServerId> {
         let PlacementRequest { now, pool, step, allowed_servers, rack } = request;
         let required = step.reservation().resources();
+        let has_namesake = self.namesakes.contains(&task.job);
         self.servers
             .values()
             .filter(|server| required.fits_within(&server.available()))
             .filter(|server| &*server.info.pool == pool && self.is_usable(now, server))
+            .filter(|server| !has_namesake || !self.has_namesake_tasks(server, &task.job))
             .filter(|server| {
                 allowed_servers.is_none_or(|allowed_servers| allowed_servers.contains(server.id()))
             })
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -7,7 +7,7 @@
 use super::{
     Shard,
     effect::{Effect, LogEntry, Target},
-    input::{ClockReading, RunStatus, ServerId, ServerInfo, StatusReport},
+    input::{ClockReading, FinishedRun, RunStatus, ServerId, ServerInfo, StatusReport},
     liveness::{Evidence, Liveness},
     occurrence::TaskState,
     quota,
@@ -83,12 +83,15 @@
         }
         server.is_fenced = true;
         for finished in report.finished {
-            self.handle_run_end(now, &id, finished);
+            let task = self.owned_task(&id, finished.task);
+            self.handle_run_end(now, &id, FinishedRun { task, ..finished });
         }
         let sent_at = report.clock.sent;
-        let running: Vec<task::Id> = report.running.iter().map(|run| run.task.clone()).collect();
+        let mut running: Vec<task::Id> = Vec::with_capacity(report.running.len());
         for run in report.running {
-            self.update_run(now, &id, run);
+            let task = self.owned_task(&id, run.task);
+            running.push(task.clone());
+            self.update_run(now, &id, RunStatus { task, ..run });
         }
         if !report.is_partial {
             self.reconcile(&id, &running, sent_at);
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -303,11 +303,6 @@
         self.runs.insert(task, active_run);
     }
 
-    /// Returns whether it may run a task of a job with this identifier.
-    pub(super) fn has_run_of(&self, id: &job::Id) -> bool {
-        self.runs.keys().any(|task| task.job == *id)
-    }
-
     /// Returns the sums over the runs.
     pub(super) fn tally(&self) -> &Tally {
         &self.tally
