Property: what is accepted with room begins soon, runs once, and takes little memory

It doesn't find an occurrence that is opened again once it is done; due_occurrences::done_occurrence_closed is new for that, and fails without the check.

--- a/crates/skylarkwick-request/tests/due_occurrences.rs
+++ b/crates/skylarkwick-request/tests/due_occurrences.rs
@@ -79,3 +79,20 @@
         starts(&harness.decide()).into_iter().map(|(_, start)| start.task).collect();
     assert!(started.contains(&task("job", 0, 1)), "the occurrence is due");
 }
+
+/// Guards against tasks that run again, because an end of their occurrence, which is done, is
+/// reported once more after a takeover.
+#[test]
+fn done_occurrence_closed() {
+    let mut harness = taken_shard();
+    let mut accepted = scheduled_job(0);
+    accepted.progress.done_occurrences.insert(0);
+    harness.shard.add_job(harness.now, accepted);
+    harness.set_servers(&["a"]);
+    harness.decide();
+    let done = finished_run(1, task("job", 0, 0), RunId(4), RunOutcome::Done);
+    harness.report("a", &[], &[done]);
+    let started = starts(&harness.decide());
+    assert_eq!(started.len(), 2, "those of the other occurrence");
+    assert!(started.iter().all(|(_, start)| start.task.occurrence == 1));
+}
