Write the row of a refusal anew with each refusal

What callers would see: 503, 'never runs', and the job runs all the same: an attempt between two refusals had room, its write in place of the first refusal's row had no answer, and is carried out after the second refusal was said.

Cause: a refusal that met the row of an earlier one left it as it was, with the version that the late write is conditional on. Found by reading the change again. Change: each refusal writes the row, on condition of the version that it met.

After: full_shard, 6 passed.

--- a/crates/skylarkwick-entry/src/jobs/intake.rs
+++ b/crates/skylarkwick-entry/src/jobs/intake.rs
@@ -71,12 +71,7 @@
     /// Refuses a submission for which there is no room. Says so only once a row keeps out a late
     /// write of an earlier attempt; if that attempt was stored meanwhile, the job is accepted.
     pub(super) fn refuse(&self, pending: &Pending<'_>) -> SubmitOutcome {
-        let workspace = pending.reference.workspace.cloned();
-        let ended_ms = self.store.clock_ms();
-        let refused = JobRow::Finished { state: FinalState::Refused, ended_ms, workspace };
-        let key = pending.key.clone();
-        let change = Transaction::default().replace(key, Revision::ABSENT, row::encode(&refused));
-        let outcome = match store::commit_with_retry(&self.store, &change) {
+        let outcome = match self.write_refusal(pending, Revision::ABSENT) {
             Outcome::Applied(_) => SubmitOutcome::Full,
             Outcome::Conflict(rows) => self.refuse_existing(pending, rows),
             _ => SubmitOutcome::InDoubt,
@@ -90,10 +85,24 @@
         outcome
     }
 
-    /// Returns the outcome of a refusal that met a row.
+    /// Writes the row of a refusal on condition that the job's row has this revision.
+    fn write_refusal(&self, pending: &Pending<'_>, revision: Revision) -> Outcome {
+        let workspace = pending.reference.workspace.cloned();
+        let ended_ms = self.store.clock_ms();
+        let refused = JobRow::Finished { state: FinalState::Refused, ended_ms, workspace };
+        let key = pending.key.clone();
+        let change = Transaction::default().replace(key, revision, row::encode(&refused));
+        store::commit_with_retry(&self.store, &change)
+    }
+
+    /// Returns the outcome of a refusal that met a row. One of an earlier refusal is written anew:
+    /// an attempt in between may have had room, and its late write is conditional on that row.
     fn refuse_existing(&self, pending: &Pending<'_>, rows: Vec<store::Row>) -> SubmitOutcome {
         match rows.into_iter().next() {
-            Some(row) if is_refused(&row) => SubmitOutcome::Full,
+            Some(row) if is_refused(&row) => match self.write_refusal(pending, row.revision) {
+                Outcome::Applied(_) => SubmitOutcome::Full,
+                _ => SubmitOutcome::InDoubt,
+            },
             Some(row) => self.settle_existing(pending, row).unwrap_or(SubmitOutcome::InDoubt),
             None => SubmitOutcome::InDoubt,
         }
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -431,8 +431,8 @@
         let _ = allotments.try_send(report);
     }
 
-    /// Requests a write of the identifiers of each queue's jobs of which no task has started, and
-    /// of the room for further jobs, for the entry hosts to read, if [`BACKLOG_PERIOD`] has passed since the last attempt.
+    /// Requests a write of the waiting jobs of each queue and of the room for further jobs, for the
+    /// entry hosts to read, if [`BACKLOG_PERIOD`] has passed since the last attempt.
     /// It is skipped and logged if the saver's ring is full.
     fn publish_backlog(&mut self, now: Moment) {
         if now < self.backlog_due {
