Tell since when and why a long-running task has no run

The shard notes when the last run of a task (and of a job) that is over was known to be in progress: at its end, when a report lacks it, and when it is given up. Everything else is computed when it is asked for, from what decisions go by: shard::outage gives each long-running task without a run with the time, what the time counts from (last run, acceptance, or the start of the term), the cause, and the server that is waited for with its latest end. Jobs without any run that have other tasks to start are counted by the same causes. No decision goes by any of it; the ends of the grace became moments of the same meaning (is_silence_over, is_takeover_grace_over).

Memory: one moment a begun task and one a job. A long-running task whose run was seen and has vanished keeps its entry until it is done.

--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -53,10 +53,10 @@
 
 pub mod effect;
 pub mod input;
+pub mod outage;
+pub mod takeover;
 
-pub use self::{
-    hold::Holds, kept::Kept, pool_load::PoolLoad, workspace_load::WorkspaceLoad,
-};
+pub use self::{hold::Holds, kept::Kept, pool_load::PoolLoad, workspace_load::WorkspaceLoad};
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -74,6 +74,7 @@
     save_queue::SaveQueue,
     send_window::SendWindow,
     server::Server,
+    takeover::Unanswered,
 };
 use crate::job::{self, State, task};
 
@@ -145,9 +146,13 @@
     /// When nothing runs any more that an earlier holder has started on a server, if the
     /// platform lists it no more; known after a planned change of the holder.
     settled_servers: BTreeMap<input::ServerId, Moment>,
+    /// What was waited for in vain after the takeover.
+    unanswered: Unanswered,
     fleet: Fleet,
     /// Time of day at the last call of `decide`, in Unix milliseconds.
     unix_ms: u64,
+    /// Whether no other holder could have taken the shard at the last call of `decide`.
+    is_exclusive: bool,
     /// When the last round of housekeeping began.
     last_housekeeping: Moment,
     run_times: RunTimeModel,
@@ -180,8 +185,10 @@
             servers: BTreeMap::new(),
             are_servers_listed: false,
             settled_servers: BTreeMap::new(),
+            unanswered: Unanswered::default(),
             fleet: Fleet::default(),
             unix_ms: 0,
+            is_exclusive: true,
             last_housekeeping: Moment::ZERO,
             run_times: RunTimeModel::default(),
             send_window: SendWindow::default(),
@@ -304,6 +311,7 @@
     ) -> Vec<Effect> {
         self.unix_ms = unix_ms;
         let is_exclusive = now.since(last_confirmed_renewal) < shard_lease::EXCLUSIVE_WINDOW;
+        self.is_exclusive = is_exclusive;
         match is_exclusive {
             true => self.expire_leases(now),
             false => self.cancel_planned(|_| true),
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -60,6 +60,8 @@
     /// Whether a server has started a task. A server that was only sent a start
     /// may not have.
     pub(super) has_started: bool,
+    /// When the last run of a task that has ended was known to be in progress, by this holder.
+    pub(super) last_run: Option<Moment>,
     /// What held its tasks back at the last decision.
     pub(super) hold: Option<Hold>,
     pub(super) outcome: Option<State>,
@@ -93,6 +95,7 @@
             recorded_servers: BTreeSet::new(),
             failed_writes: 0,
             has_started: false,
+            last_run: None,
             hold: None,
             outcome: None,
             occurrences: BTreeMap::new(),
@@ -344,7 +347,7 @@
     }
 
     /// Returns when an occurrence is due; the start of the clock if the job has no schedule.
-    fn due_at(&self, time: Time, occurrence: u32) -> Moment {
+    pub(super) fn due_at(&self, time: Time, occurrence: u32) -> Moment {
         let Some(due_ms) = self.job.due_ms(occurrence) else {
             return Moment::ZERO;
         };
--- a/crates/skylarkwick-request/src/shard/hold.rs
+++ b/crates/skylarkwick-request/src/shard/hold.rs
@@ -27,6 +27,13 @@
     since: Moment,
 }
 
+impl Hold {
+    /// Returns the cause.
+    pub(super) fn cause(self) -> Cause {
+        self.cause
+    }
+}
+
 /// Jobs that are held back, by cause, and the longest time for which one has been.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Holds {
--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -128,14 +128,31 @@
         }
     }
 
-    /// Returns whether all runs are over on a server that has not reported yet:
-    /// those of earlier holders after the takeover grace, and those that moved to
-    /// it with a restart after the longest lease.
+    /// Returns until when at the latest anything that earlier holders have started may be in
+    /// progress on a server that has not answered this holder.
+    pub(super) fn earlier_runs_end(&self, now: Moment, id: &ServerId) -> Moment {
+        match self.servers.get(id) {
+            Some(server) => self.silence_end(now, server),
+            None => {
+                let grace_end = self.takeover_grace_end();
+                self.settled_servers.get(id).map_or(grace_end, |end| grace_end.min(*end))
+            }
+        }
+    }
+
+    /// Returns whether all runs are over on a server that has not reported yet.
+    fn is_silence_over(&self, now: Moment, server: &Server) -> bool {
+        now > self.silence_end(now, server)
+    }
+
+    /// Returns until when the runs on a server that has not reported yet may be in progress:
+    /// those of earlier holders until the takeover grace is over, and those that moved to
+    /// it with a restart until the longest lease is.
     ///
     /// An earlier holder may have extended the leases of a server that it did not know to
     /// have restarted as far as the platform allows. One that started long before this
     /// holder's term has no such lease.
-    fn is_silence_over(&self, now: Moment, server: &Server) -> bool {
+    fn silence_end(&self, now: Moment, server: &Server) -> Moment {
         let Timings { start_window, lease_duration, max_lease, takeover_grace, .. } = self.timings;
         let may_have_longest = server.is_restarted || self.has_started_recently(now, server);
         let grace = match may_have_longest {
@@ -145,8 +162,11 @@
             false => takeover_grace,
         };
         let longest = start_window + max_lease.mul_f64(MAX_LEASE_STRETCH);
-        let is_lease_over = now.since(server.since) > longest;
-        now.since(self.term.since) > grace && (!server.is_restarted || is_lease_over)
+        let grace_end = self.term.since + grace;
+        match server.is_restarted {
+            true => grace_end.max(server.since + longest),
+            false => grace_end,
+        }
     }
 
     /// Returns whether a server has started so late that an earlier holder may have sent it
--- a/crates/skylarkwick-request/src/shard/occurrence.rs
+++ b/crates/skylarkwick-request/src/shard/occurrence.rs
@@ -5,6 +5,8 @@
 
 use std::collections::BTreeMap;
 
+use skylarkwick_version::moment::Moment;
+
 use super::input::ServerId;
 use crate::job::{Job, progress::TaskProgress, ranges::Ranges};
 
@@ -19,8 +21,8 @@
     Assigned(ServerId),
 }
 
-/// A task that is not done: its scheduling state, the progress to store, and the server that its
-/// next run avoids.
+/// A task that is not done: its scheduling state, the progress to store, the server that its next
+/// run avoids, and when it last had a run.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Task {
     pub(super) state: TaskState,
@@ -30,6 +32,9 @@
     /// that was stopped, rejected or missing from a report doesn't change it.
     /// Members of a gang ignore it.
     pub(super) avoided_server: Option<ServerId>,
+    /// When its last run that has ended was known to be in progress, by this holder; kept for
+    /// long-running tasks only.
+    pub(super) last_run: Option<Moment>,
 }
 
 impl Task {
@@ -40,7 +45,7 @@
 
     /// Returns whether the task is as if nothing had happened to it.
     fn is_untouched(&self) -> bool {
-        !self.has_begun() && self.avoided_server.is_none()
+        !self.has_begun() && self.avoided_server.is_none() && self.last_run.is_none()
     }
 }
 
--- a/crates/skylarkwick-request/src/shard/persistence.rs
+++ b/crates/skylarkwick-request/src/shard/persistence.rs
@@ -141,10 +141,12 @@
         };
         let unverified = self.jobs.values().flat_map(|active| &active.unverified_servers);
         let over: BTreeSet<ServerId> = unverified.filter(is_over).cloned().collect();
+        self.unanswered.servers += over.len();
         for (id, active) in &mut self.jobs {
             let known = active.unverified_servers.len();
             active.unverified_servers.retain(|server| !over.contains(server));
             if active.unverified_servers.len() < known {
+                self.unanswered.jobs += 1;
                 self.unsaved_jobs.insert(id.clone());
             }
         }
--- a/crates/skylarkwick-request/src/shard/placement.rs
+++ b/crates/skylarkwick-request/src/shard/placement.rs
@@ -186,13 +186,31 @@
     /// Returns whether any usable server of the pool has the required label and
     /// enough resources, whatever else the request demands.
     pub(super) fn has_room(&self, request: PlacementRequest<'_>) -> bool {
+        self.servers_with_room(request).next().is_some()
+    }
+
+    /// Returns the usable servers of the pool that have the required label and enough resources.
+    pub(super) fn servers_with_room(
+        &self,
+        request: PlacementRequest<'_>,
+    ) -> impl Iterator<Item = &Server> {
+        let required = request.step.reservation().resources();
+        self.labelled_servers(request)
+            .filter(move |server| required.fits_within(&server.available()))
+    }
+
+    /// Returns whether any usable server of the pool has the required label.
+    pub(super) fn has_labelled(&self, request: PlacementRequest<'_>) -> bool {
+        self.labelled_servers(request).next().is_some()
+    }
+
+    /// Returns the usable servers of the pool that have the required label.
+    fn labelled_servers(&self, request: PlacementRequest<'_>) -> impl Iterator<Item = &Server> {
         let PlacementRequest { now, pool, step, .. } = request;
-        let required = step.reservation().resources();
         self.servers
             .values()
-            .filter(|server| required.fits_within(&server.available()))
-            .filter(|server| server.has_label(step.required_label.as_ref()))
-            .any(|server| &*server.info.pool == pool && self.is_usable(now, server))
+            .filter(move |server| server.has_label(step.required_label.as_ref()))
+            .filter(move |server| &*server.info.pool == pool && self.is_usable(now, server))
     }
 
     /// Returns whether a server may get new work: it accepts work itself, and
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -290,12 +290,17 @@
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        if server.runs.get(task).is_some_and(|active_run| active_run.id == run) {
+        let released = server.runs.get(task).filter(|active_run| active_run.id == run);
+        let last_run = released.and_then(|active_run| server.last_run_time(active_run));
+        if released.is_some() {
             server.remove(task);
         }
         let Some(active) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        if let Some(last_run) = last_run {
+            active.record_run_over(TaskPosition::of(task), last_run);
+        }
         let is_finished = active.outcome.is_some();
         let was_assigned = active.unassign(TaskPosition::of(task), id, avoid_server);
         if was_assigned && is_finished {
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -153,7 +153,12 @@
     /// Returns whether all that earlier holders have started is over on servers
     /// that have not answered this holder and did not start recently.
     pub(super) fn is_takeover_grace_over(&self, now: Moment) -> bool {
-        now.since(self.term.since) > self.timings.takeover_grace
+        now > self.takeover_grace_end()
+    }
+
+    /// Returns when the takeover grace is over.
+    pub(super) fn takeover_grace_end(&self) -> Moment {
+        self.term.since + self.timings.takeover_grace
     }
 
     /// Ranks a step. Its timeliness follows from when the occurrence ends if no
--- a/crates/skylarkwick-request/src/shard/round.rs
+++ b/crates/skylarkwick-request/src/shard/round.rs
@@ -193,7 +193,7 @@
     }
 
     /// Returns the number of runs whose starts were not sent or not answered yet.
-    fn count_unconfirmed(&self) -> usize {
+    pub(super) fn count_unconfirmed(&self) -> usize {
         let is_unconfirmed = |stage| matches!(stage, Stage::Planned | Stage::Starting);
         self.servers.values().map(|server| server.count_stage(is_unconfirmed)).sum()
     }
--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -29,6 +29,7 @@
         let known =
             server.runs.get(&finished.task).filter(|active_run| active_run.id <= finished.run);
         let run_time = known.map(|active_run| now.since(active_run.stage_since));
+        let last_run = known.and_then(|active_run| server.last_run_time(active_run));
         if known.is_some() {
             server.remove(&finished.task);
         }
@@ -40,6 +41,9 @@
             (task::RunOutcome::Failed, _) => self.judge_failure(now, id, &finished.task),
             _ => {}
         }
+        if let (Some(last_run), Some(active)) = (last_run, self.jobs.get_mut(&finished.task.job)) {
+            active.record_run_over(TaskPosition::of(&finished.task), last_run);
+        }
         self.apply_run_end(now, id, &finished);
     }
 
--- a/crates/skylarkwick-request/src/shard/send_window.rs
+++ b/crates/skylarkwick-request/src/shard/send_window.rs
@@ -64,6 +64,11 @@
         remaining
     }
 
+    /// Returns whether no further run may be planned while this many are unconfirmed.
+    pub(super) fn is_full(&self, unconfirmed: usize) -> bool {
+        unconfirmed >= self.limit
+    }
+
     /// Records that the limit was reached, so that tasks wait that a server had room for.
     pub(super) fn record_limit(&mut self) {
         self.is_limiting = true;
--- a/crates/skylarkwick-request/src/shard/settled.rs
+++ b/crates/skylarkwick-request/src/shard/settled.rs
@@ -28,7 +28,7 @@
         let leases =
             answered.filter_map(|server| Some((server.id().clone(), server.lease_left(now)?)));
         let mut settled: BTreeMap<ServerId, Duration> = leases.collect();
-        let grace_end = self.term.since + self.timings.takeover_grace;
+        let grace_end = self.takeover_grace_end();
         for id in self.jobs.values().flat_map(|active| &active.unverified_servers) {
             if !self.servers.contains_key(id) {
                 let end = self.settled_servers.get(id).copied().unwrap_or(grace_end);
