Log tasks without a run, and the start and the grace of a takeover

Once a second beside 'activity': 'task without a run' and 'task no longer without a run' for each long-running task that has had none for 3 s, 'tasks without a run left out' with a count, and totals by cause of tasks and of jobs. 'activity' has the number of running long-running tasks, of those without a run, and the longest time. 'term begins' tells the grace, the observation and the readings of the store's clock and the own ones; 'takeover grace over' how many servers never answered and how many jobs waited for them.

--- a/crates/skylarkwick-planner/src/jobs/activity.rs
+++ b/crates/skylarkwick-planner/src/jobs/activity.rs
@@ -9,16 +9,20 @@
 use skylarkwick_version::moment::{Moment, millis};
 use slog::{Logger, info};
 
+use super::{outages::OutageLog, takeover::TakeoverLog};
+
 /// Minimum time between two logs of the activity.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
 /// Work of the holder's duty since its last log: the events that it applied, its decisions,
-/// and the time that these took.
+/// and the time that these took; and what is logged once about tasks and the takeover.
 #[derive(Debug, Default)]
 pub(super) struct Activity {
     events: u64,
     decisions: u64,
     decision_time: Duration,
+    outages: OutageLog,
+    takeover: TakeoverLog,
     /// When the activity is next logged.
     log_due: Moment,
 }
@@ -42,10 +46,15 @@
             return;
         }
         let kept = shard.kept();
+        let outages = self.outages.log(now, shard, log);
+        self.takeover.log(now, shard, log);
         info!(log, "activity"; "events" => self.events, "decisions" => self.decisions,
             "decision_ms" => millis(self.decision_time), "kept_jobs" => kept.jobs,
-            "kept_tasks" => kept.tasks, "kept_bytes" => kept.bytes);
-        *self = Activity { log_due: now + LOG_PERIOD, ..Activity::default() };
+            "kept_tasks" => kept.tasks, "kept_bytes" => kept.bytes,
+            "long_running" => outages.running, "without_run" => outages.count(),
+            "without_run_ms" => millis(outages.longest_time()));
+        (self.events, self.decisions, self.decision_time) = (0, 0, Duration::ZERO);
+        self.log_due = now + LOG_PERIOD;
         for (pool, load) in shard.pool_loads(now) {
             info!(log, "load"; "pool" => &*pool, "jobs" => load.jobs,
                 "servers" => load.servers, "usable" => load.usable, "idle" => load.idle,
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -39,7 +39,7 @@
     permit::{self, Permit},
     poller::Pollers,
     saver::{self, SaveRequest},
-    sweep,
+    sweep, takeover,
     wall_clock::WallClock,
     watch,
 };
@@ -184,8 +184,9 @@
         stop: &StopSignal,
     ) -> io::Result<Holder<O>> {
         let Clients { store, orders, hosts, registry } = clients.clone();
-        let Acquisition { keyspace, fencing_token, number, since, overlap, settled } = acquisition;
-        let timings = super::timings(config, overlap);
+        let timings = super::timings(config, acquisition.overlap);
+        takeover::log_begin(&acquisition, &timings, log);
+        let Acquisition { keyspace, fencing_token, number, since, settled, .. } = acquisition;
         let mut shard = Shard::new(timings, Term { fencing_token, number, since });
         shard.set_settled_servers(settled);
         let duty_context = || (events.clone(), log.clone(), term_end.clone());
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -41,6 +41,22 @@
     /// Servers, and the time from `since` until nothing runs there that an earlier holder has
     /// started, if this holder's list lacks the server; known after a release only.
     pub settled: BTreeMap<ServerId, Duration>,
+    /// The clocks.
+    pub readings: Readings,
+}
+
+/// Readings of the clocks by which a shard was acquired, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct Readings {
+    /// The store's clock when the lease row was read, in milliseconds.
+    pub store_ms: u64,
+    /// The store's clock as this process estimated it just before the write, in milliseconds.
+    pub estimated_ms: u64,
+    /// Time of the last renewal in the row, on the store's clock as its holder estimated it, in
+    /// milliseconds; zero if there was none.
+    pub renewed_ms: u64,
+    /// Time for which this process had seen the row unchanged, on its own clock.
+    pub unchanged: Duration,
 }
 
 /// A shard that is free to acquire.
@@ -155,6 +171,12 @@
             return None;
         };
         let since = Boot.now();
+        let readings = Readings {
+            store_ms: now_ms,
+            estimated_ms: self.store.clock_ms(),
+            renewed_ms: current.as_ref().map_or(0, |current| current.renewed_ms),
+            unchanged: self.observation.duration(),
+        };
         let next = LeaseRow {
             holder: self.entry.to_string(),
             incarnation: self.incarnation.0,
@@ -182,6 +204,7 @@
             since,
             overlap,
             settled,
+            readings,
         })
     }
 
--- a/crates/skylarkwick-version/src/shard_lease.rs
+++ b/crates/skylarkwick-version/src/shard_lease.rs
@@ -98,7 +98,7 @@
     }
 
     /// Returns the time from the first read to the last one.
-    fn duration(self) -> Duration {
+    pub fn duration(self) -> Duration {
         self.last_read.since(self.first_read)
     }
 }
