--- a/crates/skylarkwick-planner/src/jobs/takeover.rs
+++ b/crates/skylarkwick-planner/src/jobs/takeover.rs
@@ -3,32 +3,38 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use skylarkwick_request::shard::{Shard, Timings, takeover::Takeover};
+use skylarkwick_request::shard::{
+    Shard, Timings,
+    takeover::{Takeover, Unanswered},
+};
 use skylarkwick_version::moment::{Moment, millis};
 use slog::{Logger, info};
 
 use super::lease::{Acquisition, Readings};
 
-/// Whether the end of the takeover grace was logged in this term.
+/// How far the takeover of this term was logged.
 #[derive(Debug, Default)]
 pub(super) struct TakeoverLog {
-    is_logged: bool,
+    is_grace_logged: bool,
+    is_complete: bool,
 }
 
 impl TakeoverLog {
-    /// Logs the end of the takeover grace once it is over: how many servers have not answered by
-    /// then, and how many jobs have waited for them.
+    /// Logs the end of the takeover grace: how many servers have not answered by then, and how many
+    /// jobs have waited for them; once more when those that may have longer leases are not waited
+    /// for either.
     pub(super) fn log(&mut self, now: Moment, shard: &Shard, log: &Logger) {
-        if self.is_logged {
+        if self.is_complete {
             return;
         }
         let Takeover { is_grace_over, given_up, awaited } = shard.takeover(now);
-        if is_grace_over {
+        let is_complete = is_grace_over && awaited == Unanswered::default();
+        if is_complete || (is_grace_over && !self.is_grace_logged) {
             info!(log, "takeover grace over"; "unanswered_servers" => given_up.servers,
                 "waited_jobs" => given_up.jobs, "awaited_servers" => awaited.servers,
                 "waiting_jobs" => awaited.jobs);
         }
-        self.is_logged = is_grace_over;
+        (self.is_grace_logged, self.is_complete) = (is_grace_over, is_complete);
     }
 }
 
