--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -2,6 +2,7 @@
 //! effects that it decides on.
 
 mod effects;
+mod reports;
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -12,7 +13,7 @@
 
 use skylarkwick_connection::{
     control::{Hosts, Orders, PollError, Registry},
-    store::{Store, row::BacklogRow},
+    store::Store,
 };
 use skylarkwick_process::{
     clock::{Boot, Clock},
@@ -55,11 +56,6 @@
 const BATCH_WINDOW_PER_DECISION: u32 = 2;
 /// Longest time after an event in which further ones are collected for one decision.
 const MAX_BATCH_WINDOW: Duration = Duration::from_millis(80);
-/// Minimum time between two writes of the backlog, the waiting jobs of each queue; entry
-/// hosts take jobs accepted since the last write as waiting too.
-const BACKLOG_PERIOD: Duration = Duration::from_millis(700);
-/// Time between two reports of what the workspaces need.
-const QUOTA_REPORT_PERIOD: Duration = Duration::from_millis(150);
 /// Time for which the rows of finished jobs are kept after the result retention, the time
 /// for which callers can read a result, has ended.
 const RETENTION_MARGIN: Duration = Duration::from_secs(60);
@@ -411,42 +407,4 @@
         self.report_needs(now);
         self.activity.log_if_due(now, &self.shard, &self.log);
     }
-
-    /// Reports what the workspaces need to the duty that agrees on quotas with other shards,
-    /// every [`QUOTA_REPORT_PERIOD`] and after each change of the limits. If its ring is full, it
-    /// has not taken earlier reports yet; the next one replaces this one.
-    fn report_needs(&mut self, now: Moment) {
-        let Some(allotments) = self.allotments.as_ref().filter(|_| now >= self.quota_report_due)
-        else {
-            return;
-        };
-        self.quota_report_due = now + QUOTA_REPORT_PERIOD;
-        if self.shard.quota_needs().is_empty() {
-            return;
-        }
-        let report = allotments::Report {
-            limits_version: self.quota_limits_version,
-            workspaces: self.shard.workspaces().clone(),
-            needs: self.shard.quota_needs().clone(),
-        };
-        let _ = allotments.try_send(report);
-    }
-
-    /// Requests a write of the waiting jobs of each queue and of the room for further jobs, for the
-    /// entry hosts to read, if [`BACKLOG_PERIOD`] has passed since the last attempt.
-    /// It is skipped and logged if the saver's ring is full.
-    fn publish_backlog(&mut self, now: Moment) {
-        if now < self.backlog_due {
-            return;
-        }
-        self.backlog_due = now + BACKLOG_PERIOD;
-        let room = self.shard_bytes.saturating_sub(self.shard.kept().bytes);
-        if room == 0 {
-            warn!(self.log, "no room for jobs"; "limit_bytes" => self.shard_bytes);
-        }
-        let row = BacklogRow::new(self.shard.backlog(), room);
-        if self.saver.try_send(SaveRequest::Backlog(row)).is_err() {
-            warn!(self.log, "backlog not saved"; "because" => "the saver's ring is full");
-        }
-    }
 }
