--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -128,7 +128,7 @@
 /// lease is [`RUN_LEASE`], or 90 % of the platform's limit if that is shorter. The takeover
 /// grace is 103 % of the run lease plus [`TAKEOVER_MARGIN`], after `overlap`, the time for
 /// which earlier holders may still act and renew the leases of their runs.
-fn timings(config: &Config, overlap: Duration) -> Timings {
+pub fn timings(config: &Config, overlap: Duration) -> Timings {
     let lease_duration = RUN_LEASE.min(config.max_run_lease.mul_f64(0.9));
     Timings {
         lease_duration,
