Let a holder's grants end by its last renewal, so that the next one knows when they are over

Cause: a new holder waited for the time that the earlier one may act without the store, 4.7 s, and for a full lease after that, 4.6 s, both counted from its own acquisition. A holder granted full leases up to its last moment.

Change: no lease of a run ends later than 7.6 s after the last confirmed renewal of the shard's lease was sent. Who takes over has read the row first after that renewal and counts from there; what holders before have granted is carried on in the row, in a field that the release before skips. A holder of that release counts as before.

--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -293,8 +293,9 @@
 }
 
 /// Row of a shard's lease: its holder, the holder's number and fencing token, the time of
-/// the last renewal, and until when holders before this one may act.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// the last renewal, until when holders before this one may act, and until when what they have
+/// started may run.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRow {
     /// The entry host of the holder; empty if the lease was released.
     pub holder: String,
@@ -316,6 +317,11 @@
     /// has started. Empty in other rows, and in those of an earlier release.
     #[serde(deserialize_with = "decode_later_field")]
     pub settled: Vec<(String, u64)>,
+    /// Time on the store's clock, in milliseconds, at which the leases of runs end that holders
+    /// before this one may have granted; `None` in a row of an earlier release, which ends before
+    /// this field.
+    #[serde(deserialize_with = "decode_later_field")]
+    pub granted_until_ms: Option<u64>,
 }
 
 /// Decodes a field that an earlier release did not write; its default if the row ends before
@@ -341,6 +347,7 @@
             incarnation: Incarnation(row.incarnation),
             renewed_ms: row.renewed_ms,
             earlier_until_ms: row.earlier_until_ms,
+            granted_until_ms: row.granted_until_ms,
         }
     }
 }
--- a/crates/skylarkwick-connection/tests/damaged_rows.rs
+++ b/crates/skylarkwick-connection/tests/damaged_rows.rs
@@ -149,6 +149,7 @@
         renewed_ms: 4,
         earlier_until_ms: Some(5),
         settled: vec![("a".to_owned(), 6)],
+        granted_until_ms: Some(7),
     };
     let order = HostOrderRow { holder: "entry".to_owned(), fencing: 3, ordered_ms: 4 };
     let wave = WaveRow { started: vec!["m-1".to_owned()], due_ms: 9 };
--- a/crates/skylarkwick-connection/tests/earlier_rows.rs
+++ b/crates/skylarkwick-connection/tests/earlier_rows.rs
@@ -31,8 +31,16 @@
 
 fn lease(earlier_until_ms: Option<u64>) -> LeaseRow {
     let EarlierLease { holder, incarnation, number, fencing, renewed_ms } = earlier_lease();
-    let settled = Vec::new();
-    LeaseRow { holder, incarnation, number, fencing, renewed_ms, earlier_until_ms, settled }
+    LeaseRow {
+        holder,
+        incarnation,
+        number,
+        fencing,
+        renewed_ms,
+        earlier_until_ms,
+        settled: Vec::new(),
+        granted_until_ms: None,
+    }
 }
 
 /// Guards against numbers of holders that begin anew, because the row no longer decodes.
@@ -51,6 +59,31 @@
     }
 }
 
+/// The lease row of the release that hands servers on, and does not limit what it grants.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct UnlimitedLease {
+    earlier: EarlierLease,
+    earlier_until_ms: Option<u64>,
+    settled: Vec<(String, u64)>,
+}
+
+/// Guards against a holder of the release before that is taken to limit what it grants, and
+/// against one that can't read the row of a holder that does.
+#[test]
+fn unlimited_lease_read() {
+    let settled = vec![("a".to_owned(), 70)];
+    let earlier_until_ms = Some(9_000_000);
+    let row =
+        UnlimitedLease { earlier: earlier_lease(), earlier_until_ms, settled: settled.clone() };
+    let read = row::decode::<LeaseRow>(&row::encode(&row)).expect("it decodes");
+    assert_eq!(read, LeaseRow { settled, ..lease(earlier_until_ms) });
+    let limited = LeaseRow { granted_until_ms: Some(9_500_000), ..read };
+    let read_back = row::decode::<LeaseRow>(&row::encode(&limited)).expect("it decodes");
+    assert_eq!(read_back, limited);
+    let read = row::decode::<UnlimitedLease>(&row::encode(&limited));
+    assert_eq!(read.expect("the release before decodes it"), row);
+}
+
 /// The progress row as the release before wrote and read it.
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct EarlierProgress {
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -124,18 +124,24 @@
     }
 }
 
-/// Returns the durations that the shard uses in a term, the time of one holder. The run
-/// lease is [`RUN_LEASE`], or 90 % of the platform's limit if that is shorter. The takeover
-/// grace is 103 % of the run lease plus [`TAKEOVER_MARGIN`], after `overlap`, the time for
-/// which earlier holders may still act and renew the leases of their runs.
-pub fn timings(config: &Config, overlap: Duration) -> Timings {
-    let lease_duration = RUN_LEASE.min(config.max_run_lease.mul_f64(0.9));
+impl Config {
+    /// Returns the lease that a holder grants to runs: [`RUN_LEASE`], or 90 % of the platform's
+    /// limit if that is shorter.
+    pub fn run_lease(&self) -> Duration {
+        RUN_LEASE.min(self.max_run_lease.mul_f64(0.9))
+    }
+}
+
+/// Returns the durations that the shard uses in a term, the time of one holder. The takeover
+/// grace is 103 % of `granted`, the time for which the leases last that earlier holders may have
+/// granted by the servers' clocks, plus [`TAKEOVER_MARGIN`].
+pub fn timings(config: &Config, granted: Duration) -> Timings {
     Timings {
-        lease_duration,
+        lease_duration: config.run_lease(),
         max_lease: config.max_run_lease,
         start_window: START_WINDOW,
         // Leases of runs count as 3 % longer here than they were granted.
-        takeover_grace: overlap + lease_duration.mul_f64(1.03) + TAKEOVER_MARGIN,
+        takeover_grace: granted.mul_f64(1.03) + TAKEOVER_MARGIN,
         outage_threshold: config.outage_threshold,
         maintenance_duration: config.maintenance_duration,
     }
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -160,7 +160,7 @@
 impl<O: Orders> Holder<O> {
     /// Reads the stored jobs into a new shard and starts the other duties of the term, which
     /// send their events to `events`. `acquisition` gives the fencing token of the term, the
-    /// number of its holder, its start, and for how long earlier holders may still act.
+    /// number of its holder, its start, and what earlier holders may still do.
     ///
     /// The duties that watch the servers, operator changes, hosts and jobs, and the sweep, end
     /// at `term_end`. The saver, the pollers, the dispatch duty and the duty that sends host
@@ -180,7 +180,7 @@
         stop: &StopSignal,
     ) -> io::Result<Holder<O>> {
         let Clients { store, orders, hosts, registry } = clients.clone();
-        let timings = super::timings(config, acquisition.overlap);
+        let timings = super::timings(config, acquisition.earlier.granted);
         takeover::log_begin(&acquisition, &timings, log);
         let Acquisition { keyspace, fencing_token, number, since, settled, .. } = acquisition;
         let mut shard = Shard::new(timings, Term { fencing_token, number, since });
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -13,7 +13,7 @@
     lease::Incarnation,
     moment::{Moment, millis},
     revision::Revision,
-    shard_lease::{self, Decision, Observation, Record},
+    shard_lease::{self, Decision, Observation, Record, Remainder},
     sharding::ShardId,
 };
 use slog::{Logger, info, warn};
@@ -36,8 +36,8 @@
     pub number: u64,
     /// Time just before the lease was written, on the boot-time clock.
     pub since: Moment,
-    /// Time from `since` for which earlier holders may still act.
-    pub overlap: Duration,
+    /// What earlier holders may still do, counted from `since`.
+    pub earlier: Remainder,
     /// Servers, and the time from `since` until nothing runs there that an earlier holder has
     /// started, if this holder's list lacks the server; known after a release only.
     pub settled: BTreeMap<ServerId, Duration>,
@@ -91,6 +91,8 @@
     keyspace: Keyspace,
     entry: Arc<str>,
     incarnation: Incarnation,
+    /// Lease that holders grant to runs.
+    run_lease: Duration,
     log: Logger,
     /// The row and its revision; `None` while this process does not hold the lease.
     held: Option<(Revision, LeaseRow)>,
@@ -121,6 +123,7 @@
             keyspace,
             entry,
             incarnation,
+            run_lease: config.run_lease(),
             log,
             held: None,
             releasable_from: Moment::ZERO,
@@ -155,7 +158,8 @@
     /// invalid.
     fn decision(&self, current: Option<&LeaseRow>, now_ms: u64) -> Decision {
         let holder = current.map(Record::from);
-        shard_lease::decide(holder.as_ref(), self.observation, &self.entry, now_ms)
+        let (observation, run_lease) = (self.observation, self.run_lease);
+        shard_lease::decide(holder.as_ref(), observation, &self.entry, now_ms, run_lease)
     }
 
     /// Acquires the lease if its row is still as it was read for [`Self::observe`]. The same
@@ -167,9 +171,10 @@
     /// because this process may have been paused in between.
     pub fn acquire(&mut self, stored: &Row, now_ms: u64) -> Option<Acquisition> {
         let current = self.decode(stored);
-        let Decision::Acquire { overlap } = self.decision(current.as_ref(), now_ms) else {
+        let Decision::Acquire(earlier) = self.decision(current.as_ref(), now_ms) else {
             return None;
         };
+        let Remainder { overlap, granted } = earlier;
         let since = Boot.now();
         let readings = Readings {
             store_ms: now_ms,
@@ -185,6 +190,7 @@
             renewed_ms: self.store.clock_ms(),
             earlier_until_ms: Some(now_ms.saturating_add(millis(overlap))),
             settled: Vec::new(),
+            granted_until_ms: Some(now_ms.saturating_add(millis(granted))),
         };
         let transaction = self.lease_transaction(stored.revision, &next);
         let fence = row::encode(&self.entry.to_string());
@@ -193,6 +199,7 @@
         let number = next.number;
         info!(self.log, "shard taken"; "shard" => %self.shard(), "fencing" => revision.0,
             "number" => number, "step" => step(overlap), "overlap_ms" => millis(overlap),
+            "granted_ms" => millis(granted),
             "before" => current.as_ref().map(|current| current.holder.clone()).unwrap_or_default());
         let settled = current.map(|current| settled(current, now_ms)).unwrap_or_default();
         self.held = Some((revision, LeaseRow { fencing: revision.0, ..next }));
@@ -202,7 +209,7 @@
             fencing_token: revision.0,
             number,
             since,
-            overlap,
+            earlier,
             settled,
             readings,
         })
--- a/crates/skylarkwick-planner/src/jobs/takeover.rs
+++ b/crates/skylarkwick-planner/src/jobs/takeover.rs
@@ -41,10 +41,11 @@
 /// Logs the start of a term: how long it waits for earlier holders and their runs, and the readings
 /// of the store's clock and of this host's.
 pub(super) fn log_begin(acquisition: &Acquisition, timings: &Timings, log: &Logger) {
-    let Acquisition { number, since, overlap, settled, readings, .. } = acquisition;
+    let Acquisition { number, since, earlier, settled, readings, .. } = acquisition;
     let Readings { store_ms, estimated_ms, renewed_ms, unchanged } = readings;
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    info!(log, "term begins"; "number" => number, "overlap_ms" => millis(*overlap),
+    info!(log, "term begins"; "number" => number, "overlap_ms" => millis(earlier.overlap),
+        "granted_ms" => millis(earlier.granted),
         "grace_ms" => millis(timings.takeover_grace),
         "run_lease_ms" => millis(timings.lease_duration),
         "max_lease_ms" => millis(timings.max_lease), "settled_servers" => settled.len(),
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -102,8 +102,8 @@
     /// server rejects the start after that.
     pub start_window: Duration,
     /// Time after a takeover in which runs of the previous holder may still be
-    /// unknown: how long that holder may act without its lease, plus the lease
-    /// of the runs it starts until then, plus a margin. After it, the runs of
+    /// unknown: how long the leases last that it may have granted, which end by
+    /// [`shard_lease::GRANT_LIMIT`], plus a margin. After it, the runs of
     /// previous holders count as over on servers that have not answered; on those
     /// that started recently, after the longest lease in place of that lease.
     pub takeover_grace: Duration,
@@ -151,6 +151,9 @@
     fleet: Fleet,
     /// Time of day at the last call of `decide`, in Unix milliseconds.
     unix_ms: u64,
+    /// When all leases of runs end that may be granted now, by the last renewal of the shard's
+    /// lease.
+    grants_end: Moment,
     /// Whether no other holder could have taken the shard at the last call of `decide`.
     is_exclusive: bool,
     /// When the last round of housekeeping began.
@@ -188,6 +191,7 @@
             unanswered: Unanswered::default(),
             fleet: Fleet::default(),
             unix_ms: 0,
+            grants_end: term.since + shard_lease::GRANT_LIMIT,
             is_exclusive: true,
             last_housekeeping: Moment::ZERO,
             run_times: RunTimeModel::default(),
@@ -302,7 +306,9 @@
     /// holder can have taken the shard: the next holder may reach a server that
     /// this one can't. After that, starts that were not sent are cancelled, and
     /// tasks start only on servers that are recorded with their job, because
-    /// the next holder asks those.
+    /// the next holder asks those. No lease of a run lasts longer than
+    /// [`shard_lease::GRANT_LIMIT`] from that time, because the next holder
+    /// waits for no later one.
     pub fn decide(
         &mut self,
         now: Moment,
@@ -310,6 +316,7 @@
         last_confirmed_renewal: Moment,
     ) -> Vec<Effect> {
         self.unix_ms = unix_ms;
+        self.grants_end = last_confirmed_renewal + shard_lease::GRANT_LIMIT;
         let is_exclusive = now.since(last_confirmed_renewal) < shard_lease::EXCLUSIVE_WINDOW;
         self.is_exclusive = is_exclusive;
         match is_exclusive {
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -129,11 +129,13 @@
 
     /// Sends the polls that are due. One that waits for run ends to be stored
     /// is due early once they are, but not before `poll_spacing` has passed. A
-    /// poll renews the server's lease for `lease_duration`, unless the server
-    /// is unreachable or its clock is unknown, and acknowledges run ends that
+    /// poll renews the server's lease for `lease_duration` at most (see
+    /// `grantable`), unless the server is unreachable or its clock is unknown,
+    /// and acknowledges run ends that
     /// are stored, see [`Server::next_acknowledgement`].
     pub(super) fn send_due_polls(&mut self, now: Moment) {
         let spacing = self.poll_spacing();
+        let lease = self.grantable(now, self.timings.lease_duration);
         for server in self.servers.values_mut() {
             let is_save_done = server.awaits_save
                 && server.last_seen_end == server.last_saved_end
@@ -143,7 +145,7 @@
             }
             // A poll without an answer may have renewed the lease, so further
             // polls don't renew it until the server answers.
-            let renewed_until_ms = server.deadline_ms(now, self.timings.lease_duration);
+            let renewed_until_ms = lease.and_then(|lease| server.deadline_ms(now, lease));
             let lease_until_ms =
                 renewed_until_ms.filter(|_| server.is_fenced && !server.is_unreachable);
             server.lease_until_ms = server.lease_until_ms.max(lease_until_ms);
@@ -157,6 +159,13 @@
         }
     }
 
+    /// Returns for how long a lease that is granted now may last of `longest`; `None` once the
+    /// time for grants is over, because the lease of the shard was not renewed.
+    pub(super) fn grantable(&self, now: Moment, longest: Duration) -> Option<Duration> {
+        let left = self.grants_end.since(now).min(longest);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Updates a run that a server reports as running: its percentage, tail
     /// latency and checkpoint; one whose start was not answered is now in progress. If
     /// this holder knows no run of the task there, the run is adopted if
--- a/crates/skylarkwick-request/src/shard/starts.rs
+++ b/crates/skylarkwick-request/src/shard/starts.rs
@@ -47,14 +47,15 @@
 
     /// Sends a planned start, which the server must not carry out later than
     /// `start_window` from now; its lease counts as lasting at least until
-    /// then. Releases the run instead if the server is not usable any more or
-    /// its clock is unknown. Does nothing if the task has no planned run there.
+    /// then. Releases the run instead if the server is not usable any more, its
+    /// clock is unknown or no lease may be granted any more. Does nothing if the task has no planned run there.
     pub(super) fn send_start(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
         let is_usable = self.servers.get(id).is_some_and(|server| self.is_usable(now, server));
+        let window = self.grantable(now, self.timings.start_window).filter(|_| is_usable);
         let Some(server) = self.servers.get_mut(id) else {
             return;
         };
-        let until_ms = server.deadline_ms(now, self.timings.start_window).filter(|_| is_usable);
+        let until_ms = window.and_then(|window| server.deadline_ms(now, window));
         let target = server.target(self.term.fencing_token);
         let Some(active_run) =
             server.runs.get_mut(task).filter(|active_run| active_run.stage == Stage::Planned)
--- a/crates/skylarkwick-version/src/shard_lease.rs
+++ b/crates/skylarkwick-version/src/shard_lease.rs
@@ -29,13 +29,17 @@
 /// Time after its last confirmed renewal for which a holder continues; after it, the
 /// holder stops acting for the shard. The store may be unavailable to every process, and
 /// then none can have taken over.
-pub const MAX_RENEWAL_GAP: Duration = Duration::from_millis(7000);
+pub const MAX_RENEWAL_GAP: Duration = Duration::from_millis(7400);
+/// Time, counted from when a renewal that was then confirmed was sent, at which all leases of
+/// runs that the holder grants end, so that the next holder knows when they are over.
+pub const GRANT_LIMIT: Duration = Duration::from_millis(7600);
 /// Longest time after an acquisition for which an earlier holder may still act: it continues
 /// this long after its lease has expired.
 pub const HOLDER_OVERLAP: Duration = MAX_RENEWAL_GAP.saturating_sub(LEASE_DURATION);
 
 /// Lease row of a shard, as far as it matters for acquiring the shard: its holder, if any,
-/// the time of the last renewal, and until when holders before that one may act.
+/// the time of the last renewal, and until when holders before that one may act and the runs
+/// to which they have granted a lease may go on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
     /// Entry host of the holder; none if the shard was released.
@@ -47,31 +51,75 @@
     /// Time on the store's clock, in milliseconds, until which a holder before this one may
     /// act; none if an earlier release has written the row, which does not tell.
     pub earlier_until_ms: Option<u64>,
+    /// Time on the store's clock, in milliseconds, at which the leases end that holders before
+    /// this one may have granted, by the servers' clocks; none if an earlier release has written
+    /// the row, whose holder does not keep to [`GRANT_LIMIT`] either.
+    pub granted_until_ms: Option<u64>,
+}
+
+/// What earlier holders of a shard, the last one or those before it, may still do after an
+/// acquisition.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Remainder {
+    /// Time for which they may act: at most [`HOLDER_OVERLAP`], and zero if all have certainly
+    /// stopped.
+    pub overlap: Duration,
+    /// Time for which the leases of runs last that they have granted or may still grant, by the
+    /// servers' clocks.
+    pub granted: Duration,
 }
 
 /// What a process does about a shard that it does not hold, see [`decide`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// Acquire the shard. Earlier holders, the last one or those before it, may still act
-    /// for this long.
-    Acquire {
-        /// At most [`HOLDER_OVERLAP`]; zero if all earlier holders have certainly stopped.
-        overlap: Duration,
-    },
+    /// Acquire the shard.
+    Acquire(Remainder),
     /// Leave the shard to its holder.
     Wait,
 }
 
 impl Record {
-    /// Returns for how long a holder before the one in the row may still act.
+    /// Returns what holders before the one in the row may still do. `run_lease` is the lease of
+    /// a run.
     ///
-    /// Without that time in the row, its holder may have taken over as late as with its last
-    /// renewal.
-    fn earlier_overlap(&self, now_ms: u64) -> Duration {
+    /// Without the times in the row, its holder may have taken over as late as with its last
+    /// renewal, and those before it have granted as long as they could act.
+    fn earlier(&self, now_ms: u64, run_lease: Duration) -> Remainder {
+        let time_left = |until_ms: u64| Duration::from_millis(until_ms.saturating_sub(now_ms));
         let until_ms = self
             .earlier_until_ms
             .unwrap_or_else(|| self.renewed_ms.saturating_add(millis(HOLDER_OVERLAP)));
-        Duration::from_millis(until_ms.saturating_sub(now_ms)).min(HOLDER_OVERLAP)
+        let overlap = time_left(until_ms).min(HOLDER_OVERLAP);
+        let unlimited = overlap + run_lease;
+        let granted = self.granted_until_ms.map_or(unlimited, time_left);
+        Remainder { overlap, granted: granted.min(HOLDER_OVERLAP + run_lease) }
+    }
+
+    /// Returns what the holder in the row may still do, which has not renewed the lease for
+    /// longer than [`LEASE_DURATION`]. `unchanged` is the time since an observer has read the row
+    /// first, which the holder's last renewal can't be later than.
+    fn last(&self, unchanged: Duration, run_lease: Duration) -> Remainder {
+        let unlimited = HOLDER_OVERLAP + run_lease;
+        let granted = match self.granted_until_ms {
+            Some(_) => GRANT_LIMIT.saturating_sub(unchanged).min(unlimited),
+            None => unlimited,
+        };
+        Remainder { overlap: HOLDER_OVERLAP, granted }
+    }
+}
+
+impl Remainder {
+    /// Returns what remains of a holder that has ended: the leases that it has granted.
+    fn ended(run_lease: Duration) -> Remainder {
+        Remainder { overlap: Duration::ZERO, granted: run_lease }
+    }
+
+    /// Returns what several holders may still do.
+    fn or(self, other: Remainder) -> Remainder {
+        Remainder {
+            overlap: self.overlap.max(other.overlap),
+            granted: self.granted.max(other.granted),
+        }
     }
 }
 
@@ -110,24 +158,27 @@
 /// answer was lost; the holders before it may still act.
 ///
 /// `record` is the row, or none if it was never written. `own_entry` is the entry
-/// host of this process, and `now_ms` the store's clock in milliseconds.
+/// host of this process, `now_ms` the store's clock in milliseconds, and `run_lease` the lease
+/// that holders grant to runs.
 pub fn decide(
     record: Option<&Record>,
     observation: Observation,
     own_entry: &str,
     now_ms: u64,
+    run_lease: Duration,
 ) -> Decision {
     let Some(record) = record else {
-        return Decision::Acquire { overlap: Duration::ZERO };
+        return Decision::Acquire(Remainder::default());
     };
     let since_renewal = Duration::from_millis(now_ms.saturating_sub(record.renewed_ms));
+    let earlier = record.earlier(now_ms, run_lease);
     match &record.entry {
-        None => Decision::Acquire { overlap: record.earlier_overlap(now_ms) },
+        None => Decision::Acquire(earlier.or(Remainder::ended(run_lease))),
         Some(entry) if entry == own_entry => {
-            Decision::Acquire { overlap: record.earlier_overlap(now_ms) }
+            Decision::Acquire(earlier.or(Remainder::ended(run_lease)))
         }
         Some(_) if since_renewal >= LEASE_DURATION && observation.duration() >= MIN_OBSERVATION => {
-            Decision::Acquire { overlap: HOLDER_OVERLAP }
+            Decision::Acquire(earlier.or(record.last(observation.duration(), run_lease)))
         }
         Some(_) => Decision::Wait,
     }
--- a/crates/skylarkwick-version/tests/lease_overlap.rs
+++ b/crates/skylarkwick-version/tests/lease_overlap.rs
@@ -7,12 +7,14 @@
     moment::Moment,
     revision::Revision,
     shard_lease::{
-        Decision, HOLDER_OVERLAP, LEASE_DURATION, MIN_OBSERVATION, Observation, Record, decide,
+        Decision, HOLDER_OVERLAP, LEASE_DURATION, MIN_OBSERVATION, Observation, Record, Remainder,
+        decide,
     },
 };
 
 const OWN_ENTRY: &str = "entry-1";
 const NOW_MS: u64 = 60_000;
+const RUN_LEASE: Duration = Duration::from_millis(4600);
 
 fn ms(time: u64) -> Duration {
     Duration::from_millis(time)
@@ -25,11 +27,17 @@
         incarnation: Incarnation(1),
         renewed_ms: NOW_MS,
         earlier_until_ms,
+        granted_until_ms: None,
     }
 }
 
 fn acquire(record: &Record) -> Decision {
-    decide(Some(record), Observation::default(), OWN_ENTRY, NOW_MS)
+    decide(Some(record), Observation::default(), OWN_ENTRY, NOW_MS, RUN_LEASE)
+}
+
+/// The decision after which earlier holders may act for this long, and grant leases until then.
+fn acquired_with(overlap: Duration) -> Decision {
+    Decision::Acquire(Remainder { overlap, granted: overlap + RUN_LEASE })
 }
 
 /// Guards against a holder that took over, restarts, and starts tasks anew which the holder
@@ -37,21 +45,21 @@
 #[test]
 fn restart_keeps_overlap() {
     let record = record(Some(OWN_ENTRY), Some(NOW_MS + 3300));
-    assert_eq!(acquire(&record), Decision::Acquire { overlap: ms(3300) });
+    assert_eq!(acquire(&record), acquired_with(ms(3300)));
 }
 
 /// Guards against the same after a planned hand-over.
 #[test]
 fn release_keeps_overlap() {
     let record = record(None, Some(NOW_MS + 3300));
-    assert_eq!(acquire(&record), Decision::Acquire { overlap: ms(3300) });
+    assert_eq!(acquire(&record), acquired_with(ms(3300)));
 }
 
 #[test]
 fn past_overlap_over() {
     for entry in [Some(OWN_ENTRY), None] {
         let record = record(entry, Some(NOW_MS - 1));
-        assert_eq!(acquire(&record), Decision::Acquire { overlap: Duration::ZERO });
+        assert_eq!(acquire(&record), acquired_with(Duration::ZERO));
     }
 }
 
@@ -64,26 +72,26 @@
         renewed_ms: NOW_MS - u64::try_from(LEASE_DURATION.as_millis()).unwrap(),
         ..record(Some("entry-2"), Some(0))
     };
-    let decision = decide(Some(&taken), observation, OWN_ENTRY, NOW_MS);
-    assert_eq!(decision, Decision::Acquire { overlap: HOLDER_OVERLAP });
+    let decision = decide(Some(&taken), observation, OWN_ENTRY, NOW_MS, RUN_LEASE);
+    assert_eq!(decision, acquired_with(HOLDER_OVERLAP));
 }
 
 /// A row of an earlier release does not tell whether its holder had taken over.
 #[test]
 fn unknown_overlap_assumed() {
     let record = record(Some(OWN_ENTRY), None);
-    assert_eq!(acquire(&record), Decision::Acquire { overlap: HOLDER_OVERLAP });
+    assert_eq!(acquire(&record), acquired_with(HOLDER_OVERLAP));
 }
 
 /// Guards against a shard that starts nothing, because its row was damaged.
 #[test]
 fn overlap_is_bounded() {
     let record = record(None, Some(u64::MAX));
-    assert_eq!(acquire(&record), Decision::Acquire { overlap: HOLDER_OVERLAP });
+    assert_eq!(acquire(&record), acquired_with(HOLDER_OVERLAP));
 }
 
 #[test]
 fn first_holder_alone() {
-    let decision = decide(None, Observation::default(), OWN_ENTRY, NOW_MS);
-    assert_eq!(decision, Decision::Acquire { overlap: Duration::ZERO });
+    let decision = decide(None, Observation::default(), OWN_ENTRY, NOW_MS, RUN_LEASE);
+    assert_eq!(decision, Decision::Acquire(Remainder::default()));
 }
