Count what becomes of connections and requests in the stop of a listener

Cause: a stop that drops requests of callers could not be told from one that does not, neither in a log nor in a test.

--- a/crates/skylarkwick-connection/src/listen.rs
+++ b/crates/skylarkwick-connection/src/listen.rs
@@ -13,6 +13,7 @@
 mod request;
 mod response;
 mod slot;
+mod tally;
 
 use std::{
     io,
@@ -21,7 +22,10 @@
     time::Duration,
 };
 
-use skylarkwick_process::duty::{Duty, StopSignal};
+use skylarkwick_process::{
+    clock::{Boot, Clock},
+    duty::{Duty, StopSignal},
+};
 use slog::{Logger, warn};
 use tokio::{
     net::TcpListener,
@@ -115,7 +119,7 @@
 }
 
 /// Accepts and serves connections until the stop signal, and then waits until each of them
-/// has ended.
+/// has ended; logs what became of them.
 async fn serve<H: Handler>(
     listener: TcpListener,
     limits: Limits,
@@ -162,6 +166,9 @@
     }
     drop(listener);
     drop(is_stopping);
+    let started = Boot.now();
+    slots.begin_stop();
     stopping.send_replace(true);
     stopping.closed().await;
+    slots.report_stop(log, Boot.now().since(started));
 }
--- a/crates/skylarkwick-connection/src/listen/connection.rs
+++ b/crates/skylarkwick-connection/src/listen/connection.rs
@@ -17,6 +17,7 @@
     handler::Admission,
     limits::MAX_HEAD_BYTES,
     slot::{Slot, Stream},
+    tally::Outcome,
 };
 
 /// Time that a caller has to complete a request, or to take a response, after the stop
@@ -50,7 +51,10 @@
         biased;
         _ = connection.as_mut() => return,
         _ = slot.ended() => return,
-        _ = is_stopping.changed() => connection.as_mut().graceful_shutdown(),
+        _ = is_stopping.changed() => {
+            slot.count_idle();
+            connection.as_mut().graceful_shutdown();
+        }
     }
     while timeout(TRANSFER_TIMEOUT, connection.as_mut()).await.is_err() {
         if !slot.is_handling() {
@@ -68,17 +72,20 @@
     let (head, body) = request.into_parts();
     let head = Head::new(head);
     let may_go_on = slot.begin_request();
-    let response = match handler.admit(&head) {
-        Admission::Answer(response) => response,
+    let (response, outcome) = match handler.admit(&head) {
+        Admission::Answer(response) => (response, Outcome::Refused),
         Admission::Read { ticket, max_body_bytes, busy_status } => {
             match body::read(body, max_body_bytes, &slot).await {
-                Ok(body) => handle(Request::new(head, body), ticket, handler, &slot).await,
-                Err(error) => refuse(error, busy_status),
+                Ok(body) => {
+                    let request = Request::new(head, body);
+                    (handle(request, ticket, handler, &slot).await, Outcome::Handled)
+                }
+                Err(error) => (refuse(error, busy_status), Outcome::Refused),
             }
         }
     };
     slot.release();
-    slot.enter(Phase::Response);
+    slot.respond(outcome);
     Ok(match may_go_on {
         true => response.into(),
         false => response.with_unique_header("Connection", "close").into(),
--- a/crates/skylarkwick-connection/src/listen/slot.rs
+++ b/crates/skylarkwick-connection/src/listen/slot.rs
@@ -6,6 +6,7 @@
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
+    time::Duration,
 };
 
 use skylarkwick_process::clock::{Boot, Clock};
@@ -19,10 +20,11 @@
 use super::{
     gate::{ConnectionId, Eviction, Gate, Phase, Reason},
     limits::Limits,
+    tally::{Outcome, Tally},
 };
 
-/// The connections of a listener: the decisions about them, the signals that end them, and how
-/// many ended for each reason since the last report.
+/// The connections of a listener: the decisions about them, the signals that end them, how
+/// many ended for each reason since the last report, and the counts of the stop.
 #[derive(Debug)]
 pub(super) struct Slots {
     state: Mutex<State>,
@@ -33,13 +35,16 @@
     gate: Gate,
     ends: BTreeMap<ConnectionId, Arc<Notify>>,
     counts: BTreeMap<Reason, u64>,
+    /// Counts since the stop signal; `None` before it.
+    tally: Option<Tally>,
 }
 
 impl Slots {
     /// Creates the state of a listener without connections.
     pub(super) fn new(limits: Limits) -> Arc<Slots> {
         let gate = Gate::new(limits);
-        let state = State { gate, ends: BTreeMap::new(), counts: BTreeMap::new() };
+        let (ends, counts) = (BTreeMap::new(), BTreeMap::new());
+        let state = State { gate, ends, counts, tally: None };
         Arc::new(Slots { state: Mutex::new(state) })
     }
 
@@ -64,6 +69,16 @@
         }
     }
 
+    /// Begins to count what becomes of connections and requests.
+    pub(super) fn begin_stop(&self) {
+        self.state().tally = Some(Tally::default());
+    }
+
+    /// Logs the counts of a stop that took this long.
+    pub(super) fn report_stop(&self, log: &Logger, duration: Duration) {
+        self.state().tally.unwrap_or_default().report(log, duration);
+    }
+
     /// Ends the connections that have had no progress for too long, and logs how many ended for
     /// each reason since the last call, one line a reason.
     pub(super) fn sweep(&self, log: &Logger) {
@@ -83,6 +98,13 @@
         *self.counts.entry(reason).or_default() += 1;
     }
 
+    /// Counts something if the listener is stopping.
+    fn count_stop(&mut self, count: impl FnOnce(&mut Tally)) {
+        if let Some(tally) = &mut self.tally {
+            count(tally);
+        }
+    }
+
     /// Signals connections that they have to end.
     fn end_all(&mut self, evictions: impl IntoIterator<Item = Eviction>) {
         for Eviction { connection, reason } in evictions {
@@ -119,6 +141,20 @@
         self.slots.state().gate.enter(self.id, phase, Boot.now());
     }
 
+    /// Records that a request has its response, which is written next.
+    pub(super) fn respond(&self, outcome: Outcome) {
+        self.enter(Phase::Response);
+        self.slots.state().count_stop(|tally| tally.count_response(outcome));
+    }
+
+    /// Counts the connection as closed by the listener if it is idle.
+    pub(super) fn count_idle(&self) {
+        let mut state = self.slots.state();
+        if state.gate.phase(self.id) == Some(Phase::Idle) {
+            state.count_stop(Tally::count_idle);
+        }
+    }
+
     /// Returns whether a request that was read is being handled.
     pub(super) fn is_handling(&self) -> bool {
         self.slots.state().gate.phase(self.id) == Some(Phase::Handling)
@@ -148,6 +184,8 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let mut state = self.slots.state();
+        let phase = state.gate.phase(self.id);
+        state.count_stop(|tally| tally.count_end(phase));
         state.gate.close(self.id);
         state.ends.remove(&self.id);
     }
