Drain a listener: callers on open connections move without losing a request

Cause: a planned stop served as before for 2.5 s, told no caller that its connection would end, and then closed every idle connection. Callers that go on using them lost about one request each at each stop. Besides, the library takes a connection for idle whose caller has sent a part of its next head. Change: a listener has a Drain (Limits::drain): from the stop signal each response says 'Connection: close', new connections are taken as long as callers are routed here, and idle connections are closed only at the end of the drain, after what has arrived on them was read; sooner, once none is left. A caller that has begun a request is read on. A connection that the listener closes shuts its sending side first and discards what still comes (250 ms), so that a request that crosses the close meets no reset. Without a Drain (stand-ins, the older path) idle connections are closed at once as before. Tests: listener_stop's first lines said 'no other is read'; a request of which a part has arrived is read now, which is stricter.

--- a/crates/skylarkwick-connection/src/listen.rs
+++ b/crates/skylarkwick-connection/src/listen.rs
@@ -7,9 +7,11 @@
 
 mod body;
 mod connection;
+pub mod drain;
 pub mod gate;
 mod handler;
 mod limits;
+mod linger;
 mod request;
 mod response;
 mod slot;
@@ -28,20 +30,21 @@
 };
 use slog::{Logger, warn};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     runtime::{Builder, Runtime},
     sync::{Semaphore, watch},
     task,
     time::{MissedTickBehavior, interval, sleep},
 };
 
-use self::slot::Slots;
 pub use self::{
+    drain::Drain,
     handler::{Admission, Handler},
     limits::Limits,
     request::{Head, Request},
     response::Response,
 };
+use self::{drain::Step, slot::Slots};
 
 /// Pause after a connection could not be accepted, such as for lack of descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -55,8 +58,7 @@
 ///
 /// Handles at most `threads` requests at once, and keeps connections and bodies within the
 /// default [`Limits`]. After the stop signal, the duty takes no new
-/// connections, closes idle ones without reading from them, and ends once every request
-/// that was read has been answered.
+/// connections, closes idle ones, and ends once every request that was read has been answered.
 ///
 /// # Errors
 ///
@@ -80,6 +82,9 @@
 /// Starts an HTTP listener like [`listen`], with limits of its own and a handler that decides
 /// by the head of a request whether its body is read.
 ///
+/// After the stop signal, it first drains as [`Limits::drain`] says: it serves on, and each
+/// response tells its caller that the connection ends, so that callers move to other hosts.
+///
 /// # Errors
 ///
 /// Returns the system error if the address can't be bound or a thread can't be
@@ -118,8 +123,8 @@
     TcpListener::from_std(listener)
 }
 
-/// Accepts and serves connections until the stop signal, and then waits until each of them
-/// has ended; logs what became of them.
+/// Serves connections until the stop signal, drains, and then waits until each connection has
+/// ended; logs what became of them.
 async fn serve<H: Handler>(
     listener: TcpListener,
     limits: Limits,
@@ -128,47 +133,76 @@
     stop: StopSignal,
 ) {
     let slots = Slots::new(limits);
-    // A connection that makes room for another one is open until its task has ended.
-    let sockets = Arc::new(Semaphore::new(limits.max_connections));
     // Every connection holds a receiver, so the channel is closed once all have ended.
-    let (stopping, is_stopping) = watch::channel(false);
+    let (closing, is_closing) = watch::channel(false);
+    let acceptor = Acceptor {
+        listener,
+        slots: Arc::clone(&slots),
+        sockets: Arc::new(Semaphore::new(limits.max_connections)),
+        handler,
+        is_closing,
+        transfer_timeout: limits.drain.transfer_timeout,
+        log,
+    };
     let mut stopped = task::spawn_blocking(move || stop.wait());
     let mut sweep = interval(SWEEP_PERIOD);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let accepted = tokio::select! {
+        tokio::select! {
             _ = &mut stopped => break,
-            _ = sweep.tick() => {
-                slots.sweep(log);
-                continue;
-            }
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                // Without a slot, the stream is closed.
-                if let Some(slot) = slots.open()
-                    && let Ok(socket) = Arc::clone(&sockets).acquire_owned().await
-                {
-                    let (handler, is_stopping) = (Arc::clone(&handler), is_stopping.clone());
-                    let serving = connection::serve(stream, slot, handler, is_stopping);
-                    task::spawn(async move {
-                        serving.await;
-                        drop(socket);
-                    });
-                }
-            }
-            Err(error) => {
-                warn!(log, "connection not accepted"; "error" => %error);
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
+            _ = sweep.tick() => slots.sweep(log),
+            accepted = acceptor.listener.accept() => acceptor.admit(accepted).await,
         }
     }
-    drop(listener);
-    drop(is_stopping);
     let started = Boot.now();
     slots.begin_stop();
-    stopping.send_replace(true);
-    stopping.closed().await;
+    while let Step::Serve(time_left) = limits.drain.step(Boot.now().since(started), slots.len()) {
+        tokio::select! {
+            () = sleep(time_left) => {}
+            () = slots.emptied() => {}
+            _ = sweep.tick() => slots.sweep(log),
+            accepted = acceptor.listener.accept() => acceptor.admit(accepted).await,
+        }
+    }
+    drop(acceptor);
+    closing.send_replace(true);
+    closing.closed().await;
     slots.report_stop(log, Boot.now().since(started));
 }
+
+/// What a listener needs to serve a new connection.
+struct Acceptor<'a, H> {
+    listener: TcpListener,
+    slots: Arc<Slots>,
+    /// A connection that makes room for another one is open until its task has ended.
+    sockets: Arc<Semaphore>,
+    handler: Arc<H>,
+    is_closing: watch::Receiver<bool>,
+    transfer_timeout: Duration,
+    log: &'a Logger,
+}
+
+impl<H: Handler> Acceptor<'_, H> {
+    /// Serves a connection that was accepted; without a slot for it, it is closed.
+    async fn admit(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(self.log, "connection not accepted"; "error" => %error);
+                sleep(ACCEPT_RETRY_DELAY).await;
+                return;
+            }
+        };
+        if let Some(slot) = self.slots.open()
+            && let Ok(socket) = Arc::clone(&self.sockets).acquire_owned().await
+        {
+            let (handler, is_closing) = (Arc::clone(&self.handler), self.is_closing.clone());
+            let serving =
+                connection::serve(stream, slot, handler, is_closing, self.transfer_timeout);
+            task::spawn(async move {
+                serving.await;
+                drop(socket);
+            });
+        }
+    }
+}
--- a/crates/skylarkwick-connection/src/listen/connection.rs
+++ b/crates/skylarkwick-connection/src/listen/connection.rs
@@ -12,7 +12,7 @@
 use tokio::{net::TcpStream, sync::watch, task, time::timeout};
 
 use super::{
-    Handler, Head, Request, Response, body,
+    Handler, Head, Request, Response, body, drain,
     gate::Phase,
     handler::Admission,
     limits::MAX_HEAD_BYTES,
@@ -20,23 +20,21 @@
     tally::Outcome,
 };
 
-/// Time that a caller has to complete a request, or to take a response, after the stop
-/// signal.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 /// `Retry-After` of a request that the process has no memory for, in seconds.
 const BUSY_RETRY_AFTER: &str = "1";
 
 /// Serves a connection until its caller ends it, its slot is taken from it or the listener
-/// stops.
+/// closes.
 ///
-/// When the listener stops, an idle connection is closed without reading from it. Another
+/// When the listener closes, an idle connection on which nothing has arrived is closed. Another
 /// one gets the response to its request, which tells the caller that the connection ends,
-/// and is then closed; it is given up if the request is not complete in time.
+/// and is then closed; it is given up if the request is not complete within `transfer_timeout`.
 pub(super) async fn serve<H: Handler>(
     stream: TcpStream,
     slot: Slot,
     handler: Arc<H>,
-    mut is_stopping: watch::Receiver<bool>,
+    mut is_closing: watch::Receiver<bool>,
+    transfer_timeout: Duration,
 ) {
     let slot = Arc::new(slot);
     let service = service_fn(|request| answer(request, Arc::clone(&handler), Arc::clone(&slot)));
@@ -51,13 +49,25 @@
         biased;
         _ = connection.as_mut() => return,
         _ = slot.ended() => return,
-        _ = is_stopping.changed() => {
+        _ = is_closing.changed() => {}
+    }
+    // Whatever has arrived by now is read before the connection can count as idle.
+    tokio::select! {
+        biased;
+        _ = connection.as_mut() => return,
+        () = task::yield_now() => {}
+    }
+    match slot.phase() {
+        Some(phase) if drain::is_closed_in(phase) => {
             slot.count_idle();
             connection.as_mut().graceful_shutdown();
         }
+        // The library would take it for idle; its response ends the connection.
+        Some(Phase::Head) => {}
+        _ => connection.as_mut().graceful_shutdown(),
     }
-    while timeout(TRANSFER_TIMEOUT, connection.as_mut()).await.is_err() {
-        if !slot.is_handling() {
+    while timeout(transfer_timeout, connection.as_mut()).await.is_err() {
+        if slot.phase() != Some(Phase::Handling) {
             return;
         }
     }
@@ -85,8 +95,8 @@
         }
     };
     slot.release();
-    slot.respond(outcome);
-    Ok(match may_go_on {
+    let is_serving = slot.respond(outcome);
+    Ok(match may_go_on && is_serving {
         true => response.into(),
         false => response.with_unique_header("Connection", "close").into(),
     })
--- a/crates/skylarkwick-connection/src/listen/limits.rs
+++ b/crates/skylarkwick-connection/src/listen/limits.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use super::drain::Drain;
+
 /// Share of the machine's memory for the buffers of connections.
 const CONNECTION_MEMORY_DIVISOR: usize = 6;
 /// Share of the machine's memory for bodies that are being read or handled.
@@ -32,7 +34,7 @@
 /// default configuration allows, while its buffer grows.
 const MIN_BODY_BYTES: usize = 1 << 20;
 
-/// Limits of a listener: connections, bytes of bodies, and times without progress.
+/// Limits of a listener: connections, bytes of bodies, times without progress, and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Most requests that are handled at once, each on a thread of its own.
@@ -51,6 +53,8 @@
     pub body_timeout: Duration,
     /// Longest time without a request.
     pub idle_timeout: Duration,
+    /// How it ends after the stop signal.
+    pub drain: Drain,
 }
 
 impl Default for Limits {
@@ -64,6 +68,7 @@
             stall_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(60),
             idle_timeout: Duration::from_secs(60),
+            drain: Drain::IMMEDIATE,
         }
     }
 }
--- a/crates/skylarkwick-connection/src/listen/slot.rs
+++ b/crates/skylarkwick-connection/src/listen/slot.rs
@@ -5,7 +5,7 @@
     io,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -20,6 +20,7 @@
 use super::{
     gate::{ConnectionId, Eviction, Gate, Phase, Reason},
     limits::Limits,
+    linger::Linger,
     tally::{Outcome, Tally},
 };
 
@@ -28,6 +29,8 @@
 #[derive(Debug)]
 pub(super) struct Slots {
     state: Mutex<State>,
+    /// Wakes the listener when the last connection has ended.
+    emptied: Notify,
 }
 
 #[derive(Debug)]
@@ -45,7 +48,7 @@
         let gate = Gate::new(limits);
         let (ends, counts) = (BTreeMap::new(), BTreeMap::new());
         let state = State { gate, ends, counts, tally: None };
-        Arc::new(Slots { state: Mutex::new(state) })
+        Arc::new(Slots { state: Mutex::new(state), emptied: Notify::new() })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -69,7 +72,18 @@
         }
     }
 
-    /// Begins to count what becomes of connections and requests.
+    /// Returns the number of connections.
+    pub(super) fn len(&self) -> usize {
+        self.state().gate.len()
+    }
+
+    /// Waits until the last connection has ended since the last call.
+    pub(super) async fn emptied(&self) {
+        self.emptied.notified().await;
+    }
+
+    /// Lets no connection go on after its next response, and begins to count what becomes of
+    /// connections and requests.
     pub(super) fn begin_stop(&self) {
         self.state().tally = Some(Tally::default());
     }
@@ -141,23 +155,23 @@
         self.slots.state().gate.enter(self.id, phase, Boot.now());
     }
 
-    /// Records that a request has its response, which is written next.
-    pub(super) fn respond(&self, outcome: Outcome) {
+    /// Records that a request has its response, which is written next; returns whether the
+    /// connection may go on after it as far as the listener is concerned.
+    pub(super) fn respond(&self, outcome: Outcome) -> bool {
         self.enter(Phase::Response);
-        self.slots.state().count_stop(|tally| tally.count_response(outcome));
+        let mut state = self.slots.state();
+        state.count_stop(|tally| tally.count_response(outcome));
+        state.tally.is_none()
     }
 
-    /// Counts the connection as closed by the listener if it is idle.
+    /// Counts the connection as one that the listener closes while it is idle.
     pub(super) fn count_idle(&self) {
-        let mut state = self.slots.state();
-        if state.gate.phase(self.id) == Some(Phase::Idle) {
-            state.count_stop(Tally::count_idle);
-        }
+        self.slots.state().count_stop(Tally::count_idle);
     }
 
-    /// Returns whether a request that was read is being handled.
-    pub(super) fn is_handling(&self) -> bool {
-        self.slots.state().gate.phase(self.id) == Some(Phase::Handling)
+    /// Returns what the connection does; `None` if it has to end.
+    pub(super) fn phase(&self) -> Option<Phase> {
+        self.slots.state().gate.phase(self.id)
     }
 
     /// Reserves bytes for the body; returns false if there are none.
@@ -188,6 +202,9 @@
         state.count_stop(|tally| tally.count_end(phase));
         state.gate.close(self.id);
         state.ends.remove(&self.id);
+        if state.gate.is_empty() {
+            self.slots.emptied.notify_one();
+        }
     }
 }
 
@@ -196,12 +213,14 @@
 pub(super) struct Stream {
     stream: TcpStream,
     slot: Arc<Slot>,
+    /// Set once the connection is closed by the listener.
+    linger: Option<Linger>,
 }
 
 impl Stream {
     /// Creates a stream that records the progress of the connection in `slot`.
     pub(super) fn new(stream: TcpStream, slot: Arc<Slot>) -> Stream {
-        Stream { stream, slot }
+        Stream { stream, slot, linger: None }
     }
 
     fn record(&self, record: impl FnOnce(&mut Gate, ConnectionId)) {
@@ -245,8 +264,14 @@
         result
     }
 
+    /// Closes the connection in order, see [`Linger`].
     fn poll_shutdown(mut self: Pin<&mut Stream>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let Stream { stream, linger, .. } = &mut *self;
+        let linger = match linger {
+            Some(linger) => linger,
+            None => linger.insert(ready!(Linger::poll_begin(stream, cx))?),
+        };
+        linger.poll_end(stream, cx).map(Ok)
     }
 
     fn poll_write_vectored(
--- a/crates/skylarkwick-connection/tests/listener_stop.rs
+++ b/crates/skylarkwick-connection/tests/listener_stop.rs
@@ -1,5 +1,5 @@
-//! Stop of a listener: requests that were read are answered, no other is read, and the
-//! duty ends.
+//! Stop of a listener without a drain: requests that have begun to arrive are answered, no other
+//! is read, and the duty ends.
 
 use std::{
     io::{self, Read, Write},
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -14,10 +14,7 @@
 mod submission;
 
 use std::{
-    sync::{
-        Arc, Mutex, OnceLock, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, OnceLock, PoisonError},
     time::Duration,
 };
 
@@ -118,15 +115,15 @@
 
 /// State shared by the API and the thread that follows the configuration: the last
 /// configuration received, when the last answered poll for a later one was sent, the division
-/// of the site into shards once it is known, when the store last responded, and whether the
-/// process stops.
+/// of the site into shards once it is known, when the store last responded, and by when a process
+/// that stops has to have answered.
 #[derive(Debug, Default)]
 struct SharedState {
     configuration: Mutex<Option<Arc<Configuration>>>,
     last_poll_sent: Mutex<Option<Moment>>,
     sharding: OnceLock<Sharding>,
     last_store_response: Mutex<Option<Moment>>,
-    is_stopping: AtomicBool,
+    answer_by: OnceLock<Moment>,
 }
 
 /// The job API of an entry host: the store, the shared state and the index of waiting
@@ -250,7 +247,7 @@
     /// Returns whether callers can be served: the configuration and the division into shards
     /// are known, the store has responded recently and the process is not stopping.
     pub fn is_ready(&self) -> bool {
-        let is_stopping = self.shared.is_stopping.load(Ordering::Acquire);
+        let is_stopping = self.shared.answer_by.get().is_some();
         let is_configured = self.configuration().is_some() && self.sharding().is_some();
         self.is_store_responding() && !is_stopping && is_configured
     }
@@ -262,10 +259,17 @@
         last.is_some_and(|last| Boot.now().since(last) < STORE_RESPONSE_TIMEOUT)
     }
 
-    /// Makes [`Api::is_ready`] return false, so that the platform routes new
-    /// callers to other entry hosts.
-    pub fn mark_stopping(&self) {
-        self.shared.is_stopping.store(true, Ordering::Release);
+    /// Makes [`Api::is_ready`] return false, so that the platform routes new callers to other
+    /// entry hosts, and lets no submission take longer than until `answer_period` from now. Only
+    /// the first call counts.
+    pub fn mark_stopping(&self, answer_period: Duration) {
+        self.shared.answer_by.get_or_init(|| Boot.now() + answer_period);
+    }
+
+    /// Returns the time that is left for an answer to a caller who waits for `deadline`.
+    fn time_left(&self, deadline: Duration) -> Duration {
+        let answer_by = self.shared.answer_by.get();
+        answer_by.map_or(deadline, |answer_by| deadline.min(answer_by.since(Boot.now())))
     }
 
     /// Marks a job that was withdrawn before its submission arrived as cancelled, so that it
--- a/crates/skylarkwick-entry/src/jobs/hand_over.rs
+++ b/crates/skylarkwick-entry/src/jobs/hand_over.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use skylarkwick_connection::{
-    listen::{Admission, Handler, Head, Limits, Request, Response},
+    listen::{Admission, Drain, Handler, Head, Limits, Request, Response},
     neighbour::{Answer, PATH, Submission, TOKEN_HEADER},
     store::Store,
 };
@@ -23,6 +23,7 @@
     stall_timeout: Duration::from_secs(5),
     body_timeout: Duration::from_secs(5),
     idle_timeout: Duration::from_secs(20),
+    drain: Drain::IMMEDIATE,
 };
 
 /// Takes submissions from entry hosts that know the token.
--- a/crates/skylarkwick-entry/src/jobs/submission.rs
+++ b/crates/skylarkwick-entry/src/jobs/submission.rs
@@ -63,8 +63,9 @@
 
 impl<S: Store> Api<S> {
     /// Validates a job and stores it as active, and returns whether it was accepted.
-    /// `deadline` is the time for which the caller still waits; until shortly before, failed
-    /// writes are repeated, or handed over to neighbours.
+    /// `deadline` is the time for which the caller still waits; until shortly before, or before a
+    /// process that stops has to have answered, failed writes are repeated, or handed over to
+    /// neighbours.
     pub fn submit(&self, reference: Reference<'_>, job: &Job, deadline: Duration) -> SubmitOutcome {
         let Reference { queue, id, workspace } = reference;
         let validated = job.validate_submission().and_then(|()| self.check_quota(workspace, job));
@@ -83,7 +84,8 @@
         if !self.has_room(keyspace, job) {
             return self.refuse(&pending);
         }
-        let outcome = self.settle(&mut pending, deadline.saturating_sub(RESPONSE_MARGIN));
+        let timeout = self.time_left(deadline).saturating_sub(RESPONSE_MARGIN);
+        let outcome = self.settle(&mut pending, timeout);
         info!(self.log, "submitted"; "job" => id.as_str(), "queue" => queue,
             "workspace" => workspace.map(|name| &**name), "outcome" => ?outcome,
             "steps" => job.steps.len());
