Say in a response that the connection ends, where a body was not read

Cause: a request that is answered by its head alone (404, 401, 413, 503) has a body that nobody reads. If it comes in a later packet, the library closes the connection after the response, which doesn't say so, and the caller's next request meets the end. The class: an end of a connection that its caller isn't told of.

Change: what has arrived of such a body is discarded, up to 64 KiB and without waiting, and the connection goes on; otherwise the response has Connection: close. A caller that waits for 100 Continue isn't asked for its body.

--- a/crates/skylarkwick-connection/src/listen/body.rs
+++ b/crates/skylarkwick-connection/src/listen/body.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use tokio::task;
 
 use super::slot::Slot;
 
@@ -13,6 +14,9 @@
 /// Smallest size of a buffer that grows, in bytes.
 const MIN_BUFFER_BYTES: usize = 1024;
 
+/// Most bytes of a body that are discarded, so that its connection can go on.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Error {
@@ -61,6 +65,26 @@
     Ok(buffer)
 }
 
+/// Discards what has arrived of a body that is not worth reading; returns whether that was all of
+/// it, so that the connection can go on. Waits for nothing.
+pub(super) async fn discard_arrived(mut body: Incoming) -> bool {
+    let mut discarded = 0;
+    while !body.is_end_stream() && discarded <= MAX_DISCARDED_BYTES {
+        // The library hands over what it has received once the body was asked for.
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = task::yield_now() => return false,
+        };
+        match frame {
+            None => return true,
+            Some(Ok(frame)) => discarded += frame.data_ref().map_or(0, |data| data.len()),
+            Some(Err(_invalid)) => return false,
+        }
+    }
+    body.is_end_stream()
+}
+
 fn reserve(slot: &Slot, bytes: usize) -> Result<(), Error> {
     match bytes == 0 || slot.reserve(bytes) {
         true => Ok(()),
--- a/crates/skylarkwick-connection/src/listen/connection.rs
+++ b/crates/skylarkwick-connection/src/listen/connection.rs
@@ -73,7 +73,8 @@
     }
 }
 
-/// Answers a request by its head alone, or reads the rest of it and has it handled.
+/// Answers a request by its head alone, or reads the rest of it and has it handled. The response
+/// tells if the connection ends after it, also because the body was not read to its end.
 async fn answer<H: Handler>(
     request: hyper::Request<Incoming>,
     handler: Arc<H>,
@@ -82,21 +83,25 @@
     let (head, body) = request.into_parts();
     let head = Head::new(head);
     let may_go_on = slot.begin_request();
-    let (response, outcome) = match handler.admit(&head) {
-        Admission::Answer(response) => (response, Outcome::Refused),
+    let (response, outcome, is_read) = match handler.admit(&head) {
+        Admission::Answer(response) => {
+            // A body that waits to be asked for is not asked for.
+            let is_read = head.header("Expect").is_none() && body::discard_arrived(body).await;
+            (response, Outcome::Refused, is_read)
+        }
         Admission::Read { ticket, max_body_bytes, busy_status } => {
             match body::read(body, max_body_bytes, &slot).await {
                 Ok(body) => {
                     let request = Request::new(head, body);
-                    (handle(request, ticket, handler, &slot).await, Outcome::Handled)
+                    (handle(request, ticket, handler, &slot).await, Outcome::Handled, true)
                 }
-                Err(error) => (refuse(error, busy_status), Outcome::Refused),
+                Err(error) => (refuse(error, busy_status), Outcome::Refused, false),
             }
         }
     };
     slot.release();
     let is_serving = slot.respond(outcome);
-    Ok(match may_go_on && is_serving {
+    Ok(match may_go_on && is_serving && is_read {
         true => response.into(),
         false => response.with_unique_header("Connection", "close").into(),
     })
