Restart long-running tasks that end as successful

Cause: apply_run_end took every success as the end of its task; whether the task is long-running mattered for failures only. Ruled out: room (a failed task of the same job is back at once) and the acknowledgement.

Change: no long-running task is ever done. Its success is stored as an end and it waits again, a gang as a whole. Rows of an earlier release that say such a task, or an occurrence with one, is done are read the same way; finite tasks stay done. What is stored can be read by that release. Two functions on long-running steps moved to the new module.

--- a/crates/skylarkwick-request/src/job/ranges.rs
+++ b/crates/skylarkwick-request/src/job/ranges.rs
@@ -32,6 +32,20 @@
         self.ends.insert(start, end);
     }
 
+    /// Removes a number; returns whether it was in the set.
+    pub fn remove(&mut self, number: u32) -> bool {
+        let Some((&start, &end)) = self.ends.range(..=number).next_back() else {
+            return false;
+        };
+        if number >= end {
+            return false;
+        }
+        self.ends.remove(&start);
+        self.insert_range(start..number);
+        self.insert_range(number + 1..end);
+        true
+    }
+
     /// Adds all numbers of another set.
     pub fn extend(&mut self, other: &Ranges) {
         for range in other.iter() {
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -19,6 +19,7 @@
 mod kept;
 mod label_hosts;
 mod liveness;
+mod long_running;
 mod membership;
 mod namesake;
 mod occurrence;
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -18,7 +18,7 @@
     run_time_model::Estimate,
 };
 use crate::job::{
-    Id, Job, Key, State, Step,
+    Id, Job, Key, State,
     progress::{Progress, TaskPosition},
     ranges::Ranges,
     task,
@@ -69,6 +69,9 @@
     pub(super) occurrences: BTreeMap<u32, Occurrence>,
     /// Occurrences that are done.
     pub(super) done_occurrences: Ranges,
+    /// Occurrences that are stored as done although they have long-running tasks, which an
+    /// earlier release did not restart; they open again in their turn.
+    pub(super) reopening: Ranges,
     /// All occurrences with lower numbers are open or done.
     pub(super) first_unopened: u32,
     /// Number of occurrences that are due by this holder's time of day. Later
@@ -100,6 +103,7 @@
             outcome: None,
             occurrences: BTreeMap::new(),
             done_occurrences: Ranges::default(),
+            reopening: Ranges::default(),
             first_unopened: 0,
             due_occurrences: 0,
         };
@@ -122,6 +126,7 @@
         if occurrence < self.job.occurrences() && !self.done_occurrences.contains(occurrence) {
             let job = &self.job;
             self.occurrences.entry(occurrence).or_insert_with(|| Occurrence::new(job));
+            self.complete_reopened(occurrence);
         }
     }
 
@@ -135,18 +140,15 @@
 
     /// Takes over stored progress in place of the progress of the tasks that it
     /// names, and opens their occurrences. Finished tasks
-    /// become done, and servers in it become unverified: an earlier holder may
-    /// have started tasks there. Tasks that the job does not have are ignored.
+    /// become done unless they are long-running, and servers in it become unverified: an
+    /// earlier holder may have started tasks there. Tasks that the job does not have are ignored.
     fn restore_progress(&mut self, progress: Progress) {
         let progress = progress.compacted();
         self.has_started |= !progress.tasks.is_empty()
             || !progress.done_tasks.is_empty()
             || !progress.done_occurrences.is_empty();
         self.unverified_servers.extend(progress.servers.into_iter().map(ServerId));
-        for occurrence in progress.done_occurrences.iter() {
-            self.done_occurrences.insert_range(occurrence.start..occurrence.end);
-        }
-        self.occurrences.retain(|&number, _| !progress.done_occurrences.contains(number));
+        self.restore_done_occurrences(&progress.done_occurrences);
         for (position, task_progress) in progress.tasks {
             self.open_occurrence(position.occurrence);
             if let Some(task) = self.task_mut(position) {
@@ -155,7 +157,8 @@
         }
         for ((occurrence, step), done) in progress.done_tasks {
             self.open_occurrence(occurrence);
-            if let Some(tasks) = self.step_mut(occurrence, step) {
+            let is_long_running = self.job.steps.get(step).is_some_and(|step| step.is_long_running);
+            if let Some(tasks) = self.step_mut(occurrence, step).filter(|_| !is_long_running) {
                 tasks.complete_all(&done);
             }
             self.close_if_done(occurrence);
@@ -246,7 +249,8 @@
     /// that may run tasks of the job, which are those assigned and those
     /// unverified.
     pub(super) fn progress(&self) -> Progress {
-        let done_occurrences = self.done_occurrences.clone();
+        let mut done_occurrences = self.done_occurrences.clone();
+        done_occurrences.extend(&self.reopening);
         let mut progress = Progress { done_occurrences, ..Progress::default() };
         progress.servers.extend(self.unverified_servers.iter().map(|server| Arc::clone(&server.0)));
         for (&number, occurrence) in &self.occurrences {
@@ -307,7 +311,7 @@
     /// `None` while it is undecided. A job fails when a task that is not
     /// long-running and not done has `max_attempts` failed runs (0 counts as
     /// 1). Otherwise it completes when all its occurrences are done, including
-    /// those that have yet to open.
+    /// those that have yet to open; one with a long-running task never is.
     pub(super) fn compute_outcome(&mut self, max_attempts: u32) -> Option<State> {
         let job = Arc::clone(&self.job);
         let has_failed = self.occurrences.values().any(|occurrence| {
@@ -410,34 +414,6 @@
         millicores
     }
 
-    /// Returns the number of hosts over which the long-running tasks must be
-    /// spread, because their steps limit the tasks on one host: the largest
-    /// number that any of the steps requires, 1 if none has a limit. 0 if the
-    /// job has no long-running tasks.
-    pub(super) fn min_hosts(&self) -> usize {
-        let long_running = self.job.steps.iter().filter(|step| step.is_long_running);
-        let hosts = long_running.map(|step| match step.max_per_host {
-            0 => 1,
-            most => step.count.div_ceil(most),
-        });
-        hosts.max().and_then(|hosts| usize::try_from(hosts).ok()).unwrap_or_default()
-    }
-
-    /// Returns the long-running steps with their numbers of tasks that have not succeeded, for
-    /// each open occurrence, and for all together that are due and not open.
-    pub(super) fn unfinished_long_running(&self) -> impl Iterator<Item = (&Step, u64)> {
-        let steps = self
-            .occurrences
-            .values()
-            .flat_map(|occurrence| occurrence.steps.iter().zip(&self.job.steps));
-        let open = steps.filter(|(_, step)| step.is_long_running).map(|(tasks, step)| {
-            (step, u64::try_from(tasks.count_unfinished()).unwrap_or_default())
-        });
-        let unopened = self.count_unopened();
-        let steps = self.job.steps.iter().filter(move |step| step.is_long_running && unopened > 0);
-        open.chain(steps.map(move |step| (step, u64::from(step.count).saturating_mul(unopened))))
-    }
-
     /// Returns the work of all unfinished tasks that are not long-running, each
     /// with its full expected run time, in millicores times milliseconds.
     pub(super) fn remaining_work(&self, occurrence: &Occurrence, estimate: Estimate) -> u64 {
--- a/crates/skylarkwick-request/src/shard/occurrence.rs
+++ b/crates/skylarkwick-request/src/shard/occurrence.rs
@@ -129,6 +129,12 @@
         self.touched.retain(|&index, _| u32::try_from(index).is_ok_and(|n| !done.contains(n)));
     }
 
+    /// Marks all tasks of the step as done.
+    pub(super) fn complete_each(&mut self) {
+        self.touched.clear();
+        self.done.insert_range(0..self.count);
+    }
+
     /// Marks all tasks as done except the one with this index.
     pub(super) fn complete_others(&mut self, index: usize) {
         let index = u32::try_from(index).unwrap_or(u32::MAX);
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -317,15 +317,6 @@
         }
     }
 
-    /// Returns whether a task belongs to a long-running step; false if its job
-    /// is unknown.
-    pub(super) fn is_long_running(&self, task: &task::Id) -> bool {
-        self.jobs
-            .get(&task.job)
-            .and_then(|active| active.job.steps.get(task.step))
-            .is_some_and(|step| step.is_long_running)
-    }
-
     /// Has a decision about a task on a server logged, with the reason for it.
     pub(super) fn log(
         &mut self,
--- a/crates/skylarkwick-request/src/shard/run_results.rs
+++ b/crates/skylarkwick-request/src/shard/run_results.rs
@@ -90,11 +90,14 @@
     }
 
     /// Adds the run time of a run that succeeded to those learned for its job's
-    /// queue; does nothing if the job is unknown.
+    /// queue; does nothing if the job is unknown or the task is long-running.
     fn record_run_time(&mut self, task: &task::Id, run_time: Duration) {
         let Some(active) = self.jobs.get(&task.job) else {
             return;
         };
+        if active.is_long_running(task.step) {
+            return;
+        }
         if let Some(step) = active.job.steps.get(task.step) {
             self.run_times.observe(&active.queue, step.run_time_estimate, run_time);
         }
@@ -102,7 +105,8 @@
 
     /// Applies the end of a run to its job, which is then stored. The task is
     /// done if the run succeeded, as are the other members of its gang, and any
-    /// other run of it is stopped. Otherwise it waits again, unless it has a
+    /// other run of it is stopped; a long-running task is never done. Otherwise it waits
+    /// again, unless it has a
     /// newer run on this server or is assigned to another one; a failure counts
     /// against the limit of attempts, except of a long-running task, and makes
     /// the task avoid this server. Nothing is stored if the task was done
@@ -119,11 +123,10 @@
         };
         active.has_started = true;
         active.open_occurrence(finished.task.occurrence);
-        let steps = &active.job.steps;
-        let is_long_running =
-            steps.get(finished.task.step).is_some_and(|step| step.is_long_running);
-        let is_gang = steps.get(finished.task.step).is_some_and(|step| step.is_gang);
-        if is_gang && finished.outcome == task::RunOutcome::Done {
+        let is_long_running = active.is_long_running(finished.task.step);
+        let is_done = finished.outcome == task::RunOutcome::Done && !is_long_running;
+        let is_gang = active.job.steps.get(finished.task.step).is_some_and(|step| step.is_gang);
+        if is_gang && is_done {
             active.complete_gang(TaskPosition::of(&finished.task));
         }
         let position = TaskPosition::of(&finished.task);
@@ -156,16 +159,16 @@
             }
             task.avoided_server = Some(id.clone());
         }
-        match (finished.outcome, other_server) {
-            (task::RunOutcome::Done, other_server) => {
+        match (is_done, other_server) {
+            (true, other_server) => {
                 active.complete(position);
                 let server = other_server.or_else(|| has_newer_run.then(|| id.clone()));
                 if let Some(server) = server {
                     self.request_stop(now, &server, &finished.task);
                 }
             }
-            (_, None) if !has_newer_run => task.state = TaskState::Waiting,
-            _ => {}
+            (false, None) if !has_newer_run => task.state = TaskState::Waiting,
+            (false, _) => {}
         }
         self.unsaved_jobs.insert(finished.task.job.clone());
         self.update_outcome(&finished.task.job);
