Work off accepted jobs whose route a configuration has removed

Cause: set_queues kept only the queues of the newest version, everything that looks up a job's pool left its jobs out, and nothing stored which pool a job is for. Ruled out: room (another queue's job of the same pool, submitted later, is completed).

Change: the entry host stores the settings of the queue with the job, as a later field of its row that the release before skips; a hand-over carries them. A job goes by the settings in force, else by the last ones in force, else by the stored ones. New submissions stay 404.

--- a/crates/skylarkwick-connection/src/neighbour.rs
+++ b/crates/skylarkwick-connection/src/neighbour.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     agent::{Agents, is_timeout, was_not_sent},
-    store::row::{self, JobBody},
+    store::row::{self, JobBody, QueueSettings},
 };
 
 /// Path of hand-overs.
@@ -50,6 +50,8 @@
     pub body: JobBody,
     /// Time for which the caller still waits.
     pub time_left: Duration,
+    /// Settings of the queue; `None` if an entry host of an earlier release hands it over.
+    pub settings: Option<QueueSettings>,
 }
 
 /// What became of a submission at the entry host that it was handed over to.
@@ -75,6 +77,8 @@
     workspace: Option<String>,
     body: JobBody,
     left_ms: u64,
+    #[serde(deserialize_with = "row::decode_later_field")]
+    settings: Option<QueueSettings>,
 }
 
 impl Submission {
@@ -86,6 +90,7 @@
             workspace: self.workspace.as_deref().map(str::to_owned),
             body: self.body.clone(),
             left_ms: millis(self.time_left),
+            settings: self.settings.clone(),
         })
     }
 
@@ -102,6 +107,7 @@
             workspace: encoded.workspace.map(Arc::from),
             body: encoded.body,
             time_left: Duration::from_millis(encoded.left_ms),
+            settings: encoded.settings,
         })
     }
 }
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -6,18 +6,20 @@
 //! `docs/DESIGN.md`, section "Rows".
 
 mod allotment;
+mod job_row;
 mod progress;
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
-use skylarkwick_request::job::{self, Job, Schedule, State, Step};
+use skylarkwick_request::job::{self, Job, Schedule, Step};
 use skylarkwick_version::{
     lease::Incarnation, moment::millis, resources::Resources, shard_lease::Record,
 };
 
 pub use self::{
     allotment::AllotmentRow,
+    job_row::{FinalState, JobRow, QueueSettings},
     progress::{ProgressRow, encode_progress},
 };
 
@@ -67,117 +69,6 @@
     }
 }
 
-/// Row of a job: as submitted while it is active, only its end once it has finished.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(from = "EncodedJob", into = "EncodedJob")]
-pub enum JobRow {
-    /// The job has not ended.
-    Active {
-        /// Time of acceptance on the store's clock, in milliseconds.
-        accepted_ms: u64,
-        /// The job as submitted.
-        body: JobBody,
-        /// Workspace of its caller, if the queue needs a key.
-        workspace: Option<Arc<str>>,
-    },
-    /// The job has ended; its body is no longer needed.
-    Finished {
-        /// How the job ended.
-        state: FinalState,
-        /// Time of the end on the store's clock, in milliseconds.
-        ended_ms: u64,
-        /// Workspace of its caller, if the queue needs a key.
-        workspace: Option<Arc<str>>,
-    },
-}
-
-impl JobRow {
-    /// Returns the workspace of the job's caller, if the queue needs a key.
-    pub fn workspace(&self) -> Option<&Arc<str>> {
-        match self {
-            JobRow::Active { workspace, .. } | JobRow::Finished { workspace, .. } => {
-                workspace.as_ref()
-            }
-        }
-    }
-}
-
-/// Encoded form of a [`JobRow`]. The rows of jobs without a workspace are those of earlier
-/// releases.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-enum EncodedJob {
-    Active { accepted_ms: u64, body: JobBody },
-    Finished { state: FinalState, ended_ms: u64 },
-    ActiveOf { workspace: String, accepted_ms: u64, body: JobBody },
-    FinishedOf { workspace: String, state: FinalState, ended_ms: u64 },
-}
-
-impl From<EncodedJob> for JobRow {
-    fn from(row: EncodedJob) -> JobRow {
-        match row {
-            EncodedJob::Active { accepted_ms, body } => {
-                JobRow::Active { accepted_ms, body, workspace: None }
-            }
-            EncodedJob::Finished { state, ended_ms } => {
-                JobRow::Finished { state, ended_ms, workspace: None }
-            }
-            EncodedJob::ActiveOf { workspace, accepted_ms, body } => {
-                JobRow::Active { accepted_ms, body, workspace: Some(Arc::from(workspace)) }
-            }
-            EncodedJob::FinishedOf { workspace, state, ended_ms } => {
-                JobRow::Finished { state, ended_ms, workspace: Some(Arc::from(workspace)) }
-            }
-        }
-    }
-}
-
-impl From<JobRow> for EncodedJob {
-    fn from(row: JobRow) -> EncodedJob {
-        match row {
-            JobRow::Active { accepted_ms, body, workspace: None } => {
-                EncodedJob::Active { accepted_ms, body }
-            }
-            JobRow::Finished { state, ended_ms, workspace: None } => {
-                EncodedJob::Finished { state, ended_ms }
-            }
-            JobRow::Active { accepted_ms, body, workspace: Some(workspace) } => {
-                EncodedJob::ActiveOf { workspace: workspace.to_string(), accepted_ms, body }
-            }
-            JobRow::Finished { state, ended_ms, workspace: Some(workspace) } => {
-                EncodedJob::FinishedOf { workspace: workspace.to_string(), state, ended_ms }
-            }
-        }
-    }
-}
-
-/// How a job ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum FinalState {
-    /// Every task succeeded.
-    Completed,
-    /// A task failed too often.
-    Failed,
-    /// Its caller cancelled it.
-    Cancelled,
-    /// Its caller cancelled it before it was stored. Its submission may still be under way,
-    /// and must not be stored any more; until it arrives, no such job exists.
-    Withdrawn,
-    /// It was refused before it was stored, because its shard had no room for it. An earlier
-    /// attempt of its submission may still be under way, and must not be stored any more; no such
-    /// job exists. A later attempt may store it.
-    Refused,
-}
-
-impl From<FinalState> for State {
-    fn from(final_state: FinalState) -> State {
-        match final_state {
-            FinalState::Completed => State::Completed,
-            FinalState::Failed => State::Failed,
-            FinalState::Cancelled | FinalState::Withdrawn | FinalState::Refused => State::Cancelled,
-        }
-    }
-}
-
 /// Stored form of a submitted [`Job`]: its specification text, its steps, and its
 /// schedule as count, due time of the first occurrence in Unix milliseconds, and interval
 /// in milliseconds.
@@ -331,7 +222,7 @@
 ///
 /// Never fails: an encoding by position does not tell a row that ends early from a damaged
 /// one, and for both the field is unknown.
-fn decode_later_field<'de, T, D>(deserializer: D) -> Result<T, D::Error>
+pub(crate) fn decode_later_field<'de, T, D>(deserializer: D) -> Result<T, D::Error>
 where
     T: Deserialize<'de> + Default,
     D: Deserializer<'de>,
--- a/crates/skylarkwick-connection/tests/damaged_rows.rs
+++ b/crates/skylarkwick-connection/tests/damaged_rows.rs
@@ -5,11 +5,14 @@
 
 use skylarkwick_connection::store::row::{
     self, BacklogRow, HostOrderRow, JobBody, JobRow, LeaseRow, PoolSizesRow, ProgressRow,
-    ShardingRow, WaveRow,
+    QueueSettings, ShardingRow, WaveRow,
 };
 use skylarkwick_request::{
     job::{Id, Job, Schedule, Step, progress::Progress, task::RunId},
-    shard::{Shard, Term, Timings, input::AcceptedJob},
+    shard::{
+        Shard, Term, Timings,
+        input::{AcceptedJob, Queue},
+    },
 };
 use skylarkwick_version::{moment::Moment, revision::Revision};
 
@@ -86,11 +89,23 @@
     Shard::new(timings, Term { fencing_token: 1, number: 1, since: START })
 }
 
+fn queue() -> Queue {
+    Queue {
+        name: Arc::from("queue"),
+        pool: Arc::from("pool"),
+        priority: 1,
+        max_attempts: 2,
+        stretch: 1.5,
+        target: Duration::from_millis(600),
+    }
+}
+
 /// Gives a job to a shard, which decides about it.
-fn schedule(job: Job, progress: Progress) {
+fn schedule(job: Job, progress: Progress, settings: Option<Queue>) {
     let accepted = AcceptedJob {
         id: Id::new("job"),
         queue: Arc::from("queue"),
+        queue_settings: settings,
         workspace: None,
         job: Arc::new(job),
         revision: Revision(1),
@@ -109,16 +124,18 @@
         accepted_ms: 1,
         body: JobBody::from(&job()),
         workspace: None,
+        settings: Some(QueueSettings::from(&queue())),
     });
     let mut random = Random(1);
     let mut valid = 0;
     for _ in 0..ROUNDS {
-        let Ok(JobRow::Active { body, .. }) = row::decode(&random.damage(&bytes)) else {
+        let Ok(JobRow::Active { body, settings, .. }) = row::decode(&random.damage(&bytes)) else {
             continue;
         };
         if let Ok(job) = Job::try_from(body) {
             valid += 1;
-            schedule(job, Progress::default());
+            let settings = settings.map(|settings| settings.into_queue(Arc::from("queue")));
+            schedule(job, Progress::default(), settings);
         }
     }
     assert!(valid > 0, "some damage leaves a valid job");
@@ -133,7 +150,7 @@
         let decoded = row::decode::<ProgressRow>(&random.damage(&bytes)).ok();
         if let Some(progress) = decoded.and_then(|row| Progress::try_from(row).ok()) {
             valid += 1;
-            schedule(job(), progress);
+            schedule(job(), progress, None);
         }
     }
     assert!(valid > 0, "some damage leaves valid progress");
--- a/crates/skylarkwick-connection/tests/earlier_rows.rs
+++ b/crates/skylarkwick-connection/tests/earlier_rows.rs
@@ -1,12 +1,18 @@
 //! Rows that an earlier release has written, and those of this one that an earlier release reads.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use skylarkwick_connection::store::row::{self, LeaseRow, ProgressRow};
-use skylarkwick_request::job::{
-    progress::{Progress, TaskPosition, TaskProgress},
-    task::RunId,
+use skylarkwick_connection::store::row::{
+    self, JobBody, JobRow, LeaseRow, ProgressRow, QueueSettings,
+};
+use skylarkwick_request::{
+    job::{
+        Job, Step,
+        progress::{Progress, TaskPosition, TaskProgress},
+        task::RunId,
+    },
+    shard::input::Queue,
 };
 
 /// The lease row as the release before wrote and read it.
@@ -141,3 +147,63 @@
     let read = row::decode::<EarlierProgress>(&row::encode_progress(&progress()));
     assert_eq!(read.expect("the release before decodes it"), earlier_progress());
 }
+
+/// The row of an active job as the release before wrote and read it.
+#[derive(Debug, Serialize, Deserialize)]
+enum EarlierJob {
+    Active { accepted_ms: u64, body: JobBody },
+    Finished,
+    ActiveOf { workspace: String, accepted_ms: u64, body: JobBody },
+}
+
+fn job() -> Job {
+    let steps = vec![Step { count: 3, ..Step::default() }];
+    Job { spec: Arc::from("text"), steps, schedule: None }
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: Arc::from("queue"),
+        pool: Arc::from("pool"),
+        priority: 1,
+        max_attempts: 2,
+        stretch: 1.5,
+        target: Duration::from_millis(600),
+    }
+}
+
+/// Guards against jobs that are lost at an upgrade, because their rows end before the settings of
+/// their queue.
+#[test]
+fn earlier_job_read() {
+    let (accepted_ms, body) = (1, JobBody::from(&job()));
+    let (of, workspace) = (EarlierJob::Active { accepted_ms, body: body.clone() }, None);
+    let bakery = "bakery".to_owned();
+    let of_workspace = EarlierJob::ActiveOf { workspace: bakery, accepted_ms, body };
+    for (row, owner) in [(of, workspace), (of_workspace, Some("bakery"))] {
+        let read = row::decode::<JobRow>(&row::encode(&row)).expect("it decodes");
+        assert_eq!(read.workspace().map(|name| &**name), owner);
+        let JobRow::Active { body, settings: None, .. } = read else {
+            panic!("{read:?}");
+        };
+        assert_eq!(Job::try_from(body).expect("it is valid"), job());
+    }
+}
+
+/// Guards against jobs that are lost because a planner of the release before takes over, and
+/// against settings of a queue that change on the way.
+#[test]
+fn job_read_back() {
+    let settings = Some(QueueSettings::from(&queue()));
+    let body = JobBody::from(&job());
+    let row = JobRow::Active { accepted_ms: 1, body, workspace: None, settings };
+    let bytes = row::encode(&row);
+    let Ok(EarlierJob::Active { body, .. }) = row::decode(&bytes) else {
+        panic!("the release before decodes it");
+    };
+    assert_eq!(Job::try_from(body).expect("it is valid"), job());
+    let Ok(JobRow::Active { settings: Some(read), .. }) = row::decode(&bytes) else {
+        panic!("it decodes");
+    };
+    assert_eq!(read.into_queue(Arc::from("queue")), queue());
+}
--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -31,7 +31,10 @@
     clock::{Boot, Clock},
     duty::{Duty, StopSignal},
 };
-use skylarkwick_request::job::{self, Id, State};
+use skylarkwick_request::{
+    job::{self, Id, State},
+    shard::input::Queue,
+};
 use skylarkwick_version::{moment::Moment, sharding::Sharding};
 use slog::{Logger, info, warn};
 
@@ -95,12 +98,14 @@
     pub id: &'a Id,
     /// Workspace of the caller.
     pub workspace: Option<&'a Arc<str>>,
+    /// Settings of the queue, to be stored with the job.
+    pub settings: Option<&'a Queue>,
 }
 
 impl<'a> Reference<'a> {
-    /// Names a job of a queue that needs no key.
+    /// Names a job of a queue that needs no key and whose settings are unknown.
     pub const fn new(queue: &'a str, id: &'a Id) -> Reference<'a> {
-        Reference { queue, id, workspace: None }
+        Reference { queue, id, workspace: None, settings: None }
     }
 
     /// Returns whether the caller may know of a job with this row. A job of another workspace
@@ -352,7 +357,7 @@
     /// changed since it was read, or may not have been written. An active row is overwritten
     /// even if it cannot be decoded.
     fn try_cancel(&self, reference: Reference<'_>) -> CancelOutcome {
-        let Reference { queue, id, workspace } = reference;
+        let Reference { queue, id, workspace, .. } = reference;
         let Ok(key) = self.job_key(queue, id) else {
             return CancelOutcome::InDoubt;
         };
--- a/crates/skylarkwick-entry/src/jobs/submission.rs
+++ b/crates/skylarkwick-entry/src/jobs/submission.rs
@@ -13,7 +13,7 @@
     store::{
         self, Commit, Key, Row, Store, Transaction,
         keyspace::Keyspace,
-        row::{self, JobBody, JobRow},
+        row::{self, JobBody, JobRow, QueueSettings},
     },
 };
 use skylarkwick_process::clock::{Boot, Clock};
@@ -58,6 +58,7 @@
     pub(super) reference: Reference<'a>,
     pub(super) key: Key,
     body: JobBody,
+    settings: Option<QueueSettings>,
     may_be_stored: bool,
 }
 
@@ -67,7 +68,7 @@
     /// process that stops has to have answered, failed writes are repeated, or handed over to
     /// neighbours.
     pub fn submit(&self, reference: Reference<'_>, job: &Job, deadline: Duration) -> SubmitOutcome {
-        let Reference { queue, id, workspace } = reference;
+        let Reference { queue, id, workspace, settings } = reference;
         let validated = job.validate_submission().and_then(|()| self.check_quota(workspace, job));
         if let Err(error) = validated {
             return SubmitOutcome::Invalid(error);
@@ -80,7 +81,8 @@
         let keyspace = Keyspace::of_job(sharding, id.as_str());
         let key = keyspace.job(queue, id.as_str());
         let body = JobBody::from(job);
-        let mut pending = Pending { reference, key, body, may_be_stored: false };
+        let settings = settings.map(QueueSettings::from);
+        let mut pending = Pending { reference, key, body, settings, may_be_stored: false };
         if !self.has_room(keyspace, job) {
             return self.refuse(&pending);
         }
@@ -212,6 +214,7 @@
             accepted_ms: self.store.clock_ms(),
             body: pending.body.clone(),
             workspace: pending.reference.workspace.cloned(),
+            settings: pending.settings.clone(),
         })
     }
 
@@ -286,13 +289,14 @@
         neighbour: &Neighbour,
         time_left: Duration,
     ) -> Result<SubmitOutcome, Failure> {
-        let Reference { queue, id, workspace } = pending.reference;
+        let Reference { queue, id, workspace, .. } = pending.reference;
         let submission = Submission {
             queue: Arc::from(queue),
             id: id.clone(),
             workspace: workspace.cloned(),
             body: pending.body.clone(),
             time_left,
+            settings: pending.settings.clone(),
         };
         let sent = Boot.now();
         let answer = self.neighbour_client.hand_over(neighbour, &submission);
@@ -335,13 +339,15 @@
     /// Stores a submission that another entry host has handed over, together with others of the
     /// same partition; never hands it on.
     pub fn store_for_neighbour(&self, submission: &Submission) -> Answer {
-        let Submission { queue, id, workspace, body, time_left } = submission;
+        let Submission { queue, id, workspace, body, time_left, settings } = submission;
         let Some(sharding) = self.sharding().filter(|_| self.is_store_responding()) else {
             return Answer::NotStored;
         };
-        let reference = Reference { queue, id, workspace: workspace.as_ref() };
+        let workspace = workspace.as_ref();
+        let reference = Reference { queue, id, workspace, settings: None };
         let key = Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str());
-        let pending = Pending { reference, key, body: body.clone(), may_be_stored: false };
+        let (body, settings) = (body.clone(), settings.clone());
+        let pending = Pending { reference, key, body, settings, may_be_stored: false };
         match self.write_with_others(&pending, *time_left) {
             Ok(SubmitOutcome::Accepted) => Answer::Stored,
             Ok(SubmitOutcome::Taken) => Answer::Taken,
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -212,12 +212,14 @@
     let Some(value) = row.value.as_deref() else {
         return Some(StoredJob::Finished(job::Key::new(queue, id)));
     };
-    let (accepted_ms, body, workspace) = match row::decode::<JobRow>(value) {
+    let (accepted_ms, body, workspace, settings) = match row::decode::<JobRow>(value) {
         Ok(JobRow::Finished { state: FinalState::Refused, .. }) => return None,
         Ok(JobRow::Finished { .. }) => {
             return Some(StoredJob::Finished(job::Key::new(queue, id)));
         }
-        Ok(JobRow::Active { accepted_ms, body, workspace }) => (accepted_ms, body, workspace),
+        Ok(JobRow::Active { accepted_ms, body, workspace, settings }) => {
+            (accepted_ms, body, workspace, settings)
+        }
         Err(error) => {
             warn!(log, "job row not decoded"; "job" => &*row.key.name, "error" => %error);
             return None;
@@ -230,6 +232,7 @@
         .ok()?;
     Some(StoredJob::Active(Box::new(AcceptedJob {
         id,
+        queue_settings: settings.map(|settings| settings.into_queue(Arc::clone(&queue))),
         queue,
         workspace,
         job: Arc::new(job),
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -24,6 +24,7 @@
 mod namesake;
 mod occurrence;
 mod order_results;
+mod outcome;
 mod overdue;
 mod overload;
 mod pace;
@@ -31,6 +32,7 @@
 mod placement;
 mod polling;
 mod pool_load;
+mod queues;
 mod quota;
 mod ranking;
 mod rate;
@@ -67,8 +69,8 @@
     active::{ActiveJob, Time},
     effect::Effect,
     fleet::Fleet,
-    input::Queue,
     namesake::Namesakes,
+    queues::Queues,
     quota::Quotas,
     rate::Rates,
     run_time_model::RunTimeModel,
@@ -77,7 +79,7 @@
     server::Server,
     takeover::Unanswered,
 };
-use crate::job::{self, State, task};
+use crate::job::{self, task};
 
 /// How long a finished or removed job is remembered, so that a read of all rows
 /// that started before then does not add it again.
@@ -135,7 +137,7 @@
 pub struct Shard {
     timings: Timings,
     term: Term,
-    queues: BTreeMap<Arc<str>, Queue>,
+    queues: Queues,
     quotas: Quotas,
     rates: Rates,
     /// Number of shards of the site, over which the jobs of each workspace spread.
@@ -181,7 +183,7 @@
         Shard {
             timings,
             term,
-            queues: BTreeMap::new(),
+            queues: Queues::default(),
             quotas: Quotas::default(),
             rates: Rates::default(),
             shard_count: 1,
@@ -206,18 +208,6 @@
         }
     }
 
-    /// Replaces the queues and computes the outcome of every known job that is
-    /// still undecided, because the limit of attempts may have changed. Jobs of
-    /// a queue that is missing stay, but their waiting tasks are not started,
-    /// and their failures are not limited.
-    pub fn set_queues(&mut self, queues: Vec<Queue>) {
-        self.queues = queues.into_iter().map(|queue| (Arc::clone(&queue.name), queue)).collect();
-        let ids: Vec<job::Id> = self.jobs.keys().cloned().collect();
-        for id in &ids {
-            self.update_outcome(id);
-        }
-    }
-
     /// Adds an unfinished job with its stored progress, which may decide its
     /// outcome. Does nothing if the job is known, or has finished or was
     /// removed within the last `FINISHED_RETENTION` (60 s).
@@ -230,7 +220,8 @@
             return;
         }
         let id = self.new_id(&key);
-        let active = ActiveJob::new(now, input::AcceptedJob { id: id.clone(), ..accepted });
+        let mut active = ActiveJob::new(now, input::AcceptedJob { id: id.clone(), ..accepted });
+        self.queues.apply(&mut active);
         self.await_rating(&active);
         self.jobs.insert(id.clone(), active);
         self.update_outcome(&id);
@@ -353,44 +344,4 @@
         self.adjust_pace(now);
         self.stop_incomplete_gangs(now);
     }
-
-    /// Returns the jobs of each queue for which no server is known to have
-    /// started a task; known queues without such jobs are included.
-    ///
-    /// A start without an answer may be rejected or never arrive, so its job
-    /// still counts as waiting.
-    pub fn backlog(&self) -> BTreeMap<Arc<str>, Vec<job::Id>> {
-        let mut waiting: BTreeMap<Arc<str>, Vec<job::Id>> =
-            self.queues.keys().map(|queue| (Arc::clone(queue), Vec::new())).collect();
-        for (id, active) in &self.jobs {
-            if !active.has_started {
-                waiting.entry(Arc::clone(&active.queue)).or_default().push(id.plain());
-            }
-        }
-        waiting
-    }
-
-    /// Computes a job's outcome, unless it was decided before; if the queue is
-    /// unknown, attempts are not limited. A decided outcome is to be stored,
-    /// and the stops of a failed job's remaining runs are due at once. Does
-    /// nothing if the job is unknown.
-    fn update_outcome(&mut self, id: &job::Id) {
-        let Some(active) = self.jobs.get_mut(id) else {
-            return;
-        };
-        let limit = self.queues.get(&active.queue).map_or(u32::MAX, |queue| queue.max_attempts);
-        match active.compute_outcome(limit) {
-            Some(State::Failed) => {
-                for (server, task) in active.assigned_tasks() {
-                    // A stop requested at the zero moment is due at once.
-                    self.request_stop(Moment::ZERO, &server, &task);
-                }
-                self.unsaved_jobs.insert(id.clone());
-            }
-            Some(_) => {
-                self.unsaved_jobs.insert(id.clone());
-            }
-            None => {}
-        }
-    }
 }
--- a/crates/skylarkwick-request/src/shard/active.rs
+++ b/crates/skylarkwick-request/src/shard/active.rs
@@ -42,6 +42,8 @@
 pub(super) struct ActiveJob {
     pub(super) id: Id,
     pub(super) queue: Arc<str>,
+    /// Settings of its queue, see [`Queues`](super::queues::Queues); `None` if they are unknown.
+    pub(super) queue_settings: Option<Arc<Queue>>,
     pub(super) workspace: Option<Arc<str>>,
     /// Whether its workspace had submitted more jobs lately than its weight allowed when it came.
     pub(super) is_beyond_weight: bool,
@@ -88,6 +90,7 @@
         let mut active = ActiveJob {
             id: accepted.id,
             queue: accepted.queue,
+            queue_settings: accepted.queue_settings.map(Arc::new),
             workspace: accepted.workspace,
             is_beyond_weight: false,
             job: accepted.job,
@@ -307,31 +310,6 @@
         self.done_occurrences.len() + open.count()
     }
 
-    /// Computes the job's outcome, unless it was decided before, and keeps it;
-    /// `None` while it is undecided. A job fails when a task that is not
-    /// long-running and not done has `max_attempts` failed runs (0 counts as
-    /// 1). Otherwise it completes when all its occurrences are done, including
-    /// those that have yet to open; one with a long-running task never is.
-    pub(super) fn compute_outcome(&mut self, max_attempts: u32) -> Option<State> {
-        let job = Arc::clone(&self.job);
-        let has_failed = self.occurrences.values().any(|occurrence| {
-            occurrence.steps.iter().zip(&job.steps).any(|(tasks, step)| {
-                !step.is_long_running
-                    && tasks
-                        .all_touched()
-                        .any(|(_, task)| has_exhausted_attempts(task, max_attempts))
-            })
-        });
-        let is_done = self.done_occurrences.first_absent(0) >= job.occurrences();
-        self.outcome = match self.outcome {
-            Some(outcome) => Some(outcome),
-            None if has_failed => Some(State::Failed),
-            None if is_done => Some(State::Completed),
-            None => None,
-        };
-        self.outcome
-    }
-
     /// Returns when an occurrence should finish (its objective) and when its result
     /// loses its value (its expiry). Both count from acceptance, or from when the occurrence is due
     /// if that is later: the objective allows the critical path times the queue's stretch (limited
@@ -446,8 +424,3 @@
 /// Expiry of a job, after which its result has lost its value, as a multiple of
 /// its objective; both count from acceptance.
 const EXPIRY_FACTOR: u32 = 3;
-
-/// Returns whether a task has failed as often as its queue allows, at least once.
-fn has_exhausted_attempts(task: &Task, max_attempts: u32) -> bool {
-    task.progress.failed_runs.len() >= usize::try_from(max_attempts.max(1)).unwrap_or(usize::MAX)
-}
--- a/crates/skylarkwick-request/src/shard/demand.rs
+++ b/crates/skylarkwick-request/src/shard/demand.rs
@@ -23,16 +23,16 @@
 }
 
 impl Shard {
-    /// Returns the demand of each pool that has a queue. Jobs of unknown queues
+    /// Returns the demand of each pool that has a queue or jobs. Jobs of unknown queues
     /// and servers of other pools are left out.
     pub(super) fn demand(&self, now: Moment) -> BTreeMap<Arc<str>, Demand> {
         let mut demand: BTreeMap<Arc<str>, Demand> = BTreeMap::new();
-        for queue in self.queues.values() {
+        for queue in self.queues.iter() {
             demand.entry(Arc::clone(&queue.pool)).or_default();
         }
         let host = self.fleet.mean_capacity();
         for active in self.jobs.values() {
-            if let Some(queue) = self.queues.get(&active.queue) {
+            if let Some(queue) = active.queue_settings.as_deref() {
                 let pool_demand = demand.entry(Arc::clone(&queue.pool)).or_default();
                 pool_demand.min_hosts = pool_demand.min_hosts.max(active.min_hosts());
                 let estimate = self.run_times.estimate(&active.queue);
--- a/crates/skylarkwick-request/src/shard/input.rs
+++ b/crates/skylarkwick-request/src/shard/input.rs
@@ -30,7 +30,7 @@
     }
 }
 
-/// A queue in the active configuration: its pool, priority, limit of attempts
+/// A queue of a configuration: its pool, priority, limit of attempts
 /// and objective.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Queue {
@@ -58,6 +58,8 @@
     pub id: job::Id,
     /// Queue to which it was submitted.
     pub queue: Arc<str>,
+    /// Settings of the queue at its acceptance; `None` if an earlier release has stored it.
+    pub queue_settings: Option<Queue>,
     /// Workspace of its caller, if the queue needs a key.
     pub workspace: Option<Arc<str>>,
     /// What was submitted.
--- a/crates/skylarkwick-request/src/shard/label_hosts.rs
+++ b/crates/skylarkwick-request/src/shard/label_hosts.rs
@@ -72,7 +72,7 @@
     fn label_requirements(&self, allocations: &Allocations) -> Requirements {
         let mut requirements = Requirements::new();
         for active in self.jobs.values().filter(|active| active.outcome.is_none()) {
-            let Some(queue) = self.queues.get(&active.queue) else {
+            let Some(queue) = active.queue_settings.as_deref() else {
                 continue;
             };
             for label in required_labels(active) {
--- a/crates/skylarkwick-request/src/shard/outage/scan.rs
+++ b/crates/skylarkwick-request/src/shard/outage/scan.rs
@@ -154,7 +154,7 @@
     /// Returns why tasks of a long-running step have no server.
     fn waiting_reason(&self, now: Moment, step: OpenStep<'_>) -> Reason {
         let reason = self.hold_reason(now, step);
-        match self.queues.get(&step.active.queue) {
+        match step.active.queue_settings.as_deref() {
             Some(queue) if reason.cause == Cause::Room => self.room_cause(now, step, queue).into(),
             _ => reason,
         }
@@ -164,7 +164,7 @@
     /// decision.
     fn hold_reason(&self, now: Moment, step: OpenStep<'_>) -> Reason {
         let active = step.active;
-        if !self.queues.contains_key(&active.queue) {
+        if active.queue_settings.is_none() {
             return Cause::UnknownQueue.into();
         }
         if let Some(awaited) = self.awaited_server(now, active) {
--- a/crates/skylarkwick-request/src/shard/overdue.rs
+++ b/crates/skylarkwick-request/src/shard/overdue.rs
@@ -45,7 +45,7 @@
     pub(super) fn overdue_runs(&self, now: Moment) -> Overdue {
         let mut overdue = Overdue::default();
         for active in self.jobs.values() {
-            let Some(queue) = self.queues.get(&active.queue) else {
+            let Some(queue) = active.queue_settings.as_deref() else {
                 continue;
             };
             if let Some(workspace) = &active.workspace
--- a/crates/skylarkwick-request/src/shard/overload.rs
+++ b/crates/skylarkwick-request/src/shard/overload.rs
@@ -78,7 +78,7 @@
         let has_weights = self.quotas.workspaces.values().any(|workspace| workspace.weight > 0.0);
         let mut pools: BTreeMap<&Arc<str>, BTreeMap<&str, Group<'_>>> = BTreeMap::new();
         for (id, active) in &self.jobs {
-            let Some(queue) = self.queues.get(&active.queue) else {
+            let Some(queue) = active.queue_settings.as_deref() else {
                 continue;
             };
             let has_room = !self.fleet.unmet_millicores.contains_key(&queue.pool);
--- a/crates/skylarkwick-request/src/shard/pool_load.rs
+++ b/crates/skylarkwick-request/src/shard/pool_load.rs
@@ -66,7 +66,7 @@
             pool.hosts_wanted = allocation.target;
         }
         for active in self.jobs.values() {
-            if let Some(queue) = self.queues.get(&active.queue) {
+            if let Some(queue) = active.queue_settings.as_deref() {
                 let pool = pools.entry(Arc::clone(&queue.pool)).or_default();
                 pool.jobs += 1;
                 pool.held.count(now, active);
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -106,7 +106,7 @@
         let mut ready = Vec::new();
         let postponed = self.postponed_jobs(now);
         for (id, active) in &self.jobs {
-            let Some(queue) = self.queues.get(&active.queue) else {
+            let Some(queue) = active.queue_settings.as_deref() else {
                 continue;
             };
             if active.outcome.is_some() || !self.are_earlier_runs_known(now, active) {
--- a/crates/skylarkwick-request/tests/harness/mod.rs
+++ b/crates/skylarkwick-request/tests/harness/mod.rs
@@ -127,9 +127,15 @@
 impl Harness {
     /// Creates a shard that the `number`th holder has just taken.
     pub(crate) fn new(number: u64) -> Harness {
+        let mut harness = Harness::unconfigured(number);
+        harness.shard.set_queues(vec![queue(QUEUE, POOL)]);
+        harness
+    }
+
+    /// The same, before it has received a configuration.
+    pub(crate) fn unconfigured(number: u64) -> Harness {
         let now = Moment::from_start(ms(60_000));
-        let mut shard = Shard::new(timings(), Term { fencing_token: number, number, since: now });
-        shard.set_queues(vec![queue(QUEUE, POOL)]);
+        let shard = Shard::new(timings(), Term { fencing_token: number, number, since: now });
         Harness { shard, now, unix_ms: 0, servers: Vec::new() }
     }
 
@@ -157,6 +163,7 @@
         AcceptedJob {
             id: Id::new(id),
             queue: Arc::from(QUEUE),
+            queue_settings: None,
             workspace: None,
             job: Arc::new(Job { spec: Arc::from("spec"), steps, schedule: None }),
             revision: Revision(7),
