Adapt the log of work without a run to jobs that keep their queue's settings

Three parts meet: long-running tasks that end as done are started again, so their count, which no release has written, goes; jobs of a removed route keep their settings, so an unknown queue is one that no stored settings tell of.

--- a/crates/skylarkwick-connection/tests/neighbour_stop.rs
+++ b/crates/skylarkwick-connection/tests/neighbour_stop.rs
@@ -40,6 +40,7 @@
         id: Id::new("5c0e7a21d94b36f8"),
         workspace: None,
         body: JobBody::from(&job),
+        settings: None,
         time_left: TIMEOUT,
     };
     client.hand_over(neighbour, &submission)
--- a/crates/skylarkwick-planner/src/jobs/activity.rs
+++ b/crates/skylarkwick-planner/src/jobs/activity.rs
@@ -51,7 +51,7 @@
         info!(log, "activity"; "events" => self.events, "decisions" => self.decisions,
             "decision_ms" => millis(self.decision_time), "kept_jobs" => kept.jobs,
             "kept_tasks" => kept.tasks, "kept_bytes" => kept.bytes,
-            "long_running" => outages.running, "long_running_done" => outages.done,
+            "long_running" => outages.running,
             "without_run" => outages.count(),
             "without_run_ms" => millis(outages.longest_time()));
         (self.events, self.decisions, self.decision_time) = (0, 0, Duration::ZERO);
--- a/crates/skylarkwick-request/src/shard/outage.rs
+++ b/crates/skylarkwick-request/src/shard/outage.rs
@@ -214,8 +214,6 @@
 pub struct Outages {
     /// Long-running tasks that run.
     pub running: usize,
-    /// Long-running tasks whose last run ended as done, so that they are not started again.
-    pub done: usize,
     /// Long-running tasks without a run.
     pub tasks: BTreeMap<Cause, Total>,
     /// Jobs without any run that have other tasks to start.
--- a/crates/skylarkwick-request/src/shard/outage/scan.rs
+++ b/crates/skylarkwick-request/src/shard/outage/scan.rs
@@ -82,7 +82,6 @@
     /// Adds the tasks of a long-running step.
     fn add_outages(&self, now: Moment, step: OpenStep<'_>, outages: &mut Outages) {
         let tasks = step.tasks();
-        outages.done += tasks.done().len();
         let mut touched = 0;
         for (index, _) in tasks.all_touched() {
             touched += 1;
