End the denial of a job that was cancelled before it was submitted

Cause: the row that keeps late writes of earlier attempts out denied the job as long as it stood, and a submission that met it was answered as accepted and marked as cancelled. Ruled out: the holder (the row is never active). Holders too took that row, and later its removal, for the end of the job, and ignored the job for 60 s, so for good.

Change: attempts that arrive within 6 s of the withdrawal, by the store's clock, are refused (503), because they may be from before it; a later one replaces the row on condition of its revision. Each DELETE writes such a row anew, so that a replacement without an answer fails. Holders ignore it, and forget jobs whose rows are removed.

late_writes::late_repeat_cancelled asked for 200 and a cancelled job, a false acceptance; late_repeat_refused asks for 503, for no such job, and as before that it doesn't run. The fake store gets a clock that can be set forward and holds replacements back.

Taken out alone: the new write at a DELETE fails late_replacement_denied, the holder's part informed_holder_runs, the removal of rows swept_row_forgotten.

--- a/crates/skylarkwick-entry/src/jobs.rs
+++ b/crates/skylarkwick-entry/src/jobs.rs
@@ -12,6 +12,7 @@
 mod intake;
 mod neighbours;
 mod submission;
+mod withdrawal;
 
 use std::{
     sync::{Arc, Mutex, OnceLock, PoisonError},
@@ -58,7 +59,8 @@
 /// result is unknown.
 const MAX_CANCEL_ATTEMPTS: u32 = 4;
 
-/// Result of submitting a job: accepted, in doubt, not valid, taken or refused for want of room.
+/// Result of submitting a job: accepted, in doubt, not valid, taken, refused for want of room or
+/// withdrawn.
 ///
 /// There is no refusal for a store that gives no access: the caller may have submitted the
 /// job through another entry host before, which stored it without its answer arriving.
@@ -74,6 +76,10 @@
     Taken,
     /// The job's shard has no room for it. It is not stored, and no earlier attempt will be.
     Full,
+    /// Its caller has cancelled the job shortly before, so that this may be an attempt from before
+    /// that. It is not stored, and no earlier attempt will be. After this time, an attempt counts
+    /// as a new job.
+    Withdrawn(Duration),
 }
 
 /// Result of cancelling a job: done, unknown job or in doubt.
@@ -277,25 +283,6 @@
         answer_by.map_or(deadline, |answer_by| deadline.min(answer_by.since(Boot.now())))
     }
 
-    /// Marks a job that was withdrawn before its submission arrived as cancelled, so that it
-    /// is known from then on; returns false if that may not be stored. Any other job is left
-    /// as it is.
-    fn admit_withdrawn(&self, rows: &[Row]) -> bool {
-        let withdrawn = rows.iter().find_map(|row| match row::decode(row.value.as_deref()?) {
-            Ok(JobRow::Finished { state: FinalState::Withdrawn, ended_ms, workspace }) => {
-                Some((row, ended_ms, workspace))
-            }
-            _ => None,
-        });
-        let Some((row, ended_ms, workspace)) = withdrawn else {
-            return true;
-        };
-        let cancelled = JobRow::Finished { state: FinalState::Cancelled, ended_ms, workspace };
-        let key = row.key.clone();
-        let change = Transaction::default().replace(key, row.revision, row::encode(&cancelled));
-        matches!(store::commit_with_retry(&self.store, &change), store::Outcome::Applied(_))
-    }
-
     /// Returns the state of a job, or `None` if the job does not exist or belongs to another
     /// workspace. An active job is queued until its first task starts, then running.
     ///
@@ -338,7 +325,8 @@
     /// four attempts while the result is in doubt. A job that has ended is left as it is.
     ///
     /// A job that is not stored is written as withdrawn: its submission may have had no
-    /// answer, and would otherwise still be stored later and run.
+    /// answer, and would otherwise still be stored later and run. Such a row is written anew by
+    /// each cancellation, because a write that replaces it may be under way.
     pub fn cancel(&self, reference: Reference<'_>) -> CancelOutcome {
         let Reference { queue, id, .. } = reference;
         let mut outcome = CancelOutcome::InDoubt;
@@ -366,14 +354,13 @@
         };
         let (state, outcome) = match row.value.as_deref().map(row::decode::<JobRow>) {
             None => (FinalState::Withdrawn, CancelOutcome::Unknown),
+            // A later attempt of the submission may be about to replace the row, which no
+            // workspace's job has.
+            Some(Ok(JobRow::Finished {
+                state: FinalState::Withdrawn | FinalState::Refused,
+                ..
+            })) => (FinalState::Withdrawn, CancelOutcome::Unknown),
             Some(Ok(row)) if !reference.may_see(&row) => return CancelOutcome::Unknown,
-            Some(Ok(JobRow::Finished { state: FinalState::Withdrawn, .. })) => {
-                return CancelOutcome::Unknown;
-            }
-            // A later attempt of the submission would store it.
-            Some(Ok(JobRow::Finished { state: FinalState::Refused, .. })) => {
-                (FinalState::Withdrawn, CancelOutcome::Unknown)
-            }
             Some(Ok(JobRow::Finished { .. })) => return CancelOutcome::Done,
             Some(_) => (FinalState::Cancelled, CancelOutcome::Done),
         };
@@ -417,9 +404,9 @@
 }
 
 /// Returns whether the row that a submission met is a job of another workspace.
-fn is_taken(reference: Reference<'_>, rows: &[Row]) -> bool {
-    let decoded = rows.iter().filter_map(|row| row::decode::<JobRow>(row.value.as_deref()?).ok());
-    decoded.into_iter().any(|row| !reference.may_see(&row))
+fn is_taken(reference: Reference<'_>, row: &Row) -> bool {
+    let decoded = row.value.as_deref().and_then(|value| row::decode::<JobRow>(value).ok());
+    decoded.is_some_and(|row| !reference.may_see(&row))
 }
 
 /// Returns the error of a request that needs the division of the site into shards before it
--- a/crates/skylarkwick-entry/src/jobs/intake.rs
+++ b/crates/skylarkwick-entry/src/jobs/intake.rs
@@ -22,7 +22,7 @@
 use skylarkwick_version::{revision::Revision, sharding::ShardId};
 use slog::{info, warn};
 
-use super::{Api, SubmitOutcome, submission::Pending};
+use super::{Api, SubmitOutcome, submission::Pending, withdrawal::Withdrawal};
 
 /// What this entry host may accept for each shard, and how many submissions it has refused.
 #[derive(Debug, Default)]
@@ -98,13 +98,16 @@
     /// Returns the outcome of a refusal that met a row. One of an earlier refusal is written anew:
     /// an attempt in between may have had room, and its late write is conditional on that row.
     fn refuse_existing(&self, pending: &Pending<'_>, rows: Vec<store::Row>) -> SubmitOutcome {
-        match rows.into_iter().next() {
-            Some(row) if is_refused(&row) => match self.write_refusal(pending, row.revision) {
+        let Some(row) = rows.into_iter().next() else {
+            return SubmitOutcome::InDoubt;
+        };
+        match Withdrawal::of(&row) {
+            Some(withdrawal) => self.refuse_withdrawn(pending, &row, withdrawal),
+            None if is_refused(&row) => match self.write_refusal(pending, row.revision) {
                 Outcome::Applied(_) => SubmitOutcome::Full,
                 _ => SubmitOutcome::InDoubt,
             },
-            Some(row) => self.settle_existing(pending, row).unwrap_or(SubmitOutcome::InDoubt),
-            None => SubmitOutcome::InDoubt,
+            None => self.settle_existing(pending, row).unwrap_or(SubmitOutcome::InDoubt),
         }
     }
 }
--- a/crates/skylarkwick-entry/src/jobs/submission.rs
+++ b/crates/skylarkwick-entry/src/jobs/submission.rs
@@ -21,11 +21,12 @@
     job::{self, Job},
     submission::{Action, Attempts, Failure, Gate},
 };
-use skylarkwick_version::revision::Revision;
+use skylarkwick_version::{moment::Moment, revision::Revision};
 use slog::{info, warn};
 
 use super::{
-    Api, Reference, SubmitOutcome, group::Written, intake::is_refused, is_taken, neighbours::Choice,
+    Api, Reference, SubmitOutcome, group::Written, intake::is_refused, is_taken,
+    neighbours::Choice, withdrawal::Withdrawal,
 };
 
 /// End of a caller's deadline that is kept free of retries, for sending the response.
@@ -59,6 +60,8 @@
     pub(super) key: Key,
     body: JobBody,
     settings: Option<QueueSettings>,
+    /// When it arrived; `None` if a neighbour has handed it over, which knows.
+    pub(super) arrived: Option<Moment>,
     may_be_stored: bool,
 }
 
@@ -68,6 +71,7 @@
     /// process that stops has to have answered, failed writes are repeated, or handed over to
     /// neighbours.
     pub fn submit(&self, reference: Reference<'_>, job: &Job, deadline: Duration) -> SubmitOutcome {
+        let arrived = Boot.now();
         let Reference { queue, id, workspace, settings } = reference;
         let validated = job.validate_submission().and_then(|()| self.check_quota(workspace, job));
         if let Err(error) = validated {
@@ -82,7 +86,8 @@
         let key = keyspace.job(queue, id.as_str());
         let body = JobBody::from(job);
         let settings = settings.map(QueueSettings::from);
-        let mut pending = Pending { reference, key, body, settings, may_be_stored: false };
+        let arrived = Some(arrived);
+        let mut pending = Pending { reference, key, body, settings, arrived, may_be_stored: false };
         if !self.has_room(keyspace, job) {
             return self.refuse(&pending);
         }
@@ -238,39 +243,41 @@
     }
 
     /// Returns the outcome of a submission that met a row. One that was refused for want of room
-    /// before is stored now.
+    /// before is stored now, as is one whose withdrawal is over.
     ///
     /// # Errors
     ///
-    /// Returns a refusal if the row is of a withdrawn or refused job and could not be changed.
+    /// Returns how that failed if the row is of a withdrawn or refused job and could not be
+    /// replaced.
     pub(super) fn settle_existing(
         &self,
         pending: &Pending<'_>,
         row: Row,
     ) -> Result<SubmitOutcome, Failure> {
         if is_refused(&row) {
-            return self.replace_refused(pending, &row);
+            return self.replace(pending, &row);
         }
-        let rows = [row];
-        match is_taken(pending.reference, &rows) {
+        if Withdrawal::of(&row).is_some() {
+            return self.settle_withdrawn(pending);
+        }
+        match is_taken(pending.reference, &row) {
             true => Ok(SubmitOutcome::Taken),
-            false if self.admit_withdrawn(&rows) => Ok(SubmitOutcome::Accepted),
-            false => Err(Failure::Refused),
+            false => Ok(SubmitOutcome::Accepted),
         }
     }
 
-    /// Stores a submission in place of the row of its refusal.
+    /// Stores a submission in place of a row that denies the job.
     ///
     /// # Errors
     ///
     /// Returns how that failed.
-    fn replace_refused(
+    pub(super) fn replace(
         &self,
         pending: &Pending<'_>,
-        refused: &Row,
+        denial: &Row,
     ) -> Result<SubmitOutcome, Failure> {
         let key = pending.key.clone();
-        let change = Transaction::default().replace(key, refused.revision, self.row(pending));
+        let change = Transaction::default().replace(key, denial.revision, self.row(pending));
         match store::commit_with_retry(&self.store, &change) {
             store::Outcome::Applied(_) => Ok(SubmitOutcome::Accepted),
             store::Outcome::Conflict(_) => Err(Failure::Refused),
@@ -347,12 +354,13 @@
         let reference = Reference { queue, id, workspace, settings: None };
         let key = Keyspace::of_job(sharding, id.as_str()).job(queue, id.as_str());
         let (body, settings) = (body.clone(), settings.clone());
-        let pending = Pending { reference, key, body, settings, may_be_stored: false };
+        let arrived = None;
+        let pending = Pending { reference, key, body, settings, arrived, may_be_stored: false };
         match self.write_with_others(&pending, *time_left) {
             Ok(SubmitOutcome::Accepted) => Answer::Stored,
             Ok(SubmitOutcome::Taken) => Answer::Taken,
             Ok(SubmitOutcome::Invalid(_)) => Answer::TooLarge,
-            Ok(SubmitOutcome::Full) => Answer::NotStored,
+            Ok(SubmitOutcome::Full | SubmitOutcome::Withdrawn(_)) => Answer::NotStored,
             Ok(SubmitOutcome::InDoubt) | Err(Failure::Unanswered) => Answer::InDoubt,
             Err(Failure::Refused) => Answer::NotStored,
         }
--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -35,8 +35,10 @@
     WaveRequested(MaintenanceWave),
     /// The store has a job that is not finished; it may be one that the shard knows.
     JobAdded(Box<AcceptedJob>),
-    /// A job is finished or was cancelled, or its row was removed or changed.
+    /// A job is finished or was cancelled, or its row was changed.
     JobRemoved(job::Key),
+    /// The row of a job that was over was removed.
+    JobForgotten(job::Key),
     /// The servers in the platform's list.
     ServersListed(Vec<ServerInfo>),
     /// The hosts in the platform's list, and when the list was requested.
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -290,8 +290,7 @@
             }
             let start = Boot.now();
             self.decide();
-            // Slow decisions are made less often, so that the duties that call servers
-            // get enough processor time.
+            // Slow decisions are made less often, to leave processor time to the other duties.
             let decision_time = Boot.now().since(start);
             self.activity.record_decision(decision_time);
             let batch_window = decision_time * BATCH_WINDOW_PER_DECISION;
@@ -338,6 +337,7 @@
             Event::WaveRequested(wave) => self.shard.add_wave(now, wave),
             Event::JobAdded(accepted) => self.shard.add_job(now, *accepted),
             Event::JobRemoved(key) => self.shard.remove_job(now, &key),
+            Event::JobForgotten(key) => self.shard.forget_job(now, &key),
             Event::ServersListed(servers) => self.shard.set_servers(now, servers),
             Event::HostsListed(hosts, requested) => self.shard.set_hosts(requested, hosts),
             Event::StatusReported(report) => self.shard.handle_status_report(now, *report),
@@ -378,8 +378,7 @@
         }
     }
 
-    /// Ends the term: nothing more is decided, and orders that wait are not sent.
-    /// Does nothing if the term has ended already.
+    /// Ends the term, unless it has ended: nothing more is decided, and waiting orders are not sent.
     fn lose(&mut self, because: &'static str) {
         if self.is_lost {
             return;
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -97,7 +97,7 @@
                 Some(StoredJob::Finished(key)) => {
                     loaded.ended.insert(key.id().clone());
                 }
-                None => {}
+                Some(StoredJob::Removed(_)) | None => {}
             }
         }
         // Of two queues' jobs with one identifier, the one that has begun goes on.
@@ -188,17 +188,19 @@
 }
 
 /// A job according to its row: active (not finished) with what the shard needs of it, or
-/// finished, which includes a removed row.
+/// finished, or without a row any more.
 #[derive(Debug)]
 pub(super) enum StoredJob {
     /// The job is not finished.
     Active(Box<AcceptedJob>),
-    /// The job is finished, or its row was removed.
+    /// The job is finished.
     Finished(job::Key),
+    /// Its row was removed, long after its end; one that is stored after that is a new job.
+    Removed(job::Key),
 }
 
 /// Decodes a job's row; returns `None` for one of another shard, for a submission that was
-/// refused, and for an invalid row, which is logged. An active job is returned
+/// refused or withdrawn before it was stored, and for an invalid row, which is logged. An active job is returned
 /// without progress, which has a row of its own. `now_ms` is the store's clock, from which
 /// the job's age is counted.
 pub(super) fn decode_job(
@@ -210,10 +212,12 @@
     let queue = keyspace.queue(&row.key.part)?;
     let id = job::Id::new(&row.key.name);
     let Some(value) = row.value.as_deref() else {
-        return Some(StoredJob::Finished(job::Key::new(queue, id)));
+        return Some(StoredJob::Removed(job::Key::new(queue, id)));
     };
     let (accepted_ms, body, workspace, settings) = match row::decode::<JobRow>(value) {
-        Ok(JobRow::Finished { state: FinalState::Refused, .. }) => return None,
+        Ok(JobRow::Finished { state: FinalState::Refused | FinalState::Withdrawn, .. }) => {
+            return None;
+        }
         Ok(JobRow::Finished { .. }) => {
             return Some(StoredJob::Finished(job::Key::new(queue, id)));
         }
--- a/crates/skylarkwick-planner/src/jobs/watch.rs
+++ b/crates/skylarkwick-planner/src/jobs/watch.rs
@@ -78,6 +78,7 @@
                 let event = match load::decode_job(row, keyspace, page.now_ms, &log) {
                     Some(StoredJob::Active(accepted)) => Event::JobAdded(accepted),
                     Some(StoredJob::Finished(key)) => Event::JobRemoved(key),
+                    Some(StoredJob::Removed(key)) => Event::JobForgotten(key),
                     None => continue,
                 };
                 if !send(&events, event) {
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -252,6 +252,15 @@
         }
     }
 
+    /// Removes a job whose row is gone, long after its end. A job that is submitted under its
+    /// identity from now on is a new one, which `add_job` takes.
+    pub fn forget_job(&mut self, now: Moment, key: &job::Key) {
+        self.remove_job(now, key);
+        if let Some(queues) = self.finished_jobs.get_mut(key.id()) {
+            queues.remove(key.queue());
+        }
+    }
+
     /// Returns a job; `None` if it is unknown, also if another queue has one with its identifier.
     fn job_mut(&mut self, key: &job::Key) -> Option<&mut ActiveJob> {
         let id = self.known_id(key)?;
