Wait for a recent server only as long as an earlier holder can't rule out

A new holder can't tell a new server from one that has started again under its id and then carried out a call by its earlier clock, for the longest lease. The holder before can tell them apart.

Change: `request::shard::incarnation`: a shard tells for each incarnation that has answered it when the last call by an earlier clock can have been carried out: the first answer, and 12 s after a restart that it has seen, also one in between two entries of the list. The next one waits for the plain grace and for a lease from that time. Nobody stores it yet.

--- a/crates/skylarkwick-connection/tests/damaged_rows.rs
+++ b/crates/skylarkwick-connection/tests/damaged_rows.rs
@@ -83,6 +83,7 @@
         max_lease: second,
         start_window: second,
         takeover_grace: second,
+        longest_grace: second,
         outage_threshold: second,
         maintenance_duration: second,
     };
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -37,6 +37,7 @@
 };
 use skylarkwick_process::duty::StopSignal;
 use skylarkwick_request::shard::Timings;
+use skylarkwick_version::shard_lease::Remainder;
 use slog::Logger;
 
 use self::candidate::Candidate;
@@ -132,16 +133,20 @@
     }
 }
 
-/// Returns the durations that the shard uses in a term, the time of one holder. The takeover
-/// grace is 103 % of `granted`, the time for which the leases last that earlier holders may have
-/// granted by the servers' clocks, plus [`TAKEOVER_MARGIN`].
-pub fn timings(config: &Config, granted: Duration) -> Timings {
+/// Returns the durations that the shard uses in a term, the time of one holder, by what earlier
+/// holders may still do. The takeover grace is 103 % of the time for which the leases last that
+/// they may have granted by the servers' clocks, plus [`TAKEOVER_MARGIN`].
+pub fn timings(config: &Config, earlier: Remainder) -> Timings {
+    // Leases of runs count as 3 % longer here than they were granted.
+    let takeover_grace = earlier.granted.mul_f64(1.03) + TAKEOVER_MARGIN;
+    let longest_grace =
+        earlier.overlap + config.max_run_lease.mul_f64(1.03) + TAKEOVER_MARGIN;
     Timings {
         lease_duration: config.run_lease(),
         max_lease: config.max_run_lease,
         start_window: START_WINDOW,
-        // Leases of runs count as 3 % longer here than they were granted.
-        takeover_grace: granted.mul_f64(1.03) + TAKEOVER_MARGIN,
+        takeover_grace,
+        longest_grace: longest_grace.max(takeover_grace),
         outage_threshold: config.outage_threshold,
         maintenance_duration: config.maintenance_duration,
     }
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -180,7 +180,7 @@
         stop: &StopSignal,
     ) -> io::Result<Holder<O>> {
         let Clients { store, orders, hosts, registry } = clients.clone();
-        let timings = super::timings(config, acquisition.earlier.granted);
+        let timings = super::timings(config, acquisition.earlier);
         takeover::log_begin(&acquisition, &timings, log);
         let Acquisition { keyspace, fencing_token, number, since, settled, .. } = acquisition;
         let mut shard = Shard::new(timings, Term { fencing_token, number, since });
--- a/crates/skylarkwick-planner/src/jobs/takeover.rs
+++ b/crates/skylarkwick-planner/src/jobs/takeover.rs
@@ -47,6 +47,7 @@
     info!(log, "term begins"; "number" => number, "overlap_ms" => millis(earlier.overlap),
         "granted_ms" => millis(earlier.granted),
         "grace_ms" => millis(timings.takeover_grace),
+        "longest_grace_ms" => millis(timings.longest_grace),
         "run_lease_ms" => millis(timings.lease_duration),
         "max_lease_ms" => millis(timings.max_lease), "settled_servers" => settled.len(),
         "unchanged_ms" => millis(*unchanged), "store_ms" => store_ms,
--- a/crates/skylarkwick-planner/tests/lost_holder.rs
+++ b/crates/skylarkwick-planner/tests/lost_holder.rs
@@ -51,7 +51,7 @@
             decide(Some(&record), observation, own, now_ms, run_lease)
         {
             assert!(elapsed < LEASE_DURATION + READ_PERIOD);
-            return elapsed + timings(config, earlier.granted).takeover_grace;
+            return elapsed + timings(config, earlier).takeover_grace;
         }
         elapsed += READ_PERIOD;
     }
--- a/crates/skylarkwick-request/src/shard.rs
+++ b/crates/skylarkwick-request/src/shard.rs
@@ -16,6 +16,7 @@
 mod health;
 mod hold;
 mod host_list;
+mod incarnation;
 mod kept;
 mod label_hosts;
 mod liveness;
@@ -59,7 +60,10 @@
 pub mod outage;
 pub mod takeover;
 
-pub use self::{hold::Holds, kept::Kept, pool_load::PoolLoad, workspace_load::WorkspaceLoad};
+pub use self::{
+    hold::Holds, incarnation::Incarnation, kept::Kept, pool_load::PoolLoad,
+    workspace_load::WorkspaceLoad,
+};
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -69,6 +73,7 @@
     active::{ActiveJob, Time},
     effect::Effect,
     fleet::Fleet,
+    incarnation::Incarnations,
     namesake::Namesakes,
     queues::Queues,
     quota::Quotas,
@@ -107,9 +112,14 @@
     /// Time after a takeover in which runs of the previous holder may still be
     /// unknown: how long the leases last that it may have granted, which end by
     /// [`shard_lease::GRANT_LIMIT`], plus a margin. After it, the runs of
-    /// previous holders count as over on servers that have not answered; on those
-    /// that started recently, after the longest lease in place of that lease.
+    /// previous holders count as over on servers that have not answered.
     pub takeover_grace: Duration,
+    /// The same for servers that started recently and may have a lease that no
+    /// holder knows of: how long the previous holder may act without its lease, plus
+    /// the longest lease, plus a margin. [`shard_lease::GRANT_LIMIT`] does not hold
+    /// there, because a call by the clock of an earlier incarnation asks for another
+    /// end on the later one.
+    pub longest_grace: Duration,
     /// Time after which a long-running task that is not running counts as
     /// unavailable, which older reports can't rule out.
     pub outage_threshold: Duration,
@@ -151,6 +161,7 @@
     settled_servers: BTreeMap<input::ServerId, Moment>,
     /// What was waited for in vain after the takeover.
     unanswered: Unanswered,
+    incarnations: Incarnations,
     fleet: Fleet,
     /// Time of day at the last call of `decide`, in Unix milliseconds.
     unix_ms: u64,
@@ -192,6 +203,7 @@
             are_servers_listed: false,
             settled_servers: BTreeMap::new(),
             unanswered: Unanswered::default(),
+            incarnations: Incarnations::default(),
             fleet: Fleet::default(),
             unix_ms: 0,
             grants_end: term.since + shard_lease::GRANT_LIMIT,
@@ -325,6 +337,7 @@
             false => self.cancel_planned(|_| true),
         }
         self.forget_finished(now);
+        self.incarnations.forget_removed(now);
         self.open_occurrences(unix_ms);
         self.rate_jobs();
         self.place_tasks(now, is_exclusive);
--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -20,6 +20,9 @@
 /// Time before a holder's term in which a server's start is recent: an order by an earlier
 /// clock comes a few seconds after it, and times of day differ by seconds.
 const RECENT_START: Duration = Duration::from_secs(30);
+/// Allows for the delays of the store's answers, by which holders estimate its clock: one tells
+/// the next a time by it.
+const STORE_CLOCK_MARGIN: Duration = Duration::from_millis(500);
 /// Reason with which the log tells of runs whose server has restarted.
 const RESTARTED: &str = "the server restarted or changed its address";
 
@@ -42,7 +45,10 @@
             match known.map(|server| (info.incarnation_ms.cmp(&server.info.incarnation_ms), server))
             {
                 None => {
-                    self.servers.insert(info.id.clone(), Server::new(info, now));
+                    let own_calls_until = self.incarnations.own_calls_until(now, &info.id);
+                    let mut server = Server::new(info, now);
+                    server.own_calls_until = own_calls_until;
+                    self.servers.insert(server.id().clone(), server);
                 }
                 Some((Ordering::Less, _)) => {}
                 Some((Ordering::Equal, server)) => {
@@ -151,21 +157,21 @@
     ///
     /// An earlier holder may have extended the leases of a server that it did not know to
     /// have restarted as far as the platform allows. One that started long before this
-    /// holder's term has no such lease.
+    /// holder's term has no such lease, nor has one of which an earlier holder has handed on
+    /// that no call by an earlier clock was carried out so late.
     fn silence_end(&self, now: Moment, server: &Server) -> Moment {
-        let Timings { start_window, lease_duration, max_lease, takeover_grace, .. } = self.timings;
-        let may_have_longest = server.is_restarted || self.has_started_recently(now, server);
-        let grace = match may_have_longest {
-            true => {
-                takeover_grace + max_lease.saturating_sub(lease_duration).mul_f64(MAX_LEASE_STRETCH)
+        let Timings { start_window, max_lease, longest_grace, .. } = self.timings;
+        let longest_lease = max_lease.mul_f64(MAX_LEASE_STRETCH);
+        let grace_end = self.takeover_grace_end();
+        let longest_end = self.term.since + longest_grace;
+        match (server.is_restarted, self.late_calls_until(server)) {
+            (true, _) => longest_end.max(server.since + start_window + longest_lease),
+            (false, _) if !self.has_started_recently(now, server) => grace_end,
+            (false, Some(until)) => {
+                let late_lease_end = until + longest_lease + STORE_CLOCK_MARGIN;
+                late_lease_end.max(grace_end).min(longest_end)
             }
-            false => takeover_grace,
-        };
-        let longest = start_window + max_lease.mul_f64(MAX_LEASE_STRETCH);
-        let grace_end = self.term.since + grace;
-        match server.is_restarted {
-            true => grace_end.max(server.since + longest),
-            false => grace_end,
+            (false, None) => longest_end,
         }
     }
 
@@ -198,6 +204,7 @@
     fn remove_server(&mut self, id: &ServerId, evidence: Evidence, reason: &'static str) {
         self.give_up_runs(id, evidence, reason);
         if self.servers.remove(id).is_some() {
+            self.incarnations.record_removed(self.last_housekeeping, id);
             self.effects.push(Effect::RemoveServer(id.clone()));
         }
     }
--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -82,6 +82,9 @@
             server.lease_until_ms = server.lease_until_ms.max(Some(granted));
         }
         server.is_fenced = true;
+        if report.incarnation_ms.is_some() {
+            server.identified_at.get_or_insert(now);
+        }
         for finished in report.finished {
             let task = self.owned_task(&id, finished.task);
             self.handle_run_end(now, &id, FinishedRun { task, ..finished });
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -14,6 +14,7 @@
 use super::{
     effect::Target,
     health::Health,
+    incarnation::LATE_CALL_TIME,
     input::{ClockReading, HostId, ServerId, ServerInfo, StatusReport},
     tally::Tally,
 };
@@ -34,9 +35,6 @@
 const MIN_CLOCK_RATE_PER_MILLE: u64 = 980;
 /// Margin before a time on a server's clock counts as certainly passed.
 const CLOCK_MARGIN: Duration = Duration::from_millis(150);
-/// Time after a restart is known in which the later incarnation may still carry out
-/// calls that were sent by the clock of the earlier one.
-const LATE_CALL_TIME: Duration = Duration::from_secs(12);
 /// Longest time since the last report in which a poll acknowledges run ends; far less
 /// than a server takes to restart and to end a run.
 const ACKNOWLEDGE_WITHIN: Duration = Duration::from_millis(150);
@@ -169,6 +167,11 @@
     pub(super) since: Moment,
     /// Whether an earlier incarnation was known.
     pub(super) is_restarted: bool,
+    /// Until when it may carry out calls of this holder by the clock of an earlier
+    /// incarnation; zero if this holder has made none.
+    pub(super) own_calls_until: Moment,
+    /// When this incarnation first answered a poll of this holder and named itself.
+    pub(super) identified_at: Option<Moment>,
     pub(super) runs: BTreeMap<task::Id, ActiveRun>,
     /// Sums over the runs.
     tally: Tally,
@@ -216,6 +219,8 @@
             info,
             since: now,
             is_restarted: false,
+            own_calls_until: Moment::ZERO,
+            identified_at: None,
             runs: BTreeMap::new(),
             tally: Tally::default(),
             clock_reading: None,
@@ -239,7 +244,8 @@
     /// Returns the later incarnation `info` of this server, to be polled at once.
     /// The runs stay, as ones that it may have.
     pub(super) fn restarted(self, info: ServerInfo, now: Moment) -> Server {
-        let mut server = Server { is_restarted: true, ..Server::new(info, now) };
+        let own_calls_until = now + LATE_CALL_TIME;
+        let mut server = Server { is_restarted: true, own_calls_until, ..Server::new(info, now) };
         for (task, active_run) in self.runs {
             server.add(task, active_run.after_restart(now));
         }
--- a/crates/skylarkwick-request/tests/harness/mod.rs
+++ b/crates/skylarkwick-request/tests/harness/mod.rs
@@ -52,6 +52,7 @@
         max_lease: ms(6000),
         start_window: ms(1300),
         takeover_grace: ms(11_000),
+        longest_grace: ms(12_442),
         outage_threshold: ms(4500),
         maintenance_duration: ms(2000),
     }
--- a/crates/skylarkwick-request/tests/simulation/world.rs
+++ b/crates/skylarkwick-request/tests/simulation/world.rs
@@ -16,6 +16,7 @@
         task::{self, RunId},
     },
     shard::{
+        Incarnation,
         effect::{Batch, Effect, Start, Target},
         input::{AcceptedJob, OrderResult, ServerId, ServerInfo, StatusReport},
     },
@@ -34,6 +35,9 @@
 const LIST_PERIOD_MS: u64 = 250;
 const RENEWAL_PERIOD_MS: u64 = 500;
 const JOB_PERIOD_MS: u64 = 150;
+const INCARNATIONS_PERIOD_MS: u64 = 700;
+/// Every third holder is of a release that neither reads nor stores incarnations.
+const EARLIER_RELEASE_TERMS: u64 = 3;
 /// Time without a holder after a kill at least, and after a planned stop at most.
 const LEASE_MS: u64 = 2_300;
 const RELEASE_MS: u64 = 100;
@@ -105,6 +109,8 @@
     /// When the holder's term ends, by [`Self::cut_servers`].
     term_end_ms: u64,
     stored: BTreeMap<Id, StoredJob>,
+    /// Incarnations that the last holder has handed on.
+    stored_incarnations: BTreeMap<ServerId, Incarnation>,
     /// Revision of the last write.
     revision: u64,
     random: Random,
@@ -139,6 +145,7 @@
             successor: None,
             term_end_ms: u64::MAX,
             stored: BTreeMap::new(),
+            stored_incarnations: BTreeMap::new(),
             revision: 10,
             random: Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
             harness,
@@ -191,6 +198,7 @@
             self.deliver_messages();
             if self.successor.is_none() {
                 self.decide();
+                self.store_incarnations();
             }
             self.check();
         }
@@ -199,6 +207,18 @@
         assert!(unfinished.is_empty(), "seed {}, unfinished: {unfinished:?}", self.seed);
     }
 
+    /// Returns whether the holder is of a release that neither reads nor stores incarnations.
+    fn is_earlier_release(&self) -> bool {
+        self.term.is_multiple_of(EARLIER_RELEASE_TERMS)
+    }
+
+    fn store_incarnations(&mut self) {
+        let is_due = self.now_ms.is_multiple_of(INCARNATIONS_PERIOD_MS) && self.is_store_up;
+        if is_due && !self.is_earlier_release() {
+            self.stored_incarnations = self.harness.shard.known_incarnations();
+        }
+    }
+
     fn advance_machines(&mut self) {
         for machine in self.machines.values_mut() {
             let is_cut = machine.is_cut(self.now_ms);
--- a/crates/skylarkwick-request/tests/simulation/world/trouble.rs
+++ b/crates/skylarkwick-request/tests/simulation/world/trouble.rs
@@ -86,6 +86,9 @@
         let term = Term { fencing_token: self.term, number: self.term, since: now };
         let mut shard = Shard::new(timings, term);
         shard.set_settled_servers(settled);
+        if !self.is_earlier_release() {
+            shard.set_known_incarnations(self.stored_incarnations.clone());
+        }
         shard.set_queues(vec![queue(harness::QUEUE, harness::POOL)]);
         shard.set_hosts(now, Vec::new());
         for job in self.stored.values() {
