Store the incarnations that a holder knows, with the backlog

Cause: what a holder knows of its servers' incarnations ends with its process.

Change: row `incarnation` of each shard, written in the transaction of the backlog when it has changed, read by the next holder with the jobs. A row that may not have been stored is written again. Times go by the store's clock (`store::clock::Reading`). A release that doesn't know the row neither reads nor writes it; what it says stays true.

--- a/crates/skylarkwick-connection/src/store.rs
+++ b/crates/skylarkwick-connection/src/store.rs
@@ -5,6 +5,7 @@
 //! response was lost may have taken effect, or may still take effect seconds
 //! later if its conditions hold. See `docs/DESIGN.md`, section "Rows".
 
+pub mod clock;
 pub mod keyspace;
 pub mod row;
 
--- a/crates/skylarkwick-connection/src/store/keyspace.rs
+++ b/crates/skylarkwick-connection/src/store/keyspace.rs
@@ -36,6 +36,9 @@
 /// Table of the sizes of pools before any host was moved between them
 /// ([`row::PoolSizesRow`]); the key is the shard.
 pub const POOL_SIZES: &str = "home";
+/// Table of the incarnations of servers that a holder hands on to the next
+/// ([`row::IncarnationsRow`]); the key is the shard.
+pub const INCARNATIONS: &str = "incarnation";
 /// Table of the parts of the workspaces' quotas that the shards may use
 /// ([`row::AllotmentRow`]); the key is the workspace.
 pub const ALLOTMENTS: &str = "allotment";
@@ -159,6 +162,11 @@
         self.shard_key(POOL_SIZES)
     }
 
+    /// Returns the key of the shard's row in [`INCARNATIONS`].
+    pub fn incarnations(self) -> Key {
+        self.shard_key(INCARNATIONS)
+    }
+
     /// Returns the key of the row in [`WAVES`] with the shard's progress of a wave.
     pub fn wave(self, number: u64) -> Key {
         Key::new(WAVES, "", &format!("{number}{}", self.part_suffix()))
--- a/crates/skylarkwick-connection/src/store/row.rs
+++ b/crates/skylarkwick-connection/src/store/row.rs
@@ -6,6 +6,7 @@
 //! `docs/DESIGN.md`, section "Rows".
 
 mod allotment;
+mod incarnations;
 mod job_row;
 mod progress;
 
@@ -19,6 +20,7 @@
 
 pub use self::{
     allotment::AllotmentRow,
+    incarnations::IncarnationsRow,
     job_row::{FinalState, JobRow, QueueSettings},
     progress::{ProgressRow, encode_progress},
 };
--- a/crates/skylarkwick-connection/tests/damaged_rows.rs
+++ b/crates/skylarkwick-connection/tests/damaged_rows.rs
@@ -3,15 +3,18 @@
 
 use std::{sync::Arc, time::Duration};
 
-use skylarkwick_connection::store::row::{
-    self, BacklogRow, HostOrderRow, JobBody, JobRow, LeaseRow, PoolSizesRow, ProgressRow,
-    QueueSettings, ShardingRow, WaveRow,
+use skylarkwick_connection::store::{
+    clock::Reading,
+    row::{
+        self, BacklogRow, HostOrderRow, IncarnationsRow, JobBody, JobRow, LeaseRow, PoolSizesRow,
+        ProgressRow, QueueSettings, ShardingRow, WaveRow,
+    },
 };
 use skylarkwick_request::{
     job::{Id, Job, Schedule, Step, progress::Progress, task::RunId},
     shard::{
-        Shard, Term, Timings,
-        input::{AcceptedJob, Queue},
+        Incarnation, Shard, Term, Timings,
+        input::{AcceptedJob, Queue, ServerId},
     },
 };
 use skylarkwick_version::{moment::Moment, revision::Revision};
@@ -170,11 +173,15 @@
         granted_until_ms: Some(7),
     };
     let order = HostOrderRow { holder: "entry".to_owned(), fencing: 3, ordered_ms: 4 };
+    let clock = Reading { now: START, store_ms: 6 };
+    let incarnation = Incarnation { started_ms: 7, late_calls_until: START };
+    let known = [(ServerId(Arc::from("a")), incarnation)].into();
     let wave = WaveRow { started: vec!["m-1".to_owned()], due_ms: 9 };
     let samples = [
         row::encode(&lease),
         row::encode(&order),
         row::encode(&wave),
+        row::encode(&IncarnationsRow::new(&known, clock)),
         row::encode(&ShardingRow { count: 3, seed: 4 }),
         row::encode(&PoolSizesRow { hosts: [("pool".to_owned(), 4)].into() }),
         row::encode(&BacklogRow {
@@ -194,6 +201,7 @@
             let _ = row::decode::<ShardingRow>(&damaged);
             let _ = row::decode::<PoolSizesRow>(&damaged);
             let _ = row::decode::<BacklogRow>(&damaged);
+            let _ = row::decode::<IncarnationsRow>(&damaged).map(|row| row.incarnations(clock));
         }
     }
 }
--- a/crates/skylarkwick-connection/tests/earlier_rows.rs
+++ b/crates/skylarkwick-connection/tests/earlier_rows.rs
@@ -3,8 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use skylarkwick_connection::store::row::{
-    self, JobBody, JobRow, LeaseRow, ProgressRow, QueueSettings,
+use skylarkwick_connection::store::{
+    clock::Reading,
+    row::{self, IncarnationsRow, JobBody, JobRow, LeaseRow, ProgressRow, QueueSettings},
 };
 use skylarkwick_request::{
     job::{
@@ -12,8 +13,12 @@
         progress::{Progress, TaskPosition, TaskProgress},
         task::RunId,
     },
-    shard::input::Queue,
+    shard::{
+        Incarnation,
+        input::{Queue, ServerId},
+    },
 };
+use skylarkwick_version::moment::Moment;
 
 /// The lease row as the release before wrote and read it.
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -207,3 +212,21 @@
     };
     assert_eq!(read.into_queue(Arc::from("queue")), queue());
 }
+
+/// Guards against a row of incarnations that another release reads otherwise: for each server
+/// its start, and a time on the store's clock.
+#[test]
+fn incarnations_keep_form() {
+    let now = Moment::from_start(Duration::from_secs(60));
+    let clock = Reading { now, store_ms: 700_000 };
+    let late_calls_until = now - Duration::from_millis(500);
+    let known = [(
+        ServerId(Arc::from("a")),
+        Incarnation { started_ms: 1_780_000_000_000, late_calls_until },
+    )]
+    .into();
+    let stored = vec![("a".to_owned(), 1_780_000_000_000_u64, 699_500_u64)];
+    assert_eq!(row::encode(&IncarnationsRow::new(&known, clock)), row::encode(&stored));
+    let read = row::decode::<IncarnationsRow>(&row::encode(&stored)).expect("it decodes");
+    assert_eq!(read.incarnations(clock), known);
+}
--- a/crates/skylarkwick-planner/src/jobs.rs
+++ b/crates/skylarkwick-planner/src/jobs.rs
@@ -139,8 +139,7 @@
 pub fn timings(config: &Config, earlier: Remainder) -> Timings {
     // Leases of runs count as 3 % longer here than they were granted.
     let takeover_grace = earlier.granted.mul_f64(1.03) + TAKEOVER_MARGIN;
-    let longest_grace =
-        earlier.overlap + config.max_run_lease.mul_f64(1.03) + TAKEOVER_MARGIN;
+    let longest_grace = earlier.overlap + config.max_run_lease.mul_f64(1.03) + TAKEOVER_MARGIN;
     Timings {
         lease_duration: config.run_lease(),
         max_lease: config.max_run_lease,
--- a/crates/skylarkwick-planner/src/jobs/event.rs
+++ b/crates/skylarkwick-planner/src/jobs/event.rs
@@ -75,6 +75,8 @@
         /// Whether every host of the wave is done.
         is_completed: bool,
     },
+    /// Incarnations of servers that were to be stored may not have been.
+    IncarnationsNotSaved,
     /// Result of a lease renewal, and when the renewal was sent; lost also if a write
     /// showed that a later holder has acquired the shard.
     LeaseRenewal(Renewal, Moment),
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -20,7 +20,7 @@
     duty::{Duty, StopSignal},
     ring,
 };
-use skylarkwick_request::shard::{Shard, Term, input::ServerId};
+use skylarkwick_request::shard::{Incarnation, Shard, Term, input::ServerId};
 use skylarkwick_version::{
     moment::{Moment, millis},
     revision::Revision,
@@ -143,6 +143,8 @@
     wall_clock: WallClock,
     /// When the backlog is next written.
     backlog_due: Moment,
+    /// Incarnations of servers that are stored or about to be.
+    saved_incarnations: BTreeMap<ServerId, Incarnation>,
     /// Memory for the jobs of the shard, in bytes.
     shard_bytes: usize,
     /// When the needs of the workspaces are next reported.
@@ -200,10 +202,11 @@
         watch::hosts(hosts.clone(), keyspace, duty_events, duty_log, duty_stop)?;
         let loaded = load::load_with_retry(&store, keyspace, log, since, [term_end, stop]);
         let loaded = loaded.ok_or_else(load::error)?;
-        let LoadedState { jobs, ended, revision, pool_sizes } = loaded;
+        let LoadedState { jobs, ended, revision, pool_sizes, incarnations } = loaded;
         info!(log, "jobs loaded"; "jobs" => jobs.len(), "revision" => revision.0,
             "ms" => millis(Boot.now().since(since)));
         shard.set_pool_sizes(pool_sizes);
+        shard.set_known_incarnations(incarnations.clone());
         for accepted in jobs {
             if ended.contains(&accepted.id) {
                 shard.expect_namesake(&accepted.id);
@@ -259,6 +262,7 @@
             configuration_version: None,
             wall_clock: WallClock::new(Boot.now()),
             backlog_due: Moment::ZERO,
+            saved_incarnations: incarnations,
             shard_bytes: super::shard_bytes(config.memory_bytes, keyspace.sharding().count()),
             quota_report_due: Moment::ZERO,
             quota_limits_version: 0,
@@ -369,6 +373,7 @@
                 self.shard.handle_wave_saved(wave, is_completed);
             }
             Event::WaveSaveResult { wave, .. } => self.shard.handle_wave_save_failed(wave),
+            Event::IncarnationsNotSaved => self.saved_incarnations.clear(),
             Event::LeaseRenewal(Renewal::Confirmed, sent) => {
                 self.last_confirmed_renewal = sent;
                 self.permit.extend(sent);
--- a/crates/skylarkwick-planner/src/jobs/holder/reports.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder/reports.rs
@@ -39,7 +39,8 @@
     }
 
     /// Requests a write of the waiting jobs of each queue and of the room for further jobs, for the
-    /// entry hosts to read, if [`BACKLOG_PERIOD`] has passed since the last attempt.
+    /// entry hosts to read, if [`BACKLOG_PERIOD`] has passed since the last attempt. The
+    /// incarnations of servers are written with it if they have changed, for the next holder.
     /// It is skipped and logged if the saver's ring is full.
     pub(super) fn publish_backlog(&mut self, now: Moment) {
         if now < self.backlog_due {
@@ -51,8 +52,13 @@
             warn!(self.log, "no room for jobs"; "limit_bytes" => self.shard_bytes);
         }
         let row = BacklogRow::new(self.shard.backlog(), room);
-        if self.saver.try_send(SaveRequest::Backlog(row)).is_err() {
-            warn!(self.log, "backlog not saved"; "because" => "the saver's ring is full");
+        let incarnations = self.shard.known_incarnations();
+        let changed = (incarnations != self.saved_incarnations).then(|| incarnations.clone());
+        match self.saver.try_send(SaveRequest::Backlog(row, changed)) {
+            Ok(()) => self.saved_incarnations = incarnations,
+            Err(_) => {
+                warn!(self.log, "backlog not saved"; "because" => "the saver's ring is full");
+            }
         }
     }
 }
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -9,8 +9,9 @@
 
 use skylarkwick_connection::store::{
     self, Page, Row, Store, TableReader,
+    clock::Reading,
     keyspace::{self, Keyspace},
-    row::{self, FinalState, JobRow, PoolSizesRow, ProgressRow},
+    row::{self, FinalState, IncarnationsRow, JobRow, PoolSizesRow, ProgressRow},
 };
 use skylarkwick_process::{
     clock::{Boot, Clock},
@@ -18,7 +19,10 @@
 };
 use skylarkwick_request::{
     job::{self, Job, progress::Progress},
-    shard::input::AcceptedJob,
+    shard::{
+        Incarnation,
+        input::{AcceptedJob, ServerId},
+    },
 };
 use skylarkwick_version::{
     moment::{Moment, millis},
@@ -30,7 +34,8 @@
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// What a new holder starts from: the jobs that are not finished, with their progress, the
-/// revision that they were read at, and the initial sizes of the pools.
+/// revision that they were read at, the initial sizes of the pools, and what earlier holders
+/// knew of the servers.
 #[derive(Debug)]
 pub(super) struct LoadedState {
     pub(super) jobs: Vec<AcceptedJob>,
@@ -41,6 +46,8 @@
     /// Number of hosts of each pool before any move; empty until the first holder stores
     /// them, or if the row is invalid.
     pub(super) pool_sizes: BTreeMap<Arc<str>, usize>,
+    /// Incarnations of servers; empty if no holder has stored any, or if the row is invalid.
+    pub(super) incarnations: BTreeMap<ServerId, Incarnation>,
 }
 
 /// The reads at the start of a term, which are continued after an error.
@@ -58,8 +65,8 @@
         Loader { keyspace, jobs: reader(keyspace::JOBS), progress: reader(keyspace::PROGRESS) }
     }
 
-    /// Reads the jobs that are not finished, the progress of their tasks, and the initial
-    /// sizes of the pools. Invalid rows are logged and skipped.
+    /// Reads the jobs that are not finished, the progress of their tasks, the initial sizes
+    /// of the pools, and the incarnations of servers. Invalid rows are logged and skipped.
     ///
     /// # Errors
     ///
@@ -71,18 +78,20 @@
         self.jobs.read(store)?;
         self.progress.read(store)?;
         let pool_sizes = pool_sizes(store, self.keyspace, log)?;
-        Ok(self.loaded_state(pool_sizes, log))
+        let incarnations = incarnations(store, self.keyspace, log)?;
+        Ok(LoadedState { pool_sizes, incarnations, ..self.loaded_jobs(log) })
     }
 
     /// Combines the rows of jobs and of their progress.
-    fn loaded_state(&self, pool_sizes: BTreeMap<Arc<str>, usize>, log: &Logger) -> LoadedState {
+    fn loaded_jobs(&self, log: &Logger) -> LoadedState {
         let jobs = self.jobs.page();
         let by_job = progress_by_job(self.progress.page(), self.keyspace, log);
         let mut loaded = LoadedState {
             jobs: Vec::new(),
             ended: BTreeSet::new(),
             revision: jobs.revision,
-            pool_sizes,
+            pool_sizes: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
         };
         for row in &jobs.rows {
             match decode_job(row, self.keyspace, jobs.now_ms, log) {
@@ -155,6 +164,28 @@
     Ok(pool_sizes.hosts.into_iter().map(|(pool, hosts)| (Arc::from(pool), hosts)).collect())
 }
 
+/// Reads the incarnations of servers that earlier holders have stored; empty if there are none
+/// or the row is invalid.
+///
+/// # Errors
+///
+/// Returns the store's error if it does not respond.
+fn incarnations<S: Store>(
+    store: &S,
+    keyspace: Keyspace,
+    log: &Logger,
+) -> Result<BTreeMap<ServerId, Incarnation>, store::Error> {
+    let (row, store_ms) = store::read_one(store, &keyspace.incarnations())?;
+    let clock = Reading { now: Boot.now(), store_ms };
+    let Some(value) = row.value else {
+        return Ok(BTreeMap::new());
+    };
+    let incarnations = row::decode::<IncarnationsRow>(&value)
+        .inspect_err(|error| warn!(log, "incarnations not decoded"; "error" => %error))
+        .unwrap_or_default();
+    Ok(incarnations.incarnations(clock))
+}
+
 /// Decodes the progress rows of a page, by job, each with its revision; removed and invalid
 /// rows are left out.
 fn progress_by_job(
--- a/crates/skylarkwick-planner/src/jobs/saver.rs
+++ b/crates/skylarkwick-planner/src/jobs/saver.rs
@@ -1,13 +1,14 @@
-//! Writes job updates, the backlog, pool sizes and waves to the store.
+//! Writes job updates, the backlog, incarnations of servers, pool sizes and waves to the store.
 
 use std::{collections::BTreeMap, io, sync::Arc, time::Duration};
 
 use skylarkwick_connection::{
     control::Registry,
     store::{
-        self, Commit, Key, Store, Transaction,
+        self, Commit, Store, Transaction,
+        clock::Reading,
         keyspace::Keyspace,
-        row::{self, BacklogRow, PoolSizesRow, WaveRow},
+        row::{self, BacklogRow, IncarnationsRow, PoolSizesRow, WaveRow},
     },
 };
 use skylarkwick_process::{
@@ -15,7 +16,11 @@
     duty::{Duty, StopSignal},
     ring,
 };
-use skylarkwick_request::shard::effect::{Batch, JobUpdate};
+use skylarkwick_request::shard::{
+    Incarnation,
+    effect::{Batch, JobUpdate},
+    input::ServerId,
+};
 use skylarkwick_version::{moment::millis, revision::Revision, sharding::Sharding};
 use slog::{Logger, warn};
 
@@ -31,14 +36,15 @@
 /// the holder.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// A request to the saver's duty: write job updates, the backlog, the pool sizes or the
-/// progress of a wave.
+/// A request to the saver's duty: write job updates, the backlog with incarnations of servers,
+/// the pool sizes or the progress of a wave.
 #[derive(Debug)]
 pub(super) enum SaveRequest {
     /// Updates of jobs.
     Batch(Batch),
-    /// The waiting jobs of each queue.
-    Backlog(BacklogRow),
+    /// The waiting jobs of each queue, and the incarnations of servers if they have changed.
+    /// Both are written in one transaction, so that the second costs no call.
+    Backlog(BacklogRow, Option<BTreeMap<ServerId, Incarnation>>),
     /// The initial sizes of the pools.
     PoolSizes(PoolSizesRow),
     /// The progress of a wave.
@@ -106,16 +112,19 @@
 
 impl<S: Store, D: Registry> Saver<S, D> {
     /// Writes requests until their ring is closed, or until a result cannot be sent because
-    /// the holder has ended. The holder receives the results of batches and waves; failed
-    /// writes of the backlog and pool sizes are only logged. A backlog or wave that is
-    /// rejected because of a later holder also ends the term, see [`Self::put`].
+    /// the holder has ended. The holder receives the results of batches and waves, and
+    /// whether incarnations were not written; other failed writes of the backlog and those of
+    /// pool sizes are only logged. A backlog or wave that is rejected because of a later
+    /// holder also ends the term, see [`Self::commit`].
     fn run(&self, input: &ring::Receiver<SaveRequest>) {
         while let Some(request) = input.receive() {
             let event = match request {
                 SaveRequest::Batch(batch) => self.save_batch(batch),
-                SaveRequest::Backlog(backlog) => {
-                    self.save_backlog(backlog);
-                    continue;
+                SaveRequest::Backlog(backlog, incarnations) => {
+                    if self.save_backlog(backlog, incarnations.as_ref()) || incarnations.is_none() {
+                        continue;
+                    }
+                    Event::IncarnationsNotSaved
                 }
                 SaveRequest::PoolSizes(pool_sizes) => {
                     self.save_pool_sizes(&pool_sizes);
@@ -149,25 +158,37 @@
         Event::BatchNotSaved(Box::new(Batch { updates: unsaved, cursors: Vec::new() }))
     }
 
-    /// Writes the backlog with the store's time. If a later holder has acquired the shard, it
-    /// is not written and the lease is reported as lost. Any failure is logged.
-    fn save_backlog(&self, mut backlog: BacklogRow) {
-        backlog.written_ms = self.store.clock_ms();
-        let key = self.keyspace.backlog();
-        if let Err(error) = self.put(key, row::encode(&backlog)) {
-            warn!(self.log, "backlog not saved"; "error" => %error);
+    /// Writes the backlog with the store's time, and incarnations of servers if there are
+    /// any; returns whether they were written. If a later holder has acquired the shard, they
+    /// are not and the lease is reported as lost. Any failure is logged.
+    fn save_backlog(
+        &self,
+        mut backlog: BacklogRow,
+        incarnations: Option<&BTreeMap<ServerId, Incarnation>>,
+    ) -> bool {
+        // A pause between the two readings makes the stored times later, never earlier.
+        let now = Boot.now();
+        let store_ms = self.store.clock_ms();
+        backlog.written_ms = store_ms;
+        let mut transaction =
+            Transaction::default().put(self.keyspace.backlog(), row::encode(&backlog));
+        if let Some(incarnations) = incarnations {
+            let row = IncarnationsRow::new(incarnations, Reading { now, store_ms });
+            transaction = transaction.put(self.keyspace.incarnations(), row::encode(&row));
         }
+        self.commit(transaction)
+            .inspect_err(|error| warn!(self.log, "backlog not saved"; "error" => %error))
+            .is_ok()
     }
 
-    /// Writes a row on condition that no later holder has acquired the shard; if one has,
-    /// sends the holder an event that the lease is lost.
+    /// Commits a transaction on condition that no later holder has acquired the shard; if one
+    /// has, sends the holder an event that the lease is lost.
     ///
     /// # Errors
     ///
     /// Returns the store's error, also if a later holder has acquired the shard.
-    fn put(&self, key: Key, value: Vec<u8>) -> Result<(), store::Error> {
-        let fence = self.keyspace.fence();
-        let transaction = Transaction::default().put(key, value).require(fence, self.fence);
+    fn commit(&self, transaction: Transaction) -> Result<(), store::Error> {
+        let transaction = transaction.require(self.keyspace.fence(), self.fence);
         match self.store.commit(&transaction)? {
             Commit::Applied(_) => Ok(()),
             Commit::Conflict(_) => {
@@ -203,7 +224,7 @@
         let due_ms = self.store.clock_ms() + millis(time_left);
         let row = row::encode(&WaveRow { started, due_ms });
         let result = self
-            .put(self.keyspace.wave(wave), row)
+            .commit(Transaction::default().put(self.keyspace.wave(wave), row))
             .and_then(|()| self.report_wave(wave, is_completed));
         if let Err(error) = &result {
             warn!(self.log, "wave not saved"; "wave" => wave, "error" => %error);
