--- a/crates/skylarkwick-request/tests/simulation/mod.rs
+++ b/crates/skylarkwick-request/tests/simulation/mod.rs
@@ -2,14 +2,15 @@
 
 pub(crate) mod world;
 
-use std::{collections::BTreeMap, ops::RangeInclusive};
+use std::{collections::BTreeMap, ops::RangeInclusive, time::Duration};
 
 use skylarkwick_request::{
     job::task::{self, RunId, RunOutcome},
     shard::input::FinishedRun,
 };
+use skylarkwick_version::moment::millis;
 
-use crate::harness::{self, timings};
+use crate::harness;
 
 const HEARTBEAT_MS: u64 = 1500;
 /// Largest clock that a server starts with, in milliseconds.
@@ -93,9 +94,9 @@
         self.clock_start_ms + now_ms - self.since_ms
     }
 
-    pub(crate) fn extend_lease(&mut self, now_ms: u64, until_ms: u64) {
-        let longest =
-            self.clock_ms(now_ms) + u64::try_from(timings().max_lease.as_millis()).unwrap();
+    /// Extends the lease until a time on its clock, or for the longest lease.
+    pub(crate) fn extend_lease(&mut self, now_ms: u64, until_ms: u64, max_lease: Duration) {
+        let longest = self.clock_ms(now_ms) + millis(max_lease);
         self.lease_until_ms = self.lease_until_ms.max(until_ms.min(longest));
     }
 
--- a/crates/skylarkwick-request/tests/simulation/world.rs
+++ b/crates/skylarkwick-request/tests/simulation/world.rs
@@ -16,7 +16,7 @@
         task::{self, RunId},
     },
     shard::{
-        Incarnation,
+        Incarnation, Shard, Term, Timings,
         effect::{Batch, Effect, Start, Target},
         input::{AcceptedJob, OrderResult, ServerId, ServerInfo, StatusReport},
     },
@@ -24,7 +24,7 @@
 use skylarkwick_version::{moment::Moment, revision::Revision};
 
 use super::{Life, Machine, Random};
-use crate::harness::{self, Harness, ms, server_info, step};
+use crate::harness::{self, Harness, ms, queue, server_info, step};
 
 const SERVERS: [&str; 3] = ["a", "b", "c"];
 /// Time with trouble, and time after it until all jobs are finished, in milliseconds.
@@ -35,6 +35,10 @@
 const LIST_PERIOD_MS: u64 = 250;
 const RENEWAL_PERIOD_MS: u64 = 500;
 const JOB_PERIOD_MS: u64 = 150;
+/// The same if all jobs are long.
+const LONG_JOB_PERIOD_MS: u64 = 300;
+/// Longest lease of a platform on which it is far longer than the leases of holders.
+const LONG_LEASE: Duration = Duration::from_secs(10);
 const INCARNATIONS_PERIOD_MS: u64 = 700;
 /// Every third holder is of a release that neither reads nor stores incarnations.
 const EARLIER_RELEASE_TERMS: u64 = 3;
@@ -50,6 +54,45 @@
     Restarts,
     /// Holders are killed or stopped as planned, and servers are cut off.
     HandOvers,
+    /// The same, with leases far beyond those that holders grant, long jobs, and more servers
+    /// that start again around a change of the holder and are then cut off.
+    LongLeases,
+}
+
+impl Trouble {
+    fn has_hand_overs(self) -> bool {
+        self != Trouble::Restarts
+    }
+
+    /// Returns the number of steps between two restarts of a server at a change of the holder.
+    fn restart_period(self) -> u64 {
+        match self {
+            Trouble::Restarts | Trouble::HandOvers => 500,
+            Trouble::LongLeases => 150,
+        }
+    }
+
+    fn job_period_ms(self) -> u64 {
+        match self {
+            Trouble::Restarts | Trouble::HandOvers => JOB_PERIOD_MS,
+            Trouble::LongLeases => LONG_JOB_PERIOD_MS,
+        }
+    }
+
+    /// Returns the shortest time for which a server is cut off.
+    fn shortest_cut_ms(self) -> u64 {
+        match self {
+            Trouble::Restarts | Trouble::HandOvers => 500,
+            Trouble::LongLeases => 5_000,
+        }
+    }
+
+    fn timings(self) -> Timings {
+        match self {
+            Trouble::Restarts | Trouble::HandOvers => harness::timings(),
+            Trouble::LongLeases => Timings { max_lease: LONG_LEASE, ..harness::timings() },
+        }
+    }
 }
 
 /// A job as the store has it.
@@ -102,6 +145,7 @@
 pub(crate) struct World {
     seed: u64,
     trouble: Trouble,
+    timings: Timings,
     /// Number of the last holder.
     term: u64,
     /// The next holder, while there is none.
@@ -135,12 +179,17 @@
 impl World {
     pub(crate) fn new(seed: u64, trouble: Trouble) -> World {
         let mut harness = Harness::new(1);
+        let timings = trouble.timings();
+        let term = Term { fencing_token: 1, number: 1, since: harness.now };
+        harness.shard = Shard::new(timings, term);
+        harness.shard.set_queues(vec![queue(harness::QUEUE, harness::POOL)]);
         harness.shard.set_hosts(harness.now, Vec::new());
         let start = harness.now;
         let machines = SERVERS.map(|name| (name, Machine::default())).into();
         World {
             seed,
             trouble,
+            timings,
             term: 1,
             successor: None,
             term_end_ms: u64::MAX,
@@ -249,13 +298,14 @@
     }
 
     fn submit_job(&mut self) {
-        if !self.has_trouble() || !self.now_ms.is_multiple_of(JOB_PERIOD_MS) {
+        if !self.has_trouble() || !self.now_ms.is_multiple_of(self.trouble.job_period_ms()) {
             return;
         }
         let id = format!("job-{:05}", self.now_ms);
         let tasks = 1 + u32::try_from(self.random.below(3)).unwrap();
-        let long_ms = if self.trouble == Trouble::HandOvers { 9000 } else { 4000 };
-        let longest_ms = if self.random.is_one_in(4) { long_ms } else { 400 };
+        let long_ms = if self.trouble.has_hand_overs() { 9000 } else { 4000 };
+        let is_long = self.random.is_one_in(4) || self.trouble == Trouble::LongLeases;
+        let longest_ms = if is_long { long_ms } else { 400 };
         let work_ms = 30 + self.random.below(longest_ms);
         self.run_times.insert(Id::new(&id), work_ms);
         let steps = vec![Step { run_time_estimate: ms(work_ms), ..step(tasks, 4) }];
@@ -287,8 +337,7 @@
                 }
                 Effect::Save(batch) => {
                     let is_saved = self.is_store_up && !self.random.is_one_in(30);
-                    let is_answer_lost =
-                        self.trouble == Trouble::HandOvers && self.random.is_one_in(30);
+                    let is_answer_lost = self.trouble.has_hand_overs() && self.random.is_one_in(30);
                     let message =
                         Message::Saved(self.term, Box::new(batch), is_saved, !is_answer_lost);
                     self.send(delay_ms, message);
--- a/crates/skylarkwick-request/tests/simulation/world/calls.rs
+++ b/crates/skylarkwick-request/tests/simulation/world/calls.rs
@@ -9,7 +9,7 @@
 };
 use skylarkwick_version::moment::Moment;
 
-use super::{Call, Life, Message, ORDER_TIMEOUT_MS, Trouble, World};
+use super::{Call, Life, Message, ORDER_TIMEOUT_MS, World};
 use crate::harness::ms;
 
 impl World {
@@ -66,6 +66,7 @@
 
     pub(super) fn start_run(&mut self, call: &Call, start: &Start) -> OrderResult {
         let (now_ms, received) = (self.now_ms, self.harness.now);
+        let max_lease = self.timings.max_lease;
         let work_ms = self.run_times[&start.task.job];
         let Some(life) = self.life(call) else {
             return World::unreached(call);
@@ -74,7 +75,7 @@
         if clock.clock_ms > start.until_ms {
             return OrderResult::Refused(RejectReason::Expired, Some(clock));
         }
-        life.extend_lease(now_ms, start.until_ms);
+        life.extend_lease(now_ms, start.until_ms, max_lease);
         if life.over.get(&start.task).is_some_and(|over| start.run <= *over) {
             return OrderResult::Refused(RejectReason::StaleRun, Some(clock));
         }
@@ -106,13 +107,14 @@
         lease_until_ms: Option<u64>,
         acknowledged: u64,
     ) -> Option<StatusReport> {
-        let (now_ms, received, trouble) = (self.now_ms, self.harness.now, self.trouble);
+        let (now_ms, received) = (self.now_ms, self.harness.now);
+        let (trouble, max_lease) = (self.trouble, self.timings.max_lease);
         let life = self.life(call)?;
         // An end from before a lapse of the lease may be unknown for good. Without cuts the
         // holder learns of each.
-        let lapsed_end = if trouble == Trouble::HandOvers { life.lapsed_end } else { 0 };
+        let lapsed_end = if trouble.has_hand_overs() { life.lapsed_end } else { 0 };
         if let Some(until_ms) = lease_until_ms {
-            life.extend_lease(now_ms, until_ms);
+            life.extend_lease(now_ms, until_ms, max_lease);
         }
         let done = life.ended.iter().filter(|end| end.outcome == RunOutcome::Done);
         let done = done.filter(|end| (lapsed_end + 1..=acknowledged).contains(&end.number));
--- a/crates/skylarkwick-request/tests/simulation/world/trouble.rs
+++ b/crates/skylarkwick-request/tests/simulation/world/trouble.rs
@@ -5,8 +5,8 @@
 use skylarkwick_request::shard::{Shard, Term, Timings, input::AcceptedJob};
 use skylarkwick_version::shard_lease;
 
-use super::{LEASE_MS, RELEASE_MS, SERVERS, Successor, Trouble, World};
-use crate::harness::{self, ms, queue, timings};
+use super::{LEASE_MS, RELEASE_MS, SERVERS, Successor, World};
+use crate::harness::{self, ms, queue};
 
 impl World {
     pub(super) fn make_trouble(&mut self) {
@@ -24,7 +24,7 @@
                 machine.crash(self.now_ms + 20 + self.random.below(1200));
             }
         }
-        if self.trouble == Trouble::HandOvers {
+        if self.trouble.has_hand_overs() {
             self.cut_servers();
             if self.random.is_one_in(400) || self.term_end_ms <= self.now_ms {
                 self.end_term();
@@ -37,11 +37,11 @@
     pub(super) fn cut_servers(&mut self) {
         for name in SERVERS {
             let machine = self.machines.get_mut(name).unwrap();
-            let length_ms = 500 + self.random.below(9_500);
+            let length_ms = self.trouble.shortest_cut_ms() + self.random.below(9_500);
             if self.random.is_one_in(800) {
                 machine.cut_ms = (self.now_ms, self.now_ms + length_ms);
             }
-            if machine.life.is_some() && self.random.is_one_in(500) {
+            if machine.life.is_some() && self.random.is_one_in(self.trouble.restart_period()) {
                 let starts_at_ms = self.now_ms + 50 + self.random.below(500);
                 machine.crash(starts_at_ms);
                 machine.silent_until_ms = starts_at_ms;
@@ -81,8 +81,8 @@
         };
         self.term += 1;
         let now = self.harness.now;
-        let lease = timings().lease_duration.mul_f64(1.03);
-        let timings = Timings { takeover_grace: overlap + lease + ms(500), ..timings() };
+        let lease = self.timings.lease_duration.mul_f64(1.03);
+        let timings = Timings { takeover_grace: overlap + lease + ms(500), ..self.timings };
         let term = Term { fencing_token: self.term, number: self.term, since: now };
         let mut shard = Shard::new(timings, term);
         shard.set_settled_servers(settled);
