Let long_lease_soak find a holder that waits too short

Cause: in the soak servers that were cut off crashed, terms were shorter than the grace, and few starts met a restarted server.

Change: `simulation::plan` has what differs between the soaks in one place; handover_soak and restart_soak keep their values and only import from there. Servers that are cut off run on, terms are longer, the list is read each second.

--- a/crates/skylarkwick-request/tests/handover_soak.rs
+++ b/crates/skylarkwick-request/tests/handover_soak.rs
@@ -6,10 +6,7 @@
 mod harness;
 mod simulation;
 
-use simulation::{
-    seeds,
-    world::{Trouble, World},
-};
+use simulation::{plan::Trouble, seeds, world::World};
 
 /// Seeds that are played if the environment names no other number.
 const SEEDS: u64 = 40;
--- a/crates/skylarkwick-request/tests/long_lease_soak.rs
+++ b/crates/skylarkwick-request/tests/long_lease_soak.rs
@@ -5,11 +5,10 @@
 mod harness;
 mod simulation;
 
-use simulation::{
-    seeds,
-    world::{Trouble, World},
-};
+use simulation::{plan::Trouble, seeds, world::World};
 
+/// Seed before the first one that is played; seed 149 shows a holder that waits too short.
+const EARLIER_SEED: u64 = 120;
 /// Seeds that are played if the environment names no other number.
 const SEEDS: u64 = 40;
 
@@ -18,6 +17,6 @@
 #[test]
 fn seeds_keep_rules() {
     for seed in seeds(SEEDS) {
-        World::new(seed, Trouble::LongLeases).run();
+        World::new(EARLIER_SEED + seed, Trouble::LongLeases).run();
     }
 }
--- a/crates/skylarkwick-request/tests/simulation/mod.rs
+++ b/crates/skylarkwick-request/tests/simulation/mod.rs
@@ -1,5 +1,6 @@
 //! Simulated servers, which crash and start again under their names.
 
+pub(crate) mod plan;
 pub(crate) mod world;
 
 use std::{collections::BTreeMap, ops::RangeInclusive, time::Duration};
--- a/crates/skylarkwick-request/tests/simulation/world.rs
+++ b/crates/skylarkwick-request/tests/simulation/world.rs
@@ -23,7 +23,10 @@
 };
 use skylarkwick_version::{moment::Moment, revision::Revision};
 
-use super::{Life, Machine, Random};
+use super::{
+    Life, Machine, Random,
+    plan::{Plan, Trouble},
+};
 use crate::harness::{self, Harness, ms, queue, server_info, step};
 
 const SERVERS: [&str; 3] = ["a", "b", "c"];
@@ -32,13 +35,7 @@
 const CALM_MS: u64 = 30_000;
 const STEP_MS: u64 = 10;
 const ORDER_TIMEOUT_MS: u64 = 800;
-const LIST_PERIOD_MS: u64 = 250;
 const RENEWAL_PERIOD_MS: u64 = 500;
-const JOB_PERIOD_MS: u64 = 150;
-/// The same if all jobs are long.
-const LONG_JOB_PERIOD_MS: u64 = 300;
-/// Longest lease of a platform on which it is far longer than the leases of holders.
-const LONG_LEASE: Duration = Duration::from_secs(10);
 const INCARNATIONS_PERIOD_MS: u64 = 700;
 /// Every third holder is of a release that neither reads nor stores incarnations.
 const EARLIER_RELEASE_TERMS: u64 = 3;
@@ -46,55 +43,6 @@
 const LEASE_MS: u64 = 2_300;
 const RELEASE_MS: u64 = 100;
 
-/// What goes wrong beside crashes of servers, late and lost calls and an unavailable store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[allow(dead_code, reason = "each soak uses one of them")]
-pub(crate) enum Trouble {
-    /// Nothing.
-    Restarts,
-    /// Holders are killed or stopped as planned, and servers are cut off.
-    HandOvers,
-    /// The same, with leases far beyond those that holders grant, long jobs, and more servers
-    /// that start again around a change of the holder and are then cut off.
-    LongLeases,
-}
-
-impl Trouble {
-    fn has_hand_overs(self) -> bool {
-        self != Trouble::Restarts
-    }
-
-    /// Returns the number of steps between two restarts of a server at a change of the holder.
-    fn restart_period(self) -> u64 {
-        match self {
-            Trouble::Restarts | Trouble::HandOvers => 500,
-            Trouble::LongLeases => 150,
-        }
-    }
-
-    fn job_period_ms(self) -> u64 {
-        match self {
-            Trouble::Restarts | Trouble::HandOvers => JOB_PERIOD_MS,
-            Trouble::LongLeases => LONG_JOB_PERIOD_MS,
-        }
-    }
-
-    /// Returns the shortest time for which a server is cut off.
-    fn shortest_cut_ms(self) -> u64 {
-        match self {
-            Trouble::Restarts | Trouble::HandOvers => 500,
-            Trouble::LongLeases => 5_000,
-        }
-    }
-
-    fn timings(self) -> Timings {
-        match self {
-            Trouble::Restarts | Trouble::HandOvers => harness::timings(),
-            Trouble::LongLeases => Timings { max_lease: LONG_LEASE, ..harness::timings() },
-        }
-    }
-}
-
 /// A job as the store has it.
 struct StoredJob {
     accepted: AcceptedJob,
@@ -145,6 +93,7 @@
 pub(crate) struct World {
     seed: u64,
     trouble: Trouble,
+    plan: Plan,
     timings: Timings,
     /// Number of the last holder.
     term: u64,
@@ -179,7 +128,8 @@
 impl World {
     pub(crate) fn new(seed: u64, trouble: Trouble) -> World {
         let mut harness = Harness::new(1);
-        let timings = trouble.timings();
+        let plan = trouble.plan();
+        let timings = plan.timings();
         let term = Term { fencing_token: 1, number: 1, since: harness.now };
         harness.shard = Shard::new(timings, term);
         harness.shard.set_queues(vec![queue(harness::QUEUE, harness::POOL)]);
@@ -189,6 +139,7 @@
         World {
             seed,
             trouble,
+            plan,
             timings,
             term: 1,
             successor: None,
@@ -285,7 +236,7 @@
         if self.now_ms.is_multiple_of(RENEWAL_PERIOD_MS) {
             self.last_renewal = self.harness.now;
         }
-        if !self.now_ms.is_multiple_of(LIST_PERIOD_MS) {
+        if !self.now_ms.is_multiple_of(self.plan.list_period_ms) {
             return;
         }
         let entry = |(name, machine): (&&str, &Machine)| {
@@ -298,17 +249,17 @@
     }
 
     fn submit_job(&mut self) {
-        if !self.has_trouble() || !self.now_ms.is_multiple_of(self.trouble.job_period_ms()) {
+        if !self.has_trouble() || !self.now_ms.is_multiple_of(self.plan.job_period_ms) {
             return;
         }
         let id = format!("job-{:05}", self.now_ms);
         let tasks = 1 + u32::try_from(self.random.below(3)).unwrap();
-        let long_ms = if self.trouble.has_hand_overs() { 9000 } else { 4000 };
-        let is_long = self.random.is_one_in(4) || self.trouble == Trouble::LongLeases;
-        let longest_ms = if is_long { long_ms } else { 400 };
+        let is_long = self.random.is_one_in(self.plan.long_jobs);
+        let longest_ms = if is_long { self.plan.longest_job_ms } else { 400 };
         let work_ms = 30 + self.random.below(longest_ms);
         self.run_times.insert(Id::new(&id), work_ms);
-        let steps = vec![Step { run_time_estimate: ms(work_ms), ..step(tasks, 4) }];
+        let steps =
+            vec![Step { run_time_estimate: ms(work_ms), ..step(tasks, self.plan.task_cores) }];
         let accepted = Harness::accepted_job(&id, steps);
         if self.successor.is_none() {
             self.harness.shard.add_job(self.harness.now, accepted.clone());
--- a/crates/skylarkwick-request/tests/simulation/world/trouble.rs
+++ b/crates/skylarkwick-request/tests/simulation/world/trouble.rs
@@ -5,7 +5,7 @@
 use skylarkwick_request::shard::{Shard, Term, Timings, input::AcceptedJob};
 use skylarkwick_version::shard_lease;
 
-use super::{LEASE_MS, RELEASE_MS, SERVERS, Successor, World};
+use super::{super::plan::Plan, LEASE_MS, RELEASE_MS, SERVERS, Successor, World};
 use crate::harness::{self, ms, queue};
 
 impl World {
@@ -20,13 +20,14 @@
         }
         for name in SERVERS {
             let machine = self.machines.get_mut(name).unwrap();
-            if machine.life.is_some() && self.random.is_one_in(300) {
+            let is_spared = self.plan.spares_cut && machine.is_cut(self.now_ms);
+            if machine.life.is_some() && self.random.is_one_in(300) && !is_spared {
                 machine.crash(self.now_ms + 20 + self.random.below(1200));
             }
         }
         if self.trouble.has_hand_overs() {
             self.cut_servers();
-            if self.random.is_one_in(400) || self.term_end_ms <= self.now_ms {
+            if self.random.is_one_in(self.plan.term_period) || self.term_end_ms <= self.now_ms {
                 self.end_term();
             }
         }
@@ -35,13 +36,15 @@
     /// Cuts servers off for longer than a lease: at times one that has just started again,
     /// around a change of the holder.
     pub(super) fn cut_servers(&mut self) {
+        let Plan { cut_ms: (shortest_ms, spread_ms), restart_period, spares_cut, .. } = self.plan;
         for name in SERVERS {
             let machine = self.machines.get_mut(name).unwrap();
-            let length_ms = self.trouble.shortest_cut_ms() + self.random.below(9_500);
+            let length_ms = shortest_ms + self.random.below(spread_ms);
             if self.random.is_one_in(800) {
                 machine.cut_ms = (self.now_ms, self.now_ms + length_ms);
             }
-            if machine.life.is_some() && self.random.is_one_in(self.trouble.restart_period()) {
+            let is_spared = spares_cut && machine.is_cut(self.now_ms);
+            if machine.life.is_some() && self.random.is_one_in(restart_period) && !is_spared {
                 let starts_at_ms = self.now_ms + 50 + self.random.below(500);
                 machine.crash(starts_at_ms);
                 machine.silent_until_ms = starts_at_ms;
