--- a/crates/skylarkwick-request/tests/simulation/world.rs
+++ b/crates/skylarkwick-request/tests/simulation/world.rs
@@ -115,6 +115,8 @@
     sent: u64,
     is_store_up: bool,
     last_renewal: Moment,
+    /// When all leases end that the holders before this one have granted.
+    granted_until: Moment,
     /// Run time of each task, in milliseconds.
     run_times: BTreeMap<Id, u64>,
     finished: BTreeSet<Id>,
@@ -156,6 +158,7 @@
             sent: 0,
             is_store_up: true,
             last_renewal: start,
+            granted_until: start,
             run_times: BTreeMap::new(),
             finished: BTreeSet::new(),
             done: BTreeSet::new(),
--- a/crates/skylarkwick-request/tests/simulation/world/trouble.rs
+++ b/crates/skylarkwick-request/tests/simulation/world/trouble.rs
@@ -62,6 +62,11 @@
             return;
         }
         let is_planned = self.random.is_one_in(2);
+        let granted_for = match is_planned {
+            true => self.harness.now + self.timings.lease_duration,
+            false => self.last_renewal + shard_lease::GRANT_LIMIT,
+        };
+        self.granted_until = self.granted_until.max(granted_for);
         self.successor = Some(match is_planned {
             true => Successor {
                 at_ms: self.now_ms + 20 + self.random.below(RELEASE_MS),
@@ -84,8 +89,13 @@
         };
         self.term += 1;
         let now = self.harness.now;
-        let lease = self.timings.lease_duration.mul_f64(1.03);
-        let timings = Timings { takeover_grace: overlap + lease + ms(500), ..self.timings };
+        let granted = self.granted_until.since(now).mul_f64(1.03);
+        let longest = overlap + self.timings.max_lease.mul_f64(1.03);
+        let timings = Timings {
+            takeover_grace: granted + ms(500),
+            longest_grace: longest.max(granted) + ms(500),
+            ..self.timings
+        };
         let term = Term { fencing_token: self.term, number: self.term, since: now };
         let mut shard = Shard::new(timings, term);
         shard.set_settled_servers(settled);
