Keep the wait for a lease that no holder knows of apart from the limit of grants

By reading, before a landing: a call by the clock of an earlier incarnation gets the longest lease from when it is carried out, which GRANT_LIMIT does not limit.

--- a/crates/skylarkwick-planner/tests/lost_holder.rs
+++ b/crates/skylarkwick-planner/tests/lost_holder.rs
@@ -7,7 +7,10 @@
     lease::Incarnation,
     moment::Moment,
     revision::Revision,
-    shard_lease::{Decision, LEASE_DURATION, Observation, Record, decide},
+    shard_lease::{
+        Decision, GRANT_LIMIT, HOLDER_OVERLAP, LEASE_DURATION, Observation, Record, Remainder,
+        decide,
+    },
 };
 
 /// Longest time without a run of a long-running task, beside its start: it is due 6 s after its
@@ -66,3 +69,17 @@
         assert!(time_without_run <= MAX_TIME_WITHOUT_RUN, "{time_without_run:?}");
     }
 }
+
+/// Guards against TWICE: a call by the clock of an earlier incarnation gets the longest lease from
+/// when it is carried out, which a holder may do as long as it acts.
+#[test]
+fn unknown_lease_awaited() {
+    for max_run_lease in [Duration::from_secs(6), Duration::from_secs(10)] {
+        for overlap in [Duration::ZERO, HOLDER_OVERLAP] {
+            let granted = GRANT_LIMIT.saturating_sub(LEASE_DURATION);
+            let timings = timings(&config(max_run_lease), Remainder { overlap, granted });
+            assert!(timings.longest_grace > overlap + max_run_lease, "{timings:?}");
+            assert!(timings.longest_grace >= timings.takeover_grace, "{timings:?}");
+        }
+    }
+}
