Wait for servers that have left the list by what earlier holders have handed on

A server that isn't in the platform's list was given up after the plain grace, also if the holder before had handed on that a call by an earlier clock may still be carried out there (the plain grace has just become shorter), or, at a planned release, that its lease lasts longer.

Change: unlisted_end goes by the handed-on lease, else by the handed-on incarnation, as for listed servers; a handed-on later incarnation counts before an entry of an earlier one. What was handed on is kept while a job waits for it.

Before: known_incarnations::unlisted_restart_awaited and unlisted_server_inherited and left_servers::longer_lease_awaited fail; they hold now.

--- a/crates/skylarkwick-request/src/shard/incarnation.rs
+++ b/crates/skylarkwick-request/src/shard/incarnation.rs
@@ -49,12 +49,23 @@
 }
 
 impl Incarnations {
-    /// Returns the time that an earlier holder has handed on for an incarnation.
+    /// Returns the time that an earlier holder has handed on for an incarnation or a later one,
+    /// since the platform's list may lag behind.
     fn inherited(&self, id: &ServerId, started_ms: u64) -> Option<Moment> {
-        let known = self.inherited.get(id).filter(|known| known.started_ms == started_ms);
+        let known = self.inherited.get(id).filter(|known| known.started_ms >= started_ms);
         known.map(|known| known.late_calls_until)
     }
 
+    /// Returns the time that an earlier holder has handed on for a server that is not listed.
+    pub(super) fn inherited_unlisted(&self, id: &ServerId) -> Option<Moment> {
+        self.inherited(id, 0)
+    }
+
+    /// Returns whether earlier holders have handed on nothing, as those of an earlier release.
+    pub(super) fn is_empty(&self) -> bool {
+        self.inherited.is_empty()
+    }
+
     /// Remembers a server that is no longer known after `now`.
     pub(super) fn record_removed(&mut self, now: Moment, id: &ServerId) {
         self.removed.insert(id.clone(), now);
@@ -82,8 +93,8 @@
     }
 
     /// Returns the incarnations for the next holder: of the servers that are known, those that
-    /// have answered this holder and those that were handed on to it; before the first list, all
-    /// that were handed on.
+    /// have answered this holder and those that were handed on to it, and of those that have left
+    /// the list, those that jobs still wait for; before the first list, all that were handed on.
     pub fn known_incarnations(&self) -> BTreeMap<ServerId, Incarnation> {
         if !self.are_servers_listed {
             return self.incarnations.inherited.clone();
@@ -93,7 +104,15 @@
             let late_calls_until = self.late_calls_until(server)?;
             Some((server.id().clone(), Incarnation { started_ms, late_calls_until }))
         });
-        known.collect()
+        let mut known: BTreeMap<ServerId, Incarnation> = known.collect();
+        for id in self.jobs.values().flat_map(|active| &active.unverified_servers) {
+            if let Some(inherited) = self.incarnations.inherited.get(id)
+                && !self.servers.contains_key(id)
+            {
+                known.insert(id.clone(), *inherited);
+            }
+        }
+        known
     }
 
     /// Returns until when a server may carry out calls by the clock of an earlier incarnation, of
--- a/crates/skylarkwick-request/src/shard/membership.rs
+++ b/crates/skylarkwick-request/src/shard/membership.rs
@@ -130,7 +130,10 @@
     pub(super) fn are_earlier_runs_settled(&self, now: Moment, id: &ServerId) -> bool {
         match self.servers.get(id) {
             Some(server) => server.is_fenced || self.is_silence_over(now, server),
-            None => self.is_takeover_grace_over(now) || self.is_over_by_handover(now, id),
+            None => {
+                let is_gone = self.are_servers_listed || self.is_takeover_grace_over(now);
+                is_gone && now > self.unlisted_end(id)
+            }
         }
     }
 
@@ -139,13 +142,32 @@
     pub(super) fn earlier_runs_end(&self, now: Moment, id: &ServerId) -> Moment {
         match self.servers.get(id) {
             Some(server) => self.silence_end(now, server),
-            None => {
-                let grace_end = self.takeover_grace_end();
-                self.settled_servers.get(id).map_or(grace_end, |end| grace_end.min(*end))
-            }
+            None => self.unlisted_end(id),
         }
     }
 
+    /// Returns until when the runs of earlier holders may be in progress on a server that is not
+    /// in the platform's list: as long as the holder before has handed on when it released the
+    /// shard, else as on one that is listed.
+    pub(super) fn unlisted_end(&self, id: &ServerId) -> Moment {
+        let longest_end = self.term.since + self.timings.longest_grace;
+        match (self.settled_servers.get(id), self.incarnations.inherited_unlisted(id)) {
+            (Some(end), _) => longest_end.min(*end),
+            (None, Some(late_calls_until)) => self.late_lease_end(late_calls_until),
+            (None, None) if self.incarnations.is_empty() => self.takeover_grace_end(),
+            (None, None) => longest_end,
+        }
+    }
+
+    /// Returns until when the runs of earlier holders may be in progress on a server that carries
+    /// out no call by an earlier clock after a moment.
+    fn late_lease_end(&self, late_calls_until: Moment) -> Moment {
+        let longest_lease = self.timings.max_lease.mul_f64(MAX_LEASE_STRETCH);
+        let late_lease_end = late_calls_until + longest_lease + STORE_CLOCK_MARGIN;
+        let longest_end = self.term.since + self.timings.longest_grace;
+        late_lease_end.max(self.takeover_grace_end()).min(longest_end)
+    }
+
     /// Returns whether all runs are over on a server that has not reported yet.
     fn is_silence_over(&self, now: Moment, server: &Server) -> bool {
         now > self.silence_end(now, server)
@@ -159,19 +181,17 @@
     /// have restarted as far as the platform allows. One that started long before this
     /// holder's term has no such lease, nor has one of which an earlier holder has handed on
     /// that no call by an earlier clock was carried out so late.
-    fn silence_end(&self, now: Moment, server: &Server) -> Moment {
+    pub(super) fn silence_end(&self, now: Moment, server: &Server) -> Moment {
         let Timings { start_window, max_lease, longest_grace, .. } = self.timings;
-        let longest_lease = max_lease.mul_f64(MAX_LEASE_STRETCH);
-        let grace_end = self.takeover_grace_end();
         let longest_end = self.term.since + longest_grace;
         match (server.is_restarted, self.late_calls_until(server)) {
-            (true, _) => longest_end.max(server.since + start_window + longest_lease),
-            (false, _) if !self.has_started_recently(now, server) => grace_end,
-            (false, Some(until)) => {
-                let late_lease_end = until + longest_lease + STORE_CLOCK_MARGIN;
-                late_lease_end.max(grace_end).min(longest_end)
+            (true, _) => {
+                let longest_lease = max_lease.mul_f64(MAX_LEASE_STRETCH);
+                longest_end.max(server.since + start_window + longest_lease)
             }
-            (false, None) => longest_end,
+            (false, Some(late_calls_until)) => self.late_lease_end(late_calls_until),
+            (false, None) if self.has_started_recently(now, server) => longest_end,
+            (false, None) => self.takeover_grace_end(),
         }
     }
 
--- a/crates/skylarkwick-request/src/shard/settled.rs
+++ b/crates/skylarkwick-request/src/shard/settled.rs
@@ -28,19 +28,11 @@
         let leases =
             answered.filter_map(|server| Some((server.id().clone(), server.lease_left(now)?)));
         let mut settled: BTreeMap<ServerId, Duration> = leases.collect();
-        let grace_end = self.takeover_grace_end();
         for id in self.jobs.values().flat_map(|active| &active.unverified_servers) {
             if !self.servers.contains_key(id) {
-                let end = self.settled_servers.get(id).copied().unwrap_or(grace_end);
-                settled.insert(id.clone(), end.min(grace_end).since(now));
+                settled.insert(id.clone(), self.unlisted_end(id).since(now));
             }
         }
         settled
     }
-
-    /// Returns whether a server has left, and nothing runs there any more by what the holder
-    /// before has handed on.
-    pub(super) fn is_over_by_handover(&self, now: Moment, id: &ServerId) -> bool {
-        self.are_servers_listed && self.settled_servers.get(id).is_some_and(|end| now > *end)
-    }
 }
--- a/crates/skylarkwick-request/tests/known_incarnations.rs
+++ b/crates/skylarkwick-request/tests/known_incarnations.rs
@@ -28,11 +28,20 @@
 /// Returns for how long after a take-over the tasks on server a, which never answers, are
 /// waited for, by what earlier holders have handed on and by its entry in the list.
 fn await_silent(known: impl Fn(Moment) -> Known, listed_ms: u64) -> Duration {
+    await_listed(known, Some(listed_ms))
+}
+
+/// The same, if server a may have left the list.
+fn await_listed(known: impl Fn(Moment) -> Known, listed_ms: Option<u64>) -> Duration {
     let mut harness = taken_shard();
     let since = harness.now;
     harness.shard.set_known_incarnations(known(since));
     harness.shard.add_job(harness.now, earlier_job_on_a());
     harness.servers = vec![server_info("a", POOL, "a"), server_info("b", POOL, "b")];
+    if listed_ms.is_none() {
+        harness.servers.remove(0);
+    }
+    let listed_ms = listed_ms.unwrap_or_default();
     harness.list_incarnation("a", listed_ms);
     harness.report("b", &[], &[]);
     for _ in 0..400 {
@@ -85,6 +94,37 @@
     assert!(waited > lease_over && waited < lease_over + ms(500), "{waited:?}");
 }
 
+/// Guards against a second run: a server that has just started again is cut off from the store, so
+/// that its entry is missing, or that of the earlier incarnation is still there.
+#[test]
+fn unlisted_restart_awaited() {
+    let until = |since| since + timings().takeover_grace;
+    assert_longer(await_listed(|since| known(RESTARTED_MS, until(since)), None));
+    let old_ms = UNIX_MS - 600_000;
+    assert_longer(await_listed(|since| known(RESTARTED_MS, until(since)), Some(old_ms)));
+    let other =
+        |since: Moment| Known::from([(server("b"), known(STARTED_MS, since)[&server("a")])]);
+    assert_longer(await_listed(other, None));
+}
+
+/// Guards against LOST: the entry of a server that is lost with the holder has lapsed.
+#[test]
+fn unlisted_server_given_up() {
+    assert_plain(await_listed(|since| known(STARTED_MS, since - ms(8_000)), None));
+    assert_plain(await_listed(|_| Known::new(), None));
+}
+
+/// What was handed on of a server that has left the list is handed on while a job waits for it.
+#[test]
+fn unlisted_server_inherited() {
+    let mut harness = taken_shard();
+    let earlier = known(STARTED_MS, harness.now - ms(8_000));
+    harness.shard.set_known_incarnations(earlier.clone());
+    harness.shard.add_job(harness.now, earlier_job_on_a());
+    harness.set_servers(&["b"]);
+    assert_eq!(harness.shard.known_incarnations(), earlier);
+}
+
 /// A holder of which server a has answered, as incarnation `STARTED_MS`.
 fn answered_holder() -> Harness {
     let mut harness = taken_shard();
--- a/crates/skylarkwick-request/tests/left_servers.rs
+++ b/crates/skylarkwick-request/tests/left_servers.rs
@@ -43,6 +43,17 @@
     assert!(waited < ms(2_300), "{waited:?}");
 }
 
+/// Guards against a second run: the holder before knew of a lease that outlasts the grace of this
+/// one.
+#[test]
+fn longer_lease_awaited() {
+    let handed_on = timings().takeover_grace + ms(1_000);
+    let mut harness = with_handover(&[("a", u64::try_from(handed_on.as_millis()).unwrap())]);
+    harness.set_servers(&["b"]);
+    let waited = wait_for_start(&mut harness);
+    assert!(waited > handed_on && waited < handed_on + ms(300), "{waited:?}");
+}
+
 /// A server that is still listed has runs that its holder may adopt.
 #[test]
 fn listed_server_awaited() {
