Count what earlier holders may have granted from a server's first answer

Change: by its first report, a server's lease ends no later than if it had not answered (silence_end); without what earlier holders hand on, the longest lease counts as before.

Before: first_answer::known_lease_counts fails, the task waits for 6 s with a longest lease of 6 s and a grace of 3 s; now it waits for the grace. earlier_clock and server_restart hold unchanged.

--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -74,13 +74,18 @@
         if report.clock.sent < server.last_report_sent {
             return;
         }
+        let earlier_until_ms = self.earlier_lease_ms(now, &report);
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
         server.record_clock(report.clock);
         server.record_poll_answered();
         server.is_unreachable = false;
-        if server.may_have_longest_lease(&report) {
-            let granted = report.clock.clock_ms.saturating_add(millis(self.timings.max_lease));
-            server.lease_until_ms = server.lease_until_ms.max(Some(granted));
-        }
+        let granted_ms = match server.may_have_longest_lease(&report, earlier_until_ms) {
+            true => Some(report.clock.clock_ms.saturating_add(millis(self.timings.max_lease))),
+            false => earlier_until_ms,
+        };
+        server.lease_until_ms = server.lease_until_ms.max(granted_ms);
         server.is_fenced = true;
         if report.incarnation_ms.is_some() {
             server.identified_at.get_or_insert(now);
@@ -109,6 +114,16 @@
         }
     }
 
+    /// Returns until when at the latest, on the server's clock in milliseconds, leases last that
+    /// earlier holders have granted, by the server's first report to this holder; `None` by later
+    /// ones, since the server rejects earlier holders from then on.
+    fn earlier_lease_ms(&self, now: Moment, report: &StatusReport) -> Option<u64> {
+        let server = self.servers.get(&report.server).filter(|server| !server.is_fenced)?;
+        let earlier = self.silence_end(now, server).since(report.clock.sent);
+        let left = earlier.min(self.timings.max_lease);
+        Some(report.clock.clock_ms.saturating_add(millis(left)))
+    }
+
     /// Handles a poll without an answer: until the server answers a poll, it
     /// counts as unreachable and gets no new work and no lease renewal. It is
     /// polled again after `POLL_RETRY_DELAY`. A poll of an earlier incarnation is
--- a/crates/skylarkwick-request/src/shard/server.rs
+++ b/crates/skylarkwick-request/src/shard/server.rs
@@ -253,20 +253,25 @@
     }
 
     /// Returns whether the lease may end as late as the platform allows from a report
-    /// on, and not only where this holder has granted it.
+    /// on, and not only by `earlier_until_ms`, the end of what earlier holders have
+    /// granted, or where this holder has granted it.
     ///
-    /// Before its first report, the server carries out calls of earlier holders, and
-    /// one of those may have been made by the clock of an earlier incarnation, which
-    /// says nothing on the later one: such a lease is shortened to the longest. The
-    /// same holds for this holder's own calls around a restart. What runs beyond its
-    /// lease has one that is not known here.
-    pub(super) fn may_have_longest_lease(&self, report: &StatusReport) -> bool {
+    /// A call of this holder around a restart may have been made by the clock of the
+    /// earlier incarnation, which says nothing on the later one: such a lease is
+    /// shortened to the longest. What runs beyond its lease has one that is not known
+    /// here.
+    pub(super) fn may_have_longest_lease(
+        &self,
+        report: &StatusReport,
+        earlier_until_ms: Option<u64>,
+    ) -> bool {
+        let known_until_ms = self.lease_until_ms.max(earlier_until_ms);
         let has_outlived_lease =
-            !report.running.is_empty() && Some(report.clock.clock_ms) > self.lease_until_ms;
+            !report.running.is_empty() && Some(report.clock.clock_ms) > known_until_ms;
         let is_earlier = |run: &ActiveRun| run.attribution == Attribution::Earlier;
         let has_earlier_orders =
             report.clock.sent < self.since + LATE_CALL_TIME || self.runs.values().any(is_earlier);
-        !self.is_fenced || has_outlived_lease || (self.is_restarted && has_earlier_orders)
+        has_outlived_lease || (self.is_restarted && has_earlier_orders)
     }
 
     /// Returns the destination of orders to this server; `fencing_token` is the
