--- a/crates/skylarkwick-connection/src/listen/body.rs
+++ b/crates/skylarkwick-connection/src/listen/body.rs
@@ -13,7 +13,6 @@
 const HANDLING_FACTOR: usize = 8;
 /// Smallest size of a buffer that grows, in bytes.
 const MIN_BUFFER_BYTES: usize = 1024;
-
 /// Most bytes of a body that are discarded, so that its connection can go on.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
--- a/crates/skylarkwick-planner/src/jobs/holder.rs
+++ b/crates/skylarkwick-planner/src/jobs/holder.rs
@@ -383,7 +383,8 @@
         }
     }
 
-    /// Ends the term, unless it has ended: nothing more is decided, and waiting orders are not sent.
+    /// Ends the term, unless it has ended: nothing more is decided, and waiting orders are not
+    /// sent.
     fn lose(&mut self, because: &'static str) {
         if self.is_lost {
             return;
--- a/crates/skylarkwick-planner/src/jobs/lease.rs
+++ b/crates/skylarkwick-planner/src/jobs/lease.rs
@@ -24,8 +24,7 @@
 const MAX_SETTLED: usize = 1_000;
 
 /// An acquisition of a shard, which begins a term, the time of one holder: the shard, the holder's
-/// fencing token, the number of the term, when it began, and for how long earlier holders
-/// may still act.
+/// fencing token, the number of the term, when it began, and what earlier holders may still do.
 #[derive(Clone, Debug)]
 pub struct Acquisition {
     /// Rows of the shard.
--- a/crates/skylarkwick-planner/src/jobs/load.rs
+++ b/crates/skylarkwick-planner/src/jobs/load.rs
@@ -231,9 +231,9 @@
 }
 
 /// Decodes a job's row; returns `None` for one of another shard, for a submission that was
-/// refused or withdrawn before it was stored, and for an invalid row, which is logged. An active job is returned
-/// without progress, which has a row of its own. `now_ms` is the store's clock, from which
-/// the job's age is counted.
+/// refused or withdrawn before it was stored, and for an invalid row, which is logged. An active
+/// job is returned without progress, which has a row of its own. `now_ms` is the store's clock,
+/// from which the job's age is counted.
 pub(super) fn decode_job(
     row: &Row,
     keyspace: Keyspace,
--- a/crates/skylarkwick-request/src/shard/long_running.rs
+++ b/crates/skylarkwick-request/src/shard/long_running.rs
@@ -63,7 +63,7 @@
         hosts.max().and_then(|hosts| usize::try_from(hosts).ok()).unwrap_or_default()
     }
 
-    /// Returns the long-running steps with their numbers of tasks that have not succeeded, for
+    /// Returns the long-running steps with their numbers of tasks, none of which is ever done, for
     /// each open occurrence, and for all together that are due and not open.
     pub(super) fn unfinished_long_running(&self) -> impl Iterator<Item = (&Step, u64)> {
         let steps = self
--- a/crates/skylarkwick-request/src/shard/outage/scan.rs
+++ b/crates/skylarkwick-request/src/shard/outage/scan.rs
@@ -42,8 +42,8 @@
 }
 
 impl Shard {
-    /// Returns the tasks and jobs that should run and have no run. Occurrences that are due and whose
-    /// turn has not come are left out.
+    /// Returns the tasks and jobs that should run and have no run. Occurrences that are due and
+    /// whose turn has not come are left out.
     pub fn outages(&self, now: Moment) -> Outages {
         let mut outages = Outages::default();
         for active in self.jobs.values().filter(|active| active.outcome.is_none()) {
--- a/crates/skylarkwick-request/src/shard/ranking.rs
+++ b/crates/skylarkwick-request/src/shard/ranking.rs
@@ -162,8 +162,8 @@
     }
 
     /// Ranks a step. Its timeliness follows from when the occurrence ends if no
-    /// task has to wait from now on, and from whether its job is postponed. A job that can't meet its objective any
-    /// more comes after those that can, because its result is worth far less.
+    /// task has to wait from now on, and from whether its job is postponed. A job that can't meet
+    /// its objective any more comes after those that can, because its result is worth far less.
     fn rank(
         &self,
         now: Moment,
--- a/crates/skylarkwick-request/src/shard/starts.rs
+++ b/crates/skylarkwick-request/src/shard/starts.rs
@@ -48,7 +48,8 @@
     /// Sends a planned start, which the server must not carry out later than
     /// `start_window` from now; its lease counts as lasting at least until
     /// then. Releases the run instead if the server is not usable any more, its
-    /// clock is unknown or no lease may be granted any more. Does nothing if the task has no planned run there.
+    /// clock is unknown or no lease may be granted any more. Does nothing if the
+    /// task has no planned run there.
     pub(super) fn send_start(&mut self, now: Moment, id: &ServerId, task: &task::Id) {
         let is_usable = self.servers.get(id).is_some_and(|server| self.is_usable(now, server));
         let window = self.grantable(now, self.timings.start_window).filter(|_| is_usable);
--- a/crates/skylarkwick-version/src/shard_lease.rs
+++ b/crates/skylarkwick-version/src/shard_lease.rs
@@ -1,9 +1,11 @@
 //! Leases on shards: who may acquire one, and how long a holder may continue.
 //!
-//! A takeover is safe at any time, because the new holder fences every backend
-//! server before it sends an order; the durations here only avoid unnecessary
-//! takeovers. All observers use the store's clock, which the store sends with
-//! each response. See `docs/DESIGN.md`, section "Shards".
+//! A new holder fences every backend server that it reaches before it sends an
+//! order there. On the others, what earlier holders have started may run until
+//! the leases end that they have granted, see [`GRANT_LIMIT`]; the other
+//! durations here only avoid unnecessary takeovers. All observers use the store's
+//! clock, which the store sends with each response. See `docs/DESIGN.md`, section
+//! "Shards".
 
 use std::time::Duration;
 
