Poll in short waits while the lease of the shard is not confirmed

Cause: a poll waits up to 0.9 s for a run to end, and only the next one extends the lease of the runs; since grants end by the last renewal, that is too late after an outage of the store.

--- a/crates/skylarkwick-request/src/shard/polling.rs
+++ b/crates/skylarkwick-request/src/shard/polling.rs
@@ -24,6 +24,9 @@
 /// Longest delay between the answer to a poll and the next poll of that server
 /// while the run ends handled so far are being stored.
 const MAX_SAVE_WAIT: Duration = Duration::from_millis(400);
+/// Longest time that a server may wait for a run to end before it answers a poll while the lease
+/// of the shard is not confirmed: the next poll extends the leases of runs once it is.
+const UNCONFIRMED_POLL_WAIT: Duration = Duration::from_millis(200);
 
 impl TaskPosition {
     /// Returns the position of a task in its job: its occurrence, step and
@@ -154,6 +157,7 @@
     pub(super) fn send_due_polls(&mut self, now: Moment) {
         let spacing = self.poll_spacing();
         let lease = self.grantable(now, self.timings.lease_duration);
+        let longest_wait = if self.is_exclusive { Duration::MAX } else { UNCONFIRMED_POLL_WAIT };
         for server in self.servers.values_mut() {
             let is_save_done = server.awaits_save
                 && server.last_seen_end == server.last_saved_end
@@ -172,7 +176,7 @@
                 target: server.target(self.term.fencing_token),
                 lease_until_ms,
                 acknowledged: server.next_acknowledgement(now),
-                max_wait: server.poll_wait(),
+                max_wait: server.poll_wait().min(longest_wait),
             });
         }
     }
--- a/crates/skylarkwick-request/tests/grant_limit.rs
+++ b/crates/skylarkwick-request/tests/grant_limit.rs
@@ -75,6 +75,24 @@
     assert!(last_ms + 200 > full, "{last_ms}, {full}");
 }
 
+/// Guards against work that lapses although the store is back in time, because each server's poll
+/// waits for a run to end before the next one may extend its lease.
+#[test]
+fn unconfirmed_polls_short() {
+    let mut harness = Harness::with_servers(&["a"]);
+    let wait = |effects: &[Effect]| {
+        let polls = effects.iter().filter_map(|effect| match effect {
+            Effect::Poll { max_wait, .. } => Some(*max_wait),
+            _ => None,
+        });
+        polls.max().expect("a poll is due")
+    };
+    let confirmed = wait(&harness.decide());
+    harness.report("a", &[], &[]);
+    let unconfirmed = wait(&harness.decide_unconfirmed());
+    assert!(unconfirmed * 4 < confirmed, "{unconfirmed:?}, {confirmed:?}");
+}
+
 /// A start that no lease may be granted for is not sent, and its task is not held by it.
 #[test]
 fn late_start_not_sent() {
